Serve a prepaid request from caller to endpoint and back

Change: the blackboards' types and the layers' Protocols; an entry that admits, reserves, routes, settles; a sidecar that runs and buffers; a ledger shard committed by compare-and-swap; stand-ins of store, engine, service and host list; the demo. The curl client repeats a POST by itself when a kept connection is found closed, so calls that may not be repeated get a new connection. Conclusion: the path holds; budgets, requests, routing and control are in their simplest form.

--- /dev/null
+++ b/src/cyclamenwing/budget/errors.py
@@ -0,0 +1,72 @@
+"""Errors of budgets."""
+
+from __future__ import annotations
+
+from cyclamenwing import errors
+
+
+class BudgetError(errors.CodedError):
+    """Report a refused budget operation."""
+
+    code = "budget_error"
+    status = 409
+
+
+class BudgetExhaustedError(BudgetError):
+    """Report that a budget has too little left for a request.
+
+    :param asked: units that the request may use at most
+    :param left: units unspent in the whole budget
+    :param out_of_reach: units of `left` that this process can't get now
+    """
+
+    code = "budget_exhausted"
+    status = 402
+
+    def __init__(
+        self, budget: str, asked: int, left: int, out_of_reach: int
+    ) -> None:
+        super().__init__(
+            f"budget {budget!r}: asked {asked}, left {left},"
+            f" out of reach {out_of_reach}"
+        )
+        self.asked = asked
+        self.left = left
+        self.out_of_reach = out_of_reach
+
+
+class UnknownBudgetError(BudgetError):
+    """Report a budget that the ledger does not hold."""
+
+    code = "unknown_budget"
+    status = 404
+
+
+class StaleSessionError(BudgetError):
+    """Report an operation of a session that is closing or closed."""
+
+    code = "stale_session"
+
+
+class LedgerInvariantError(BudgetError):
+    """Report an operation that would charge more than was paid."""
+
+    code = "ledger_invariant"
+    status = 500
+
+
+class MalformedLedgerError(BudgetError):
+    """Report a ledger shard that can't be read."""
+
+    code = "malformed_ledger"
+    status = 500
+
+
+__all__ = (
+    "BudgetError",
+    "BudgetExhaustedError",
+    "LedgerInvariantError",
+    "MalformedLedgerError",
+    "StaleSessionError",
+    "UnknownBudgetError",
+)
--- /dev/null
+++ b/src/cyclamenwing/catalog/errors.py
@@ -0,0 +1,40 @@
+"""Errors of the operators' configuration."""
+
+from __future__ import annotations
+
+from cyclamenwing import errors
+
+
+class CatalogError(errors.CodedError):
+    """Report configuration that can't be used."""
+
+    code = "catalog_error"
+    status = 422
+
+
+class CatalogInvalidError(CatalogError):
+    """Report files with faults, one a line."""
+
+    code = "catalog_invalid"
+
+
+class PublishConflictError(CatalogError):
+    """Report a publishing that another author's change overtook."""
+
+    code = "publish_conflict"
+    status = 409
+
+
+class MalformedCatalogError(CatalogError):
+    """Report a stored revision that can't be read."""
+
+    code = "malformed_catalog"
+    status = 500
+
+
+__all__ = (
+    "CatalogError",
+    "CatalogInvalidError",
+    "MalformedCatalogError",
+    "PublishConflictError",
+)
--- /dev/null
+++ b/src/cyclamenwing/catalog/types.py
@@ -0,0 +1,116 @@
+"""Operators' files and published revisions."""
+
+from __future__ import annotations
+
+from typing import Any
+from typing import NotRequired
+from typing import TypedDict
+
+from cyclamenwing.budget import types as budget_types
+from cyclamenwing.request import types as request_types
+from cyclamenwing.routing import types as routing_types
+
+
+class Workspace(TypedDict):
+    """Describe a workspace; `keys` are SHA-256 digests in hex."""
+
+    name: str
+    keys: list[str]
+    budgets: list[str]
+
+
+class BudgetRule(TypedDict):
+    """Describe what a budget counts; an absent filter takes all."""
+
+    name: str
+    unit: budget_types.Unit
+    kind: NotRequired[str]
+    reviewer: NotRequired[str]
+
+
+class CallRule(TypedDict):
+    """Describe calls of a plain route; `path` is a prefix."""
+
+    method: str
+    path: str
+    idempotent: NotRequired[bool]
+    kind: NotRequired[str]
+
+
+class Route(TypedDict):
+    """Describe a way to endpoints; `workspaces` may hold ``*``."""
+
+    name: str
+    protocol: request_types.Protocol
+    model: NotRequired[str]
+    workspaces: list[str]
+    kind: NotRequired[str]
+    priority: NotRequired[routing_types.Priority]
+    max_tokens: NotRequired[int]
+    timeout_s: NotRequired[float]
+    max_body_bytes: NotRequired[int]
+    calls: NotRequired[list[CallRule]]
+    orders_checked: NotRequired[bool]
+
+
+class ServiceFile(TypedDict):
+    """Hold one service's operators' file."""
+
+    service: str
+    workspaces: NotRequired[list[Workspace]]
+    budgets: NotRequired[list[BudgetRule]]
+    routes: NotRequired[list[Route]]
+
+
+class AuditRecord(TypedDict):
+    """Record who changed what; `previous` chains the records."""
+
+    number: int
+    at: float
+    author: str
+    origin: str
+    kind: str
+    subject: str
+    workspace: str
+    before: Any
+    after: Any
+    previous: str
+    digest: str
+
+
+class ServiceRef(TypedDict):
+    """Point to the published file of one service."""
+
+    digest: str
+    revision: int
+    author: str
+
+
+class Head(TypedDict):
+    """Name the revision in force, the value of one key."""
+
+    revision: int
+    services: dict[str, ServiceRef]
+    commits: list[str]
+    audit: list[AuditRecord]
+    audit_segments: int
+
+
+class Revision(TypedDict):
+    """Hold a whole revision as processes pass it on."""
+
+    revision: int
+    services: dict[str, ServiceFile]
+
+
+__all__ = (
+    "AuditRecord",
+    "BudgetRule",
+    "CallRule",
+    "Head",
+    "Revision",
+    "Route",
+    "ServiceFile",
+    "ServiceRef",
+    "Workspace",
+)
--- /dev/null
+++ b/src/cyclamenwing/cli/__init__.py
@@ -0,0 +1,5 @@
+"""Command line, one module a subcommand."""
+
+from __future__ import annotations
+
+__all__ = ()
--- /dev/null
+++ b/src/cyclamenwing/cli/entry.py
@@ -0,0 +1,32 @@
+"""Subcommand `entry`."""
+
+from __future__ import annotations
+
+import argparse
+import pathlib
+
+from cyclamenwing.cli import process
+from cyclamenwing.entry import app
+from cyclamenwing.settings import loader
+
+
+class EntryCommand:
+    """Run an entry: callers' HTTP, admission, budgets, routing."""
+
+    NAME = "entry"
+    HELP = "run an entry from its settings file"
+
+    def add_arguments(self, parser: argparse.ArgumentParser) -> None:
+        """Add the subcommand's arguments."""
+        parser.add_argument("settings", type=pathlib.Path)
+
+    def run(self, args: argparse.Namespace) -> int:
+        """Run an entry until it is told to stop."""
+        settings = loader.load_entry(args.settings)
+        return process.run_app(
+            lambda: app.EntryApp.from_config(settings),
+            settings.get("log_file"),
+        )
+
+
+__all__ = ("EntryCommand",)
--- /dev/null
+++ b/src/cyclamenwing/cli/main.py
@@ -0,0 +1,90 @@
+"""Command line of cyclamenwing."""
+
+from __future__ import annotations
+
+import argparse
+import sys
+from collections.abc import Sequence
+
+import cyclamenwing
+from cyclamenwing import errors
+from cyclamenwing.cli import check
+from cyclamenwing.cli import demo
+from cyclamenwing.cli import entry
+from cyclamenwing.cli import explain
+from cyclamenwing.cli import protocol
+from cyclamenwing.cli import publish
+from cyclamenwing.cli import sidecar
+from cyclamenwing.cli import standin
+from cyclamenwing.cli import topup
+from cyclamenwing.settings import errors as settings_errors
+from cyclamenwing.store import errors as store_errors
+from cyclamenwing.transport import errors as transport_errors
+
+COMMANDS: tuple[protocol.Command, ...] = (
+    entry.EntryCommand(),
+    sidecar.SidecarCommand(),
+    check.CheckCommand(),
+    publish.PublishCommand(),
+    topup.TopUpCommand(),
+    explain.ExplainCommand(),
+    standin.StandinCommand(),
+    demo.DemoCommand(),
+)
+
+_EXIT_CODES: tuple[tuple[type[errors.CodedError], int], ...] = (
+    (settings_errors.SettingsError, protocol.EXIT_INVALID),
+    (store_errors.StoreError, protocol.EXIT_UNAVAILABLE),
+    (transport_errors.TransportError, protocol.EXIT_UNAVAILABLE),
+)
+
+
+def make_parser() -> argparse.ArgumentParser:
+    """Return the parser of all subcommands."""
+    parser = argparse.ArgumentParser(
+        prog="cyclamenwing",
+        description="Router fleet for prepaid token budgets.",
+    )
+    parser.add_argument(
+        "--version", action="version", version=cyclamenwing.__version__
+    )
+    commands = parser.add_subparsers(dest="command", required=True)
+    for command in COMMANDS:
+        made = commands.add_parser(
+            command.NAME, help=command.HELP, description=command.HELP
+        )
+        command.add_arguments(made)
+        made.set_defaults(run=command.run)
+    return parser
+
+
+def run(arguments: Sequence[str]) -> int:
+    """Run a command line and return the exit code."""
+    args = make_parser().parse_args(arguments)
+    try:
+        return int(args.run(args))
+    except errors.CodedError as err:
+        print(f"{err.code}: {err.message}", file=sys.stderr)
+        return find_exit_code(err)
+
+
+def find_exit_code(error: errors.CodedError) -> int:
+    """Return the exit code of a coded error."""
+    for kind, code in _EXIT_CODES:
+        if isinstance(error, kind):
+            return code
+    return protocol.EXIT_FAILED
+
+
+def main() -> None:
+    """Run the process's command line."""
+    sys.exit(run(sys.argv[1:]))
+
+
+__all__ = (
+    "COMMANDS",
+    "find_exit_code",
+    "main",
+    "make_parser",
+    "run",
+)
--- /dev/null
+++ b/src/cyclamenwing/cli/sidecar.py
@@ -0,0 +1,32 @@
+"""Subcommand `sidecar`."""
+
+from __future__ import annotations
+
+import argparse
+import pathlib
+
+from cyclamenwing.cli import process
+from cyclamenwing.settings import loader
+from cyclamenwing.sidecar import app
+
+
+class SidecarCommand:
+    """Run a sidecar beside its endpoint."""
+
+    NAME = "sidecar"
+    HELP = "run a sidecar from its settings file"
+
+    def add_arguments(self, parser: argparse.ArgumentParser) -> None:
+        """Add the subcommand's arguments."""
+        parser.add_argument("settings", type=pathlib.Path)
+
+    def run(self, args: argparse.Namespace) -> int:
+        """Run a sidecar until it is told to stop."""
+        settings = loader.load_sidecar(args.settings)
+        return process.run_app(
+            lambda: app.SidecarApp.from_config(settings),
+            settings.get("log_file"),
+        )
+
+
+__all__ = ("SidecarCommand",)
--- /dev/null
+++ b/src/cyclamenwing/cli/topup.py
@@ -0,0 +1,49 @@
+"""Subcommand `top-up`."""
+
+from __future__ import annotations
+
+import argparse
+import json
+import uuid
+
+from cyclamenwing.budget import payment
+from cyclamenwing.budget import types
+from cyclamenwing.cli import protocol
+from cyclamenwing.cli import remote
+
+DEFAULT_SHARDS = 4
+
+
+class TopUpCommand:
+    """Add money to a budget once by id."""
+
+    NAME = "top-up"
+    HELP = "add units to a budget; the same id counts once"
+
+    def add_arguments(self, parser: argparse.ArgumentParser) -> None:
+        """Add the subcommand's arguments."""
+        parser.add_argument("budget")
+        parser.add_argument("amount", type=int)
+        parser.add_argument("--id", default=None, help="id of the payment")
+        parser.add_argument("--shards", type=int, default=DEFAULT_SHARDS)
+        remote.add_store(parser)
+
+    def run(self, args: argparse.Namespace) -> int:
+        """Top up and print the budget as it stands."""
+        op: types.TopUp = {
+            "op": "top_up",
+            "id": args.id or uuid.uuid4().hex,
+            "budget": args.budget,
+            "amount": args.amount,
+        }
+        result = remote.run_async(_top_up(args, op))
+        print(json.dumps({"id": op["id"], **result}))
+        return protocol.EXIT_OK
+
+
+async def _top_up(args: argparse.Namespace, op: types.TopUp) -> types.OpResult:
+    async with remote.open_store(args.store) as store:
+        return await payment.apply_top_up(store, op, args.shards)
+
+
+__all__ = ("TopUpCommand",)
--- /dev/null
+++ b/src/cyclamenwing/demo/__init__.py
@@ -0,0 +1,5 @@
+"""Small fleet on loopback for trials."""
+
+from __future__ import annotations
+
+__all__ = ()
--- /dev/null
+++ b/src/cyclamenwing/entry/admission.py
@@ -0,0 +1,245 @@
+"""Admission of a caller's request: key, route, budgets and bounds."""
+
+from __future__ import annotations
+
+import base64
+import hashlib
+import uuid
+from typing import Any
+from typing import NamedTuple
+
+import msgspec
+
+from cyclamenwing.catalog import index
+from cyclamenwing.catalog import types as catalog_types
+from cyclamenwing.request import errors
+from cyclamenwing.request import types
+
+DEFAULT_MAX_TOKENS = 1024
+DEFAULT_TIMEOUT_S = 120.0
+MESSAGE_OVERHEAD_TOKENS = 16
+CHAT_KIND = "completion"
+CALL_KIND = "call"
+PASSED_HEADERS = ("Accept", "Content-Type", "X-Reviewer")
+
+
+class Caller(NamedTuple):
+    """Hold a caller's request as it arrived."""
+
+    method: str
+    path: str
+    headers: dict[str, str]
+    body: bytes
+
+
+class Need(NamedTuple):
+    """Hold the units that a request may use of one budget at most."""
+
+    budget: str
+    unit: str
+    amount: int
+
+
+class Accepted(NamedTuple):
+    """Hold a request that may be served."""
+
+    request: str
+    key: str
+    fingerprint: str
+    workspace: catalog_types.Workspace
+    route: catalog_types.Route
+    kind: str
+    reviewer: str
+    idempotent: bool
+    stream: bool
+    path: str
+    max_tokens: int
+    needs: list[Need]
+    timeout_s: float
+    caller: Caller
+
+
+class Pass(NamedTuple):
+    """Hold the route of a request and what its body says."""
+
+    route: catalog_types.Route
+    kind: str
+    idempotent: bool
+    stream: bool
+    path: str
+    prompt_tokens: int
+    max_tokens: int
+
+
+def admit_chat(catalog: index.Index, caller: Caller) -> Accepted:
+    """Admit a chat completion; raise a coded error."""
+    workspace = authenticate(catalog, caller)
+    try:
+        body = msgspec.json.decode(caller.body, type=dict[str, Any])
+        prompt = bound_prompt(body)
+    except (
+        msgspec.ValidationError,
+        msgspec.DecodeError,
+        UnicodeDecodeError,
+    ) as err:
+        raise errors.MalformedRequestError(str(err)) from err
+    model = body.get("model")
+    route = (
+        catalog.find_chat_route(model, workspace["name"])
+        if isinstance(model, str)
+        else None
+    )
+    if route is None:
+        raise errors.UnknownRouteError(f"no route for model {model!r}")
+    wanted = body.get("max_tokens", DEFAULT_MAX_TOKENS)
+    if not isinstance(wanted, int) or isinstance(wanted, bool) or wanted < 1:
+        raise errors.MalformedRequestError("max_tokens is not positive")
+    made = Pass(
+        route,
+        route.get("kind", CHAT_KIND),
+        True,
+        body.get("stream") is True,
+        caller.path,
+        prompt,
+        min(wanted, route.get("max_tokens", wanted)),
+    )
+    return _accept(catalog, workspace, made, caller)
+
+
+def admit_plain(
+    catalog: index.Index, caller: Caller, name: str, path: str
+) -> Accepted:
+    """Admit a call of a plain service; raise a coded error."""
+    workspace = authenticate(catalog, caller)
+    match = catalog.find_plain_route(
+        name, caller.method, path.partition("?")[0], workspace["name"]
+    )
+    if match is None:
+        raise errors.UnknownRouteError(f"no route {name!r}")
+    rule = match.rule or catalog_types.CallRule(
+        method=caller.method, path=path
+    )
+    made = Pass(
+        match.route,
+        rule.get("kind", match.route.get("kind", CALL_KIND)),
+        rule.get("idempotent", False),
+        False,
+        path,
+        0,
+        0,
+    )
+    return _accept(catalog, workspace, made, caller)
+
+
+def authenticate(
+    catalog: index.Index, caller: Caller
+) -> catalog_types.Workspace:
+    """Return the caller's workspace; raise `UnauthorizedError`."""
+    scheme, _, key = caller.headers.get("Authorization", "").partition(" ")
+    workspace = catalog.find_workspace(key) if scheme == "Bearer" else None
+    if workspace is None:
+        raise errors.UnauthorizedError("no valid key")
+    return workspace
+
+
+def bound_prompt(body: dict[str, Any]) -> int:
+    """Return a bound on the prompt's tokens; no token is under a byte."""
+    messages = msgspec.convert(body.get("messages"), list[dict[str, Any]])
+    contents = len(msgspec.json.encode(messages))
+    return contents + MESSAGE_OVERHEAD_TOKENS * (len(messages) + 1)
+
+
+def fingerprint_request(
+    workspace: str, route: str, method: str, path: str, body: bytes
+) -> str:
+    """Return a digest of what a request asks for."""
+    digest = hashlib.sha256(
+        f"{workspace}\0{route}\0{method}\0{path}\0".encode()
+    )
+    digest.update(body)
+    return digest.hexdigest()
+
+
+def make_order(
+    accepted: Accepted,
+    charges: list[types.Charge],
+    attempt: int,
+    revision: int,
+) -> types.RunOrder:
+    """Make the order that a sidecar runs."""
+    headers = {
+        name: accepted.caller.headers[name]
+        for name in PASSED_HEADERS
+        if name in accepted.caller.headers
+    }
+    return {
+        "request": accepted.request,
+        "key": accepted.key,
+        "fingerprint": accepted.fingerprint,
+        "attempt": attempt,
+        "workspace": accepted.workspace["name"],
+        "route": accepted.route["name"],
+        "protocol": accepted.route["protocol"],
+        "idempotent": accepted.idempotent,
+        "method": accepted.caller.method,
+        "path": accepted.path,
+        "headers": headers,
+        "body": base64.b64encode(accepted.caller.body).decode(),
+        "charges": charges,
+        "max_tokens": accepted.max_tokens,
+        "priority": 0,
+        "deadline_ms": int(accepted.timeout_s * 1000),
+        "revision": revision,
+    }
+
+
+def _accept(
+    catalog: index.Index,
+    workspace: catalog_types.Workspace,
+    made: Pass,
+    caller: Caller,
+) -> Accepted:
+    request = uuid.uuid4().hex
+    given = caller.headers.get("Idempotency-Key", "")
+    key = f"{workspace['name']}/{given or request}"
+    reviewer = caller.headers.get("X-Reviewer", "")
+    tokens = made.prompt_tokens + made.max_tokens
+    amounts = {"tokens": tokens, "requests": 1}
+    rules = catalog.find_budgets(workspace, made.kind, reviewer)
+    needs = [
+        Need(rule["name"], rule["unit"], amounts[rule["unit"]])
+        for rule in rules
+        if amounts[rule["unit"]]
+    ]
+    name = made.route["name"]
+    return Accepted(
+        request,
+        key,
+        fingerprint_request(
+            workspace["name"], name, caller.method, made.path, caller.body
+        ),
+        workspace,
+        made.route,
+        made.kind,
+        reviewer,
+        made.idempotent,
+        made.stream,
+        made.path,
+        made.max_tokens,
+        needs,
+        made.route.get("timeout_s", DEFAULT_TIMEOUT_S),
+        caller,
+    )
+
+
+__all__ = (
+    "Accepted",
+    "Caller",
+    "Need",
+    "admit_chat",
+    "admit_plain",
+    "authenticate",
+    "bound_prompt",
+    "fingerprint_request",
+    "make_order",
+)
--- /dev/null
+++ b/src/cyclamenwing/entry/blackboard.py
@@ -0,0 +1,39 @@
+"""State of an entry that its controllers share."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from cyclamenwing.budget import holder
+from cyclamenwing.catalog import index
+from cyclamenwing.entry import journal
+from cyclamenwing.membership import view
+
+
+@dataclasses.dataclass(slots=True)
+class EntryBoard:
+    """Hold what an entry knows.
+
+    :param host: name of the host
+    :param zone: availability zone of the host
+    :param session: id of this incarnation
+    """
+
+    host: str
+    zone: str
+    session: str
+    holder: holder.HolderBoard
+    catalog: index.Index = dataclasses.field(
+        default_factory=lambda: index.Index({"revision": 0, "services": {}})
+    )
+    members: view.MemberBoard = dataclasses.field(
+        default_factory=view.MemberBoard
+    )
+    journal: journal.Journal = dataclasses.field(
+        default_factory=journal.Journal
+    )
+    in_progress: int = 0
+    leaving: bool = False
+
+
+__all__ = ("EntryBoard",)
--- /dev/null
+++ b/src/cyclamenwing/entry/callers.py
@@ -0,0 +1,133 @@
+"""HTTP handlers for callers."""
+
+from __future__ import annotations
+
+from tornado import iostream
+
+from cyclamenwing import errors as base_errors
+from cyclamenwing.entry import admission
+from cyclamenwing.entry import blackboard
+from cyclamenwing.entry import serving
+from cyclamenwing.transport import server
+
+REQUEST_ID_HEADER = "X-Request-Id"
+
+
+class CallerHandler(server.CodedHandler):
+    """Serve one caller's request."""
+
+    def initialize(
+        self, board: blackboard.EntryBoard, service: serving.Serving
+    ) -> None:
+        """Take the shared state."""
+        self._board = board
+        self._service = service
+        self._opened = False
+
+    async def open(self, status: int, content_type: str) -> None:
+        """Write the status line."""
+        if self._opened:
+            return
+        self._opened = True
+        self.set_status(status)
+        self.set_header("Content-Type", content_type)
+
+    async def send(self, data: bytes) -> None:
+        """Write bytes of the answer."""
+        super().write(data)
+        await self.flush()
+
+    async def serve(self, accepted: admission.Accepted) -> None:
+        """Serve an admitted request, or answer its refusal."""
+        self.set_header(REQUEST_ID_HEADER, accepted.request)
+        try:
+            await self._service.serve(accepted, CallerSink(self))
+        except iostream.StreamClosedError:
+            return
+        except base_errors.CodedError as err:
+            if not self._headers_written:
+                self.write_refusal(err)
+                return
+            # The status line is gone: a cut connection shows the break.
+            self.request.connection.stream.close()  # type: ignore[union-attr]
+            return
+        await self.finish()
+
+    def read_caller(self) -> admission.Caller:
+        """Return the request as it arrived."""
+        request = self.request
+        return admission.Caller(
+            request.method or "",
+            request.uri or "",
+            {name: request.headers[name] for name in request.headers},
+            request.body,
+        )
+
+
+class CallerSink:
+    """Pass an answer on to a caller's connection.
+
+    :param handler: the handler of the connection
+    """
+
+    def __init__(self, handler: CallerHandler) -> None:
+        self._handler = handler
+
+    async def open(self, status: int, content_type: str) -> None:
+        """Write the status line."""
+        await self._handler.open(status, content_type)
+
+    async def write(self, data: bytes) -> None:
+        """Write bytes of the answer."""
+        await self._handler.send(data)
+
+
+class ChatHandler(CallerHandler):
+    """Serve ``POST /v1/chat/completions``."""
+
+    async def post(self) -> None:
+        """Serve a chat completion."""
+        await self.serve(
+            admission.admit_chat(self._board.catalog, self.read_caller())
+        )
+
+
+class PlainHandler(CallerHandler):
+    """Serve ``/services/ROUTE/PATH``."""
+
+    async def get(self, name: str, path: str) -> None:
+        """Serve a call of a plain service."""
+        await self._call(name, path)
+
+    async def post(self, name: str, path: str) -> None:
+        """Serve a call of a plain service."""
+        await self._call(name, path)
+
+    async def put(self, name: str, path: str) -> None:
+        """Serve a call of a plain service."""
+        await self._call(name, path)
+
+    async def patch(self, name: str, path: str) -> None:
+        """Serve a call of a plain service."""
+        await self._call(name, path)
+
+    async def delete(self, name: str, path: str) -> None:
+        """Serve a call of a plain service."""
+        await self._call(name, path)
+
+    async def _call(self, name: str, path: str) -> None:
+        query = self.request.query
+        full = f"{path}?{query}" if query else path
+        await self.serve(
+            admission.admit_plain(
+                self._board.catalog, self.read_caller(), name, full
+            )
+        )
+
+
+__all__ = (
+    "CallerHandler",
+    "CallerSink",
+    "ChatHandler",
+    "PlainHandler",
+)
--- /dev/null
+++ b/src/cyclamenwing/membership/__init__.py
@@ -0,0 +1,5 @@
+"""Hosts, heartbeats, sessions, drain and fencing."""
+
+from __future__ import annotations
+
+__all__ = ()
--- /dev/null
+++ b/src/cyclamenwing/request/types.py
@@ -0,0 +1,141 @@
+"""Messages between an entry and a sidecar about one run."""
+
+from __future__ import annotations
+
+from typing import Literal
+from typing import NamedTuple
+from typing import NotRequired
+from typing import TypedDict
+
+from cyclamenwing import errors
+
+RunPhase = Literal["queued", "running", "done", "failed"]
+Protocol = Literal["chat", "plain"]
+
+
+class Charge(TypedDict):
+    """Name the reservation that pays for a run."""
+
+    budget: str
+    session: str
+    sequence: int
+    amount: int
+
+
+class RunOrder(TypedDict):
+    """Order a sidecar to run a request.
+
+    `key` identifies the request across retries, `fingerprint` its
+    content, `body` is base64 unless `text` holds it.
+    """
+
+    request: str
+    key: str
+    fingerprint: str
+    attempt: int
+    workspace: str
+    route: str
+    protocol: Protocol
+    idempotent: bool
+    method: str
+    path: str
+    headers: dict[str, str]
+    body: str
+    charges: list[Charge]
+    max_tokens: int
+    priority: int
+    deadline_ms: int
+    revision: int
+
+
+class Usage(TypedDict):
+    """Count the tokens of one run."""
+
+    prompt: int
+    completion: int
+
+
+class Head(TypedDict):
+    """Open a run's stream with the endpoint's status line."""
+
+    t: Literal["head"]
+    status: int
+    content_type: str
+    request: str
+
+
+class Part(TypedDict):
+    """Carry bytes of the answer at an offset; `b` marks base64."""
+
+    t: Literal["part"]
+    o: int
+    d: str
+    b: NotRequired[bool]
+
+
+class Beat(TypedDict):
+    """Show that the stream is alive."""
+
+    t: Literal["beat"]
+
+
+class End(TypedDict):
+    """Close a run's stream; `length` and `digest` cover all bytes."""
+
+    t: Literal["end"]
+    length: int
+    digest: str
+    usage: Usage
+    billed_request: str
+
+
+class Refusal(TypedDict):
+    """Close a stream with a coded error."""
+
+    t: Literal["refusal"]
+    code: str
+    message: str
+    run: errors.RunState
+
+
+class Frame(TypedDict, total=False):
+    """Hold any frame of a run's stream, for decoding."""
+
+    t: Literal["head", "part", "beat", "end", "refusal"]
+    status: int
+    content_type: str
+    request: str
+    o: int
+    d: str
+    b: bool
+    length: int
+    digest: str
+    usage: Usage
+    billed_request: str
+    code: str
+    message: str
+    run: errors.RunState
+
+
+class Attempt(NamedTuple):
+    """Record one attempt for `explain`."""
+
+    sidecar: str
+    at: float
+    outcome: str
+
+
+__all__ = (
+    "Attempt",
+    "Beat",
+    "Charge",
+    "End",
+    "Frame",
+    "Head",
+    "Part",
+    "Protocol",
+    "Refusal",
+    "RunOrder",
+    "RunPhase",
+    "Usage",
+)
--- /dev/null
+++ b/src/cyclamenwing/routing/__init__.py
@@ -0,0 +1,5 @@
+"""Candidates, scoring, queues, retries and quarantine."""
+
+from __future__ import annotations
+
+__all__ = ()
--- /dev/null
+++ b/src/cyclamenwing/routing/errors.py
@@ -0,0 +1,48 @@
+"""Errors of routing."""
+
+from __future__ import annotations
+
+from cyclamenwing import errors
+
+
+class RoutingError(errors.CodedError):
+    """Report a request that found no place to run."""
+
+    code = "routing_error"
+    status = 503
+
+
+class NoEndpointError(RoutingError):
+    """Report a route without an endpoint that takes work."""
+
+    code = "no_endpoint"
+
+
+class OverloadedError(RoutingError):
+    """Report a request refused early because queues are full."""
+
+    code = "overloaded"
+    status = 429
+
+
+class QuarantinedError(RoutingError):
+    """Report a request that crashed endpoints before."""
+
+    code = "quarantined"
+    status = 422
+
+
+class RetriesExhaustedError(RoutingError):
+    """Report that every attempt failed."""
+
+    code = "retries_exhausted"
+    status = 502
+
+
+__all__ = (
+    "NoEndpointError",
+    "OverloadedError",
+    "QuarantinedError",
+    "RetriesExhaustedError",
+    "RoutingError",
+)
--- /dev/null
+++ b/src/cyclamenwing/settings/__init__.py
@@ -0,0 +1,5 @@
+"""Settings of one process."""
+
+from __future__ import annotations
+
+__all__ = ()
--- /dev/null
+++ b/src/cyclamenwing/settings/types.py
@@ -0,0 +1,99 @@
+"""Settings of each role, as the settings file holds them."""
+
+from __future__ import annotations
+
+from typing import Any
+from typing import NotRequired
+from typing import TypedDict
+
+
+class CommonSettings(TypedDict):
+    """Settings that every role has; addresses are ``ip:port``."""
+
+    host: str
+    zone: str
+    listen: str
+    operators: NotRequired[str]
+    store: str
+    hosts: NotRequired[str]
+    fleet_keys: list[str]
+    entries: list[str]
+    log_file: NotRequired[str]
+
+
+class EntrySettings(CommonSettings):
+    """Settings of an entry; `peers` is where other processes reach it."""
+
+    peers: str
+    ledger_shards: NotRequired[int]
+    commit_interval_ms: NotRequired[int]
+    grant_chunk: NotRequired[int]
+
+
+class SidecarSettings(CommonSettings):
+    """Settings of a sidecar; `endpoint` is ``ip:port`` of its endpoint."""
+
+    endpoint: str
+    route: str
+    orders_checked: NotRequired[bool]
+
+
+_ADDRESS = {
+    "type": "string",
+    "pattern": r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$",
+}
+_COMMON: dict[str, Any] = {
+    "host": {"type": "string", "minLength": 1},
+    "zone": {"type": "string", "minLength": 1},
+    "listen": _ADDRESS,
+    "operators": _ADDRESS,
+    "store": _ADDRESS,
+    "hosts": _ADDRESS,
+    "fleet_keys": {
+        "type": "array",
+        "items": {"type": "string", "minLength": 16},
+        "minItems": 1,
+    },
+    "entries": {"type": "array", "items": _ADDRESS},
+    "log_file": {"type": "string"},
+}
+_COMMON_REQUIRED = [
+    "host",
+    "zone",
+    "listen",
+    "store",
+    "fleet_keys",
+    "entries",
+]
+
+ENTRY_SCHEMA: dict[str, Any] = {
+    "type": "object",
+    "additionalProperties": False,
+    "required": [*_COMMON_REQUIRED, "peers"],
+    "properties": {
+        **_COMMON,
+        "peers": _ADDRESS,
+        "ledger_shards": {"type": "integer", "minimum": 1, "maximum": 4096},
+        "commit_interval_ms": {"type": "integer", "minimum": 1},
+        "grant_chunk": {"type": "integer", "minimum": 0},
+    },
+}
+SIDECAR_SCHEMA: dict[str, Any] = {
+    "type": "object",
+    "additionalProperties": False,
+    "required": [*_COMMON_REQUIRED, "endpoint", "route"],
+    "properties": {
+        **_COMMON,
+        "endpoint": _ADDRESS,
+        "route": {"type": "string", "minLength": 1},
+        "orders_checked": {"type": "boolean"},
+    },
+}
+
+__all__ = (
+    "ENTRY_SCHEMA",
+    "SIDECAR_SCHEMA",
+    "CommonSettings",
+    "EntrySettings",
+    "SidecarSettings",
+)
--- /dev/null
+++ b/src/cyclamenwing/sidecar/__init__.py
@@ -0,0 +1,5 @@
+"""Blackboard and wiring of the sidecar role."""
+
+from __future__ import annotations
+
+__all__ = ()
--- /dev/null
+++ b/src/cyclamenwing/sidecar/blackboard.py
@@ -0,0 +1,28 @@
+"""State of a sidecar that its controllers share."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from cyclamenwing.request import runs
+
+
+@dataclasses.dataclass(slots=True)
+class SidecarBoard:
+    """Hold what a sidecar knows.
+
+    :param host: name of the host
+    :param zone: availability zone of the host
+    :param incarnation: differs at each start
+    :param route: route that the endpoint serves
+    """
+
+    host: str
+    zone: str
+    incarnation: str
+    route: str
+    runs: runs.RunBoard = dataclasses.field(default_factory=runs.RunBoard)
+    revision: int = 0
+
+
+__all__ = ("SidecarBoard",)
--- /dev/null
+++ b/src/cyclamenwing/standin/__init__.py
@@ -0,0 +1,5 @@
+"""Small stand-ins for the platform in tests and demos."""
+
+from __future__ import annotations
+
+__all__ = ()
--- /dev/null
+++ b/src/cyclamenwing/store/errors.py
@@ -0,0 +1,46 @@
+"""Errors of the store client."""
+
+from __future__ import annotations
+
+from cyclamenwing import errors
+
+
+class StoreError(errors.CodedError):
+    """Report a failed call of the key-value service."""
+
+    code = "store_error"
+    status = 503
+
+
+class StoreUnavailableError(StoreError):
+    """Report that the call had no effect or was never sent."""
+
+    code = "store_unavailable"
+
+
+class StoreAnswerLostError(StoreError):
+    """Report that the call may have taken effect."""
+
+    code = "store_answer_lost"
+
+
+class StoreMalformedError(StoreError):
+    """Report an answer of the service that can't be read."""
+
+    code = "store_malformed"
+
+
+class CommitConflictError(StoreError):
+    """Report that a commit lost its race on every attempt."""
+
+    code = "commit_conflict"
+    status = 409
+
+
+__all__ = (
+    "CommitConflictError",
+    "StoreAnswerLostError",
+    "StoreError",
+    "StoreMalformedError",
+    "StoreUnavailableError",
+)
--- /dev/null
+++ b/src/cyclamenwing/store/keys.py
@@ -0,0 +1,46 @@
+"""Names of the keys in the platform's key-value service."""
+
+from __future__ import annotations
+
+CATALOG_HEAD = "catalog/head"
+
+
+def name_ledger(shard: int) -> str:
+    """Return the key of a ledger shard."""
+    return f"ledger/{shard:04d}"
+
+
+def name_bill_segment(shard: int, number: int) -> str:
+    """Return the key of a closed run of billing records."""
+    return f"bills/{shard:04d}/{number:08d}"
+
+
+def name_claims(shard: int) -> str:
+    """Return the key of a claim shard."""
+    return f"claims/{shard:04d}"
+
+
+def name_session(session: str) -> str:
+    """Return the key of an entry incarnation's session record."""
+    return f"session/{session}"
+
+
+def name_chunk(digest: str) -> str:
+    """Return the key of one service's published files."""
+    return f"catalog/chunk/{digest}"
+
+
+def name_audit(number: int) -> str:
+    """Return the key of a closed run of audit records."""
+    return f"audit/{number:08d}"
+
+
+__all__ = (
+    "CATALOG_HEAD",
+    "name_audit",
+    "name_bill_segment",
+    "name_chunk",
+    "name_claims",
+    "name_ledger",
+    "name_session",
+)
--- /dev/null
+++ b/src/cyclamenwing/transport/protocol.py
@@ -0,0 +1,84 @@
+"""Interface of the HTTP client that roles use."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator
+from typing import Any
+from typing import NamedTuple
+from typing import Protocol
+from typing import TypeVar
+
+T = TypeVar("T")
+
+
+class Answer(NamedTuple):
+    """Hold a whole HTTP answer."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+
+class Head(NamedTuple):
+    """Hold the status line of a streamed answer."""
+
+    status: int
+    content_type: str
+
+
+class Stream(Protocol):
+    """Read a streamed answer."""
+
+    async def read_head(self) -> Head:
+        """Wait for the status line and headers."""
+
+    def read_chunks(self) -> AsyncIterator[bytes]:
+        """Yield chunks as they arrive."""
+
+    def close(self) -> None:
+        """Abandon the answer; the connection is not reused."""
+
+
+class Client(Protocol):
+    """Exchange messages with other processes.
+
+    Each call raises `ConnectFailedError` when nothing was sent and
+    `ConnectionLostError` when the other side may have received it.
+    """
+
+    async def call(
+        self, url: str, message: Any, reply: type[T], timeout_s: float
+    ) -> T:
+        """Post a JSON message and decode the JSON reply."""
+
+    async def fetch(
+        self,
+        method: str,
+        url: str,
+        headers: dict[str, str],
+        body: bytes | None,
+        timeout_s: float,
+        repeatable: bool = True,
+    ) -> Answer:
+        """Send a request and return the whole answer.
+
+        One that is not `repeatable` is sent at most once.
+        """
+
+    def open_stream(
+        self,
+        method: str,
+        url: str,
+        headers: dict[str, str],
+        body: bytes | None,
+        silence_s: float,
+    ) -> Stream:
+        """Send a request and stream the answer."""
+
+
+__all__ = (
+    "Answer",
+    "Client",
+    "Head",
+    "Stream",
+)
--- /dev/null
+++ b/src/cyclamenwing/transport/server.py
@@ -0,0 +1,151 @@
+"""HTTP server base: authentication, JSON bodies and coded errors."""
+
+from __future__ import annotations
+
+import hmac
+import socket
+from collections.abc import Sequence
+from typing import Any
+from typing import TypeVar
+
+import msgspec
+from tornado import httpserver
+from tornado import netutil
+from tornado import web
+
+from cyclamenwing import errors as base_errors
+from cyclamenwing.transport import errors
+
+MAX_BODY_BYTES = 8 * 1024 * 1024
+IDLE_TIMEOUT_S = 300.0
+
+T = TypeVar("T")
+
+
+class CodedHandler(web.RequestHandler):
+    """Answer errors with a code, a message and the run state."""
+
+    def write_error(self, status_code: int, **kwargs: Any) -> None:
+        """Write an uncaught error without its details."""
+        info = kwargs.get("exc_info")
+        error = info[1] if info else None
+        if isinstance(error, base_errors.CodedError):
+            self.write_refusal(error)
+            return
+        code = _HTTP_CODES.get(status_code, "internal")
+        run = "unknown" if status_code >= 500 else "not_run"
+        self.finish({"code": code, "message": self._reason, "run": run})
+
+    def write_refusal(self, error: base_errors.CodedError) -> None:
+        """Write a coded error."""
+        self.set_status(error.status)
+        if error.retry_after_s is not None:
+            self.set_header("Retry-After", str(round(error.retry_after_s)))
+        self.finish(dict(error.describe()))
+
+    def log_exception(self, *args: Any) -> None:
+        """Leave coded errors to the role's own log."""
+        if not isinstance(args[1], base_errors.CodedError):
+            super().log_exception(*args)
+
+    def decode_body(self, message: type[T]) -> T:
+        """Decode the JSON body; raise `MalformedMessageError`."""
+        try:
+            return msgspec.json.decode(self.request.body, type=message)
+        except (
+            msgspec.ValidationError,
+            msgspec.DecodeError,
+            UnicodeDecodeError,
+        ) as err:
+            raise errors.MalformedMessageError(str(err)) from err
+
+    def write_json(self, message: object) -> None:
+        """Write a JSON reply and finish."""
+        self.set_header("Content-Type", "application/json")
+        self.finish(msgspec.json.encode(message))
+
+
+class PeerHandler(CodedHandler):
+    """Serve only processes that hold a valid fleet key."""
+
+    def prepare(self) -> None:
+        """Refuse a caller without a valid key."""
+        given = self.request.headers.get("Authorization", "")
+        valid = [
+            hmac.compare_digest(given.encode(), f"Bearer {key}".encode())
+            for key in self.settings["fleet_keys"]
+        ]
+        if not any(valid):
+            raise errors.ForbiddenPeerError("no valid fleet key")
+
+
+class MissingHandler(CodedHandler):
+    """Answer paths that no handler serves."""
+
+    def prepare(self) -> None:
+        """Refuse every method."""
+        raise web.HTTPError(404)
+
+
+class Listener:
+    """Serve an application on one address.
+
+    :param application: handlers by path
+    :param address: ``ip:port``; port 0 takes a free one
+    """
+
+    def __init__(self, application: web.Application, address: str) -> None:
+        ip, _, port = address.rpartition(":")
+        self._ip = ip
+        self._sockets = netutil.bind_sockets(
+            int(port), ip, family=socket.AF_INET
+        )
+        self.server = httpserver.HTTPServer(
+            application,
+            max_body_size=MAX_BODY_BYTES,
+            idle_connection_timeout=IDLE_TIMEOUT_S,
+        )
+        self.server.add_sockets(self._sockets)
+
+    @property
+    def address(self) -> str:
+        """Return the bound ``ip:port``."""
+        return f"{self._ip}:{self._sockets[0].getsockname()[1]}"
+
+    async def close(self) -> None:
+        """Stop accepting and close idle connections."""
+        self.server.stop()
+        await self.server.close_all_connections()
+
+
+def make_application(
+    handlers: list[Any], fleet_keys: Sequence[str] = ()
+) -> web.Application:
+    """Return an application with coded errors on unknown paths."""
+    return web.Application(
+        handlers,
+        default_handler_class=MissingHandler,
+        log_function=_skip_log,
+        fleet_keys=fleet_keys,
+    )
+
+
+def _skip_log(_handler: web.RequestHandler) -> None:
+    # The roles log each request themselves.
+    return None
+
+
+_HTTP_CODES = {
+    400: "malformed_request",
+    404: "not_found",
+    405: "method_not_allowed",
+    413: "too_large",
+}
+
+__all__ = (
+    "CodedHandler",
+    "Listener",
+    "MissingHandler",
+    "PeerHandler",
+    "make_application",
+)
--- /dev/null
+++ b/tests/demo/test_tour.py
@@ -0,0 +1,17 @@
+from __future__ import annotations
+
+import asyncio
+
+from cyclamenwing.demo import fleet
+from cyclamenwing.demo import tour
+
+
+def test_tour_keeps_promises() -> None:
+    async def run() -> list[str]:
+        made = await fleet.Fleet.start()
+        try:
+            return await tour.run_tour(made)
+        finally:
+            await made.close()
+
+    assert asyncio.run(run()) == []
