Compose each role from parts, one module a concern

Cause: the roles' wiring stood in one module, so that work on one concern would touch the lines of every other. Change: a `Part` interface with handlers and life; heartbeats carry news of each concern; dispatch, inquiry, funding and membership are modules of their own; `bench` and `replay` take their subjects from tables. Conclusion: parts can be deepened side by side.

--- /dev/null
+++ b/src/cyclamenwing/cli/bench.py
@@ -0,0 +1,49 @@
+"""Subcommand `bench`."""
+
+from __future__ import annotations
+
+import argparse
+import json
+import pathlib
+
+from cyclamenwing.bench import protocol as bench_protocol
+from cyclamenwing.bench import tables
+from cyclamenwing.cli import protocol
+
+BENCHES: tuple[bench_protocol.Bench, ...] = ()
+
+
+class BenchCommand:
+    """Measure a subject and print its tables."""
+
+    NAME = "bench"
+    HELP = "measure a subject with stand-ins on this machine"
+
+    def add_arguments(self, parser: argparse.ArgumentParser) -> None:
+        """Add one subcommand a measurement."""
+        subjects = parser.add_subparsers(dest="subject", required=True)
+        for bench in BENCHES:
+            made = subjects.add_parser(
+                bench.NAME, help=bench.HELP, description=bench.HELP
+            )
+            bench.add_arguments(made)
+            made.add_argument("--json", action="store_true")
+            made.add_argument(
+                "--save", type=pathlib.Path, help="keep the data as JSON"
+            )
+            made.set_defaults(measure=bench.run)
+
+    def run(self, args: argparse.Namespace) -> int:
+        """Measure and print the tables or the data."""
+        data = args.measure(args)
+        if args.save:
+            args.save.write_text(json.dumps(data, indent=2) + "\n")
+        if args.json:
+            print(json.dumps(data))
+        else:
+            for table in data["tables"]:
+                print(tables.format_table(table))
+        return protocol.EXIT_OK
+
+
+__all__ = ("BenchCommand",)
--- a/src/cyclamenwing/cli/main.py
+++ b/src/cyclamenwing/cli/main.py
@@ -8,12 +8,14 @@
 
 import cyclamenwing
 from cyclamenwing import errors
+from cyclamenwing.cli import bench
 from cyclamenwing.cli import check
 from cyclamenwing.cli import demo
 from cyclamenwing.cli import entry
 from cyclamenwing.cli import explain
 from cyclamenwing.cli import protocol
 from cyclamenwing.cli import publish
+from cyclamenwing.cli import replay
 from cyclamenwing.cli import sidecar
 from cyclamenwing.cli import standin
 from cyclamenwing.cli import topup
@@ -30,6 +32,8 @@
     explain.ExplainCommand(),
     standin.StandinCommand(),
     demo.DemoCommand(),
+    replay.ReplayCommand(),
+    bench.BenchCommand(),
 )
 
 _EXIT_CODES: tuple[tuple[type[errors.CodedError], int], ...] = (
--- a/src/cyclamenwing/entry/catalog.py
+++ b/src/cyclamenwing/entry/catalog.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from typing import Any
 
 import eliot
 
@@ -28,11 +29,20 @@
     ) -> None:
         self._board = board
         self._store = store
+        self._task: asyncio.Task[None] | None = None
+
+    def list_handlers(self) -> list[Any]:
+        """Return handlers for other processes, by path."""
+        return []
+
+    def start(self) -> None:
+        """Start following."""
         self._task = asyncio.create_task(self._run())
 
-    def close(self) -> None:
+    async def close(self) -> None:
         """Stop following."""
-        self._task.cancel()
+        if self._task is not None:
+            self._task.cancel()
 
     async def _run(self) -> None:
         while True:
--- a/src/cyclamenwing/entry/funding.py
+++ b/src/cyclamenwing/entry/funding.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import time
+from typing import Any
 
 import eliot
 
@@ -19,11 +20,25 @@
 from cyclamenwing.membership import view
 from cyclamenwing.request import types as request_types
 from cyclamenwing.transport import protocol as transport
+from cyclamenwing.transport import server
 
 SETTLE_INTERVAL_S = 1.0
 LEDGER_TIMEOUT_S = 3.0
 
 
+class LedgerHandler(server.PeerHandler):
+    """Serve ``POST /peer/ledger``."""
+
+    def initialize(self, ledger: coordinator.Coordinator) -> None:
+        """Take the group commit of ledger shards."""
+        self._ledger = ledger
+
+    async def post(self) -> None:
+        """Commit a batch as the shard's coordinator."""
+        batch = self.decode_body(types.LedgerBatch)
+        self.write_json(await self._ledger.submit(batch))
+
+
 class Funding:
     """Reserve units for requests and keep the ledger informed.
 
@@ -50,6 +65,15 @@
         self._members = view.MemberController()
         self._needed = asyncio.Event()
         self._answered = asyncio.Condition()
+        self._task: asyncio.Task[None] | None = None
+
+    def list_handlers(self) -> list[Any]:
+        """Return handlers for other processes, by path."""
+        options = {"ledger": self._local}
+        return [(r"/peer/ledger", LedgerHandler, options)]
+
+    def start(self) -> None:
+        """Start the exchange with the ledger."""
         self._task = asyncio.create_task(self._run())
 
     async def reserve(
@@ -98,9 +122,10 @@
 
     async def close(self) -> None:
         """Send the last settlements and stop."""
-        self._task.cancel()
-        with contextlib.suppress(asyncio.CancelledError):
-            await self._task
+        if self._task is not None:
+            self._task.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await self._task
         await self._exchange()
 
     async def _reserve_one(
--- a/src/cyclamenwing/entry/peers.py
+++ b/src/cyclamenwing/entry/inquiry.py
@@ -1,55 +1,13 @@
-"""HTTP handlers for other processes of the fleet."""
+"""HTTP handlers for operators' questions to an entry."""
 
 from __future__ import annotations
 
-import time
+from typing import Any
 
-from cyclamenwing.budget import coordinator
-from cyclamenwing.budget import types as budget_types
 from cyclamenwing.entry import blackboard
-from cyclamenwing.membership import types as member_types
-from cyclamenwing.membership import view
 from cyclamenwing.transport import server
 
 
-class HeartbeatHandler(server.PeerHandler):
-    """Serve ``POST /peer/heartbeat``."""
-
-    def initialize(
-        self,
-        board: blackboard.EntryBoard,
-    ) -> None:
-        """Take the shared state."""
-        self._board = board
-        self._members = view.MemberController()
-
-    async def post(self) -> None:
-        """Take over a heartbeat and answer with the own state."""
-        beat = self.decode_body(member_types.Heartbeat)
-        self._members.hear(self._board.members, beat, time.monotonic())
-        reply: member_types.HeartbeatReply = {
-            "host": self._board.host,
-            "revision": self._board.catalog.revision,
-        }
-        self.write_json(reply)
-
-
-class LedgerHandler(server.PeerHandler):
-    """Serve ``POST /peer/ledger``."""
-
-    def initialize(
-        self,
-        ledger: coordinator.Coordinator,
-    ) -> None:
-        """Take the shared state."""
-        self._ledger = ledger
-
-    async def post(self) -> None:
-        """Commit a batch as the shard's coordinator."""
-        batch = self.decode_body(budget_types.LedgerBatch)
-        self.write_json(await self._ledger.submit(batch))
-
-
 class ExplainHandler(server.PeerHandler):
     """Serve ``POST /peer/explain``."""
 
@@ -93,9 +51,32 @@
         })
 
 
+class Inquiry:
+    """Answer operators' questions.
+
+    :param board: the entry's state
+    """
+
+    def __init__(self, board: blackboard.EntryBoard) -> None:
+        self._board = board
+
+    def list_handlers(self) -> list[Any]:
+        """Return handlers for other processes, by path."""
+        options = {"board": self._board}
+        return [
+            (r"/peer/explain", ExplainHandler, options),
+            (r"/peer/status", StatusHandler, options),
+        ]
+
+    def start(self) -> None:
+        """Do nothing; questions need no background work."""
+
+    async def close(self) -> None:
+        """Do nothing; questions need no background work."""
+
+
 __all__ = (
     "ExplainHandler",
-    "HeartbeatHandler",
-    "LedgerHandler",
+    "Inquiry",
     "StatusHandler",
 )
--- a/src/cyclamenwing/entry/serving.py
+++ b/src/cyclamenwing/entry/serving.py
@@ -12,12 +12,11 @@
 from cyclamenwing.budget import types as budget_types
 from cyclamenwing.entry import admission
 from cyclamenwing.entry import blackboard
+from cyclamenwing.entry import dispatch
 from cyclamenwing.entry import funding
-from cyclamenwing.membership import view
 from cyclamenwing.request import assembly
 from cyclamenwing.request import errors
 from cyclamenwing.request import types
-from cyclamenwing.routing import errors as routing_errors
 from cyclamenwing.routing import types as routing_types
 from cyclamenwing.transport import errors as transport_errors
 from cyclamenwing.transport import lines
@@ -42,7 +41,7 @@
 
     :param board: the entry's state
     :param money: reservations and settlement
-    :param policy: order of candidates
+    :param choice: choice of sidecars
     :param client: HTTP client
     """
 
@@ -50,14 +49,13 @@
         self,
         board: blackboard.EntryBoard,
         money: funding.Funding,
-        policy: routing_types.Policy,
+        choice: dispatch.Dispatch,
         client: transport.Client,
     ) -> None:
         self._board = board
         self._money = money
-        self._policy = policy
+        self._dispatch = choice
         self._client = client
-        self._members = view.MemberController()
 
     async def serve(self, accepted: admission.Accepted, sink: Sink) -> None:
         """Run a request and pass its whole answer on, billed once."""
@@ -94,30 +92,30 @@
     ) -> types.Usage:
         passed = assembly.Assembler()
         job = self._make_job(accepted)
-        candidates = self._list_candidates(job)
-        last: base_errors.CodedError = routing_errors.NoEndpointError(
-            f"no endpoint of route {job.route!r} takes work"
-        )
-        for attempt, candidate in enumerate(candidates[:MAX_ATTEMPTS]):
-            order = admission.make_order(
-                accepted,
-                [_make_charge(reservation) for reservation in made],
-                attempt,
-                self._board.catalog.revision,
-            )
-            self._note(accepted, "attempt", sidecar=candidate.host)
-            now = time.monotonic()
-            self._policy.note_start(job, candidate.host, now)
-            try:
-                return await self._attempt(candidate, order, passed, sink)
-            except base_errors.CodedError as err:
-                self._note(accepted, "attempt_failed", **err.describe())
-                last = err
-                if err.run != "not_run":
-                    break
-            finally:
-                self._policy.note_end(job, candidate.host, now)
-        raise last
+        tried: list[str] = []
+        await self._dispatch.enter(job)
+        try:
+            while True:
+                candidate = self._dispatch.choose(job, tried)
+                tried.append(candidate.host)
+                order = admission.make_order(
+                    accepted,
+                    [_make_charge(reservation) for reservation in made],
+                    len(tried),
+                    self._board.catalog.revision,
+                )
+                self._note(accepted, "attempt", sidecar=candidate.host)
+                self._dispatch.note_start(job, candidate.host)
+                try:
+                    return await self._attempt(candidate, order, passed, sink)
+                except base_errors.CodedError as err:
+                    self._note(accepted, "attempt_failed", **err.describe())
+                    if err.run != "not_run" or len(tried) == MAX_ATTEMPTS:
+                        raise
+                finally:
+                    self._dispatch.note_end(job, candidate.host)
+        finally:
+            self._dispatch.leave(job)
 
     async def _attempt(
         self,
@@ -147,23 +145,6 @@
             stream.close()
         raise transport_errors.ConnectionLostError("no end", "unknown")
 
-    def _list_candidates(
-        self, job: routing_types.Job
-    ) -> list[routing_types.Candidate]:
-        now = time.monotonic()
-        beats = self._members.list_open(self._board.members, job.route, now)
-        candidates = [
-            routing_types.Candidate(
-                beat["host"],
-                beat["address"],
-                beat["zone"],
-                beat["incarnation"],
-                beat["load"],
-            )
-            for beat in beats
-        ]
-        return self._policy.order(job, candidates, now)
-
     def _make_job(self, accepted: admission.Accepted) -> routing_types.Job:
         return routing_types.Job(
             accepted.request,
--- a/src/cyclamenwing/membership/types.py
+++ b/src/cyclamenwing/membership/types.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from typing import Any
 from typing import Literal
 from typing import TypedDict
 
@@ -23,7 +24,8 @@
     """Report one process to another.
 
     `incarnation` differs at each start, `revision` is the highest
-    configuration revision adopted, `load` the runs in progress.
+    configuration revision adopted, `load` the runs in progress. `news`
+    holds what each concern adds, by the concern's name.
     """
 
     host: str
@@ -35,6 +37,7 @@
     leaving: bool
     revision: int
     load: int
+    news: dict[str, Any]
 
 
 class HeartbeatReply(TypedDict):
@@ -42,6 +45,7 @@
 
     host: str
     revision: int
+    news: dict[str, Any]
 
 
 class Member(TypedDict):
--- /dev/null
+++ b/src/cyclamenwing/replay/__init__.py
@@ -0,0 +1,5 @@
+"""Replay of recorded traces against stated outcomes."""
+
+from __future__ import annotations
+
+__all__ = ()
--- a/src/cyclamenwing/sidecar/blackboard.py
+++ b/src/cyclamenwing/sidecar/blackboard.py
@@ -23,6 +23,7 @@
     route: str
     runs: runs.RunBoard = dataclasses.field(default_factory=runs.RunBoard)
     revision: int = 0
+    running: int = 0
 
 
 __all__ = ("SidecarBoard",)
--- a/src/cyclamenwing/sidecar/executor.py
+++ b/src/cyclamenwing/sidecar/executor.py
@@ -57,7 +57,8 @@
             self._signals[order["key"]] = signal.Signal()
             task = asyncio.create_task(self._execute(admitted.run))
             self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
+            task.add_done_callback(self._forget)
+            self._board.running = len(self._tasks)
         return admitted.run
 
     def get_signal(self, run: runs.Run) -> signal.Signal:
@@ -75,6 +76,10 @@
         while self._tasks:
             await asyncio.wait(set(self._tasks))
 
+    def _forget(self, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        self._board.running = len(self._tasks)
+
     async def _execute(self, run: runs.Run) -> None:
         order = run.order
         with eliot.start_action(
--- a/src/cyclamenwing/sidecar/handlers.py
+++ b/src/cyclamenwing/sidecar/handlers.py
@@ -2,6 +2,10 @@
 
 from __future__ import annotations
 
+import asyncio
+import time
+from typing import Any
+
 from tornado import iostream
 
 from cyclamenwing import errors as base_errors
@@ -14,6 +18,7 @@
 from cyclamenwing.transport import server
 
 BEAT_INTERVAL_S = 1.0
+EXPIRY_INTERVAL_S = 5.0
 FRAME_BYTES = 64 * 1024
 
 
@@ -111,7 +116,46 @@
     }
 
 
+class RunService:
+    """Serve runs to entries.
+
+    :param board: the sidecar's state
+    :param execution: runs at the endpoint
+    """
+
+    def __init__(
+        self, board: blackboard.SidecarBoard, execution: executor.Executor
+    ) -> None:
+        self._board = board
+        self._execution = execution
+        self._task: asyncio.Task[None] | None = None
+
+    def list_handlers(self) -> list[Any]:
+        """Return handlers for other processes, by path."""
+        runs_options = {"execution": self._execution}
+        status_options = runs_options | {"board": self._board}
+        return [
+            (r"/v1/runs", RunsHandler, runs_options),
+            (r"/v1/status", HealthHandler, status_options),
+        ]
+
+    def start(self) -> None:
+        """Start dropping runs past their retention."""
+        self._task = asyncio.create_task(self._expire())
+
+    async def close(self) -> None:
+        """Stop dropping runs."""
+        if self._task is not None:
+            self._task.cancel()
+
+    async def _expire(self) -> None:
+        while True:
+            await asyncio.sleep(EXPIRY_INTERVAL_S)
+            self._execution.expire(time.monotonic())
+
+
 __all__ = (
     "HealthHandler",
+    "RunService",
     "RunsHandler",
 )
