Name the sidecars that may serve a session, and count what they run

Cause: a dead entry's grant can be recovered only if every sidecar that may have run something for it is known and tells what it ran. Change: a session record in the store names sidecar incarnations (budget/session.py), extended by commit before use (entry/sessions.py, into EntryBoard.served); orders name the sidecar incarnation they are meant for; sidecar/accounts.py admits and counts runs by session; Funding.doubt keeps a reservation charged whose run is unknown. Call sites in others' files: executor (admit, settle), admission (fields of the order), serving (doubt, unit of a charge), both app modules.

--- a/src/cyclamenwing/budget/holder.py
+++ b/src/cyclamenwing/budget/holder.py
@@ -44,6 +44,9 @@
     open: dict[int, types.Reservation] = dataclasses.field(
         default_factory=dict
     )
+    doubtful: dict[int, types.Reservation] = dataclasses.field(
+        default_factory=dict
+    )
     sequence: int = 0
 
     def get_account(self, budget: str) -> Account:
@@ -61,7 +64,11 @@
         self._chunk = chunk
 
     def reserve(
-        self, board: HolderBoard, budget: str, amount: int
+        self,
+        board: HolderBoard,
+        budget: str,
+        amount: int,
+        unit: types.Unit = "tokens",
     ) -> types.Reservation | None:
         """Reserve units; None means that a larger grant is needed."""
         account = board.get_account(budget)
@@ -70,10 +77,19 @@
             return None
         board.sequence += 1
         account.reserved += amount
-        made = types.Reservation(budget, board.session, board.sequence, amount)
+        made = types.Reservation(
+            budget, board.session, board.sequence, amount, unit
+        )
         board.open[made.sequence] = made
         return made
 
+    def doubt(
+        self, board: HolderBoard, reservation: types.Reservation
+    ) -> None:
+        """Keep a reservation charged whose run is unknown."""
+        if reservation.sequence in board.open:
+            board.doubtful[reservation.sequence] = reservation
+
     def settle(
         self,
         board: HolderBoard,
@@ -82,8 +98,11 @@
         used: int,
     ) -> None:
         """Turn a reservation into spending; a second call has no effect."""
+        if reservation.session != board.session:
+            return
         if board.open.pop(reservation.sequence, None) is None:
             return
+        board.doubtful.pop(reservation.sequence, None)
         account = board.get_account(reservation.budget)
         account.reserved -= reservation.amount
         account.spent += min(used, reservation.amount)
--- /dev/null
+++ b/src/cyclamenwing/budget/session.py
@@ -0,0 +1,111 @@
+"""Session records: which sidecar incarnations may serve a session."""
+
+from __future__ import annotations
+
+from typing import Literal
+from typing import TypedDict
+
+import msgspec
+
+from cyclamenwing.budget import errors
+
+MAX_COMMIT_IDS = 16
+
+SessionState = Literal["open", "closing", "closed"]
+
+
+class ServingSidecar(TypedDict):
+    """Name one incarnation of a sidecar and where it listens."""
+
+    incarnation: str
+    host: str
+    address: str
+
+
+class SessionRecord(TypedDict):
+    """Hold one entry incarnation's session, the value of one key."""
+
+    session: str
+    host: str
+    state: SessionState
+    sidecars: list[ServingSidecar]
+    commits: list[str]
+
+
+class SessionCodec:
+    """Convert a session record to and from JSON.
+
+    :param session: id of the entry's incarnation
+    :param host: name of the entry's host, for a record not yet written
+    """
+
+    def __init__(self, session: str, host: str) -> None:
+        self._session = session
+        self._host = host
+
+    def decode(self, value: bytes | None) -> SessionRecord:
+        """Read a record; raise `MalformedLedgerError` on a wrong one."""
+        if value is None:
+            return {
+                "session": self._session,
+                "host": self._host,
+                "state": "open",
+                "sidecars": [],
+                "commits": [],
+            }
+        try:
+            return msgspec.json.decode(value, type=SessionRecord)
+        except (msgspec.ValidationError, msgspec.DecodeError) as err:
+            raise errors.MalformedLedgerError(str(err)) from err
+
+    def encode(self, document: SessionRecord) -> bytes:
+        """Write a record."""
+        return msgspec.json.encode(document)
+
+    def contains(self, document: SessionRecord, commit_id: str) -> bool:
+        """Tell whether the record holds a commit."""
+        return commit_id in document["commits"]
+
+
+def extend_session(
+    record: SessionRecord, sidecars: list[ServingSidecar], commit_id: str
+) -> None:
+    """Name further sidecars; raise `StaleSessionError` unless open."""
+    if record["state"] != "open":
+        raise errors.StaleSessionError(
+            f"session {record['session']!r} is {record['state']}"
+        )
+    known = {sidecar["incarnation"] for sidecar in record["sidecars"]}
+    record["sidecars"].extend(
+        sidecar for sidecar in sidecars if sidecar["incarnation"] not in known
+    )
+    record_commit(record, commit_id)
+
+
+def mark_session(
+    record: SessionRecord, state: SessionState, commit_id: str
+) -> None:
+    """Move a record on to `closing` or `closed`, never back."""
+    if _ORDER.index(state) > _ORDER.index(record["state"]):
+        record["state"] = state
+    record_commit(record, commit_id)
+
+
+def record_commit(record: SessionRecord, commit_id: str) -> None:
+    """Remember a commit id, dropping the oldest beyond the bound."""
+    record["commits"].append(commit_id)
+    del record["commits"][:-MAX_COMMIT_IDS]
+
+
+_ORDER: tuple[SessionState, ...] = ("open", "closing", "closed")
+
+__all__ = (
+    "MAX_COMMIT_IDS",
+    "ServingSidecar",
+    "SessionCodec",
+    "SessionRecord",
+    "SessionState",
+    "extend_session",
+    "mark_session",
+    "record_commit",
+)
--- a/src/cyclamenwing/budget/types.py
+++ b/src/cyclamenwing/budget/types.py
@@ -45,6 +45,24 @@
     at: float
 
 
+class RunRecord(TypedDict):
+    """Record what one run used of one reservation, at its sidecar.
+
+    While `running`, up to `reserved` units may yet be used.
+    """
+
+    request: str
+    workspace: str
+    budget: str
+    sequence: int
+    kind: str
+    reviewer: str
+    reserved: int
+    used: int
+    running: bool
+    at: float
+
+
 class LedgerShard(TypedDict):
     """Hold one shard of the ledger, the value of one key."""
 
@@ -126,6 +144,7 @@
     session: str
     sequence: int
     amount: int
+    unit: Unit = "tokens"
 
 
 __all__ = (
@@ -139,6 +158,7 @@
     "LedgerShard",
     "OpResult",
     "Reservation",
+    "RunRecord",
     "Settlement",
     "TopUp",
     "Unit",
--- a/src/cyclamenwing/entry/admission.py
+++ b/src/cyclamenwing/entry/admission.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from cyclamenwing.budget import types as budget_types
 from cyclamenwing.catalog import index
 from cyclamenwing.catalog import types as catalog_types
 from cyclamenwing.request import errors
@@ -36,7 +37,7 @@
     """Hold the units that a request may use of one budget at most."""
 
     budget: str
-    unit: str
+    unit: budget_types.Unit
     amount: int
 
 
@@ -163,6 +164,7 @@
 def make_order(
     accepted: Accepted,
     charges: list[types.Charge],
+    sidecar: str,
     attempt: int,
     revision: int,
 ) -> types.RunOrder:
@@ -176,9 +178,12 @@
         "request": accepted.request,
         "key": accepted.key,
         "fingerprint": accepted.fingerprint,
+        "sidecar": sidecar,
         "attempt": attempt,
         "workspace": accepted.workspace["name"],
         "route": accepted.route["name"],
+        "kind": accepted.kind,
+        "reviewer": accepted.reviewer,
         "protocol": accepted.route["protocol"],
         "idempotent": accepted.idempotent,
         "method": accepted.caller.method,
--- a/src/cyclamenwing/entry/app.py
+++ b/src/cyclamenwing/entry/app.py
@@ -16,6 +16,7 @@
 from cyclamenwing.entry import inquiry
 from cyclamenwing.entry import membership
 from cyclamenwing.entry import serving
+from cyclamenwing.entry import sessions
 from cyclamenwing.membership import news
 from cyclamenwing.routing import scoring
 from cyclamenwing.settings import types as settings_types
@@ -65,6 +66,7 @@
             ),
             catalog.CatalogWatch(self.board, self._store),
             inquiry.Inquiry(self.board),
+            sessions.Sessions(self.board, self._store),
             self._money,
         ]
         self._callers = self._listen_callers()
--- a/src/cyclamenwing/entry/blackboard.py
+++ b/src/cyclamenwing/entry/blackboard.py
@@ -14,6 +14,8 @@
 class EntryBoard:
     """Hold what an entry knows.
 
+    `served` holds the sidecar incarnations that the session names.
+
     :param host: name of the host
     :param zone: availability zone of the host
     :param session: id of this incarnation
@@ -32,6 +34,7 @@
     journal: journal.Journal = dataclasses.field(
         default_factory=journal.Journal
     )
+    served: set[str] = dataclasses.field(default_factory=set)
     in_progress: int = 0
     leaving: bool = False
 
--- a/src/cyclamenwing/entry/funding.py
+++ b/src/cyclamenwing/entry/funding.py
@@ -94,6 +94,16 @@
         for reservation in made:
             self._controller.settle(self._board.holder, reservation, None, 0)
 
+    def doubt(
+        self, accepted: admission.Accepted, made: list[types.Reservation]
+    ) -> None:
+        """Keep reservations charged whose run is unknown.
+
+        They stay so until the sidecar that may have run them tells.
+        """
+        for reservation in made:
+            self._controller.doubt(self._board.holder, reservation)
+
     def settle(
         self,
         accepted: admission.Accepted,
@@ -134,7 +144,7 @@
         ends_at = time.monotonic() + timeout_s
         while True:
             made = self._controller.reserve(
-                self._board.holder, need.budget, need.amount
+                self._board.holder, need.budget, need.amount, need.unit
             )
             if made is not None:
                 return made
--- a/src/cyclamenwing/entry/serving.py
+++ b/src/cyclamenwing/entry/serving.py
@@ -80,6 +80,8 @@
             self._note(accepted, "failed", **err.describe())
             if err.run == "not_run":
                 self._money.release(made)
+            else:
+                self._money.doubt(accepted, made)
             raise
         self._money.settle(accepted, made, usage)
         self._note(accepted, "settled", usage=usage)
@@ -101,6 +103,7 @@
                 order = admission.make_order(
                     accepted,
                     [_make_charge(reservation) for reservation in made],
+                    candidate.incarnation,
                     len(tried),
                     self._board.catalog.revision,
                 )
@@ -215,6 +218,7 @@
         "session": reservation.session,
         "sequence": reservation.sequence,
         "amount": reservation.amount,
+        "unit": reservation.unit,
     }
 
 
--- /dev/null
+++ b/src/cyclamenwing/entry/sessions.py
@@ -0,0 +1,105 @@
+"""The entry's session record, extended before a new sidecar is used."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+import uuid
+from typing import Any
+
+import eliot
+
+from cyclamenwing import errors as base_errors
+from cyclamenwing.budget import errors
+from cyclamenwing.budget import holder
+from cyclamenwing.budget import session
+from cyclamenwing.entry import blackboard
+from cyclamenwing.membership import view
+from cyclamenwing.store import commits
+from cyclamenwing.store import keys
+from cyclamenwing.store import protocol
+
+EXTEND_INTERVAL_S = 0.2
+
+
+class Sessions:
+    """Keep the session open and named sidecars in `board.served`.
+
+    :param board: the entry's state
+    :param store: the platform's key-value service
+    """
+
+    def __init__(
+        self, board: blackboard.EntryBoard, store: protocol.Store
+    ) -> None:
+        self._board = board
+        self._store = store
+        self._members = view.MemberController()
+        self._task: asyncio.Task[None] | None = None
+
+    def list_handlers(self) -> list[Any]:
+        """Return handlers for other processes, by path."""
+        return []
+
+    def start(self) -> None:
+        """Start extending the session to the sidecars that report."""
+        self._task = asyncio.create_task(self._run())
+
+    async def close(self) -> None:
+        """Stop extending the session."""
+        if self._task is not None:
+            self._task.cancel()
+
+    async def extend(self, now: float) -> None:
+        """Name the live sidecars that the session does not name yet."""
+        missing: list[session.ServingSidecar] = [
+            {
+                "incarnation": beat["incarnation"],
+                "host": beat["host"],
+                "address": beat["address"],
+            }
+            for beat in self._members.list_live(
+                self._board.members, "sidecar", now
+            )
+            if beat["incarnation"] not in self._board.served
+        ]
+        if not missing:
+            return
+        own = self._board.session
+        commit_id = uuid.uuid4().hex
+
+        def change(record: session.SessionRecord) -> None:
+            session.extend_session(record, missing, commit_id)
+
+        made = await commits.commit(
+            self._store,
+            keys.name_session(own),
+            session.SessionCodec(own, self._board.host),
+            commit_id,
+            change,
+        )
+        named = {item["incarnation"] for item in made.document["sidecars"]}
+        self._board.served = named
+
+    def renew(self) -> None:
+        """Take a new session; what the old one held is recovered."""
+        old = self._board.session
+        self._board.session = f"{self._board.host}/{uuid.uuid4().hex}"
+        self._board.holder = holder.HolderBoard(self._board.session)
+        self._board.served = set()
+        eliot.log_message(
+            "entry:session_renewed", old=old, new=self._board.session
+        )
+
+    async def _run(self) -> None:
+        while True:
+            try:
+                await self.extend(time.monotonic())
+            except errors.StaleSessionError:
+                self.renew()
+            except base_errors.CodedError as err:
+                eliot.log_message("entry:session", code=err.code)
+            await asyncio.sleep(EXTEND_INTERVAL_S)
+
+
+__all__ = ("Sessions",)
--- a/src/cyclamenwing/request/types.py
+++ b/src/cyclamenwing/request/types.py
@@ -20,21 +20,26 @@
     session: str
     sequence: int
     amount: int
+    unit: Literal["tokens", "requests"]
 
 
 class RunOrder(TypedDict):
     """Order a sidecar to run a request.
 
     `key` identifies the request across retries, `fingerprint` its
-    content, `body` is base64 unless `text` holds it.
+    content, `body` is base64 unless `text` holds it, `sidecar` is the
+    incarnation that the order is meant for.
     """
 
     request: str
     key: str
     fingerprint: str
+    sidecar: str
     attempt: int
     workspace: str
     route: str
+    kind: str
+    reviewer: str
     protocol: Protocol
     idempotent: bool
     method: str
--- a/src/cyclamenwing/sidecar/app.py
+++ b/src/cyclamenwing/sidecar/app.py
@@ -6,6 +6,7 @@
 
 from cyclamenwing.membership import news
 from cyclamenwing.settings import types as settings_types
+from cyclamenwing.sidecar import accounts
 from cyclamenwing.sidecar import blackboard
 from cyclamenwing.sidecar import executor
 from cyclamenwing.sidecar import handlers
@@ -29,8 +30,11 @@
             settings["route"],
         )
         self._client = client.CurlClient(settings["fleet_keys"][0])
+        self.accounts = accounts.Accounts(
+            accounts.AccountBoard(self.board.incarnation)
+        )
         self.execution = executor.Executor(
-            self.board, self._client, settings["endpoint"]
+            self.board, self._client, settings["endpoint"], self.accounts
         )
         sources: list[news.Source] = []
         self._membership = membership.Membership(
--- a/src/cyclamenwing/sidecar/executor.py
+++ b/src/cyclamenwing/sidecar/executor.py
@@ -13,6 +13,7 @@
 from cyclamenwing import errors as base_errors
 from cyclamenwing.request import runs
 from cyclamenwing.request import types
+from cyclamenwing.sidecar import accounts
 from cyclamenwing.sidecar import blackboard
 from cyclamenwing.sidecar import errors
 from cyclamenwing.sidecar import meter
@@ -30,6 +31,7 @@
     :param board: the sidecar's state
     :param client: HTTP client
     :param endpoint: ``ip:port`` of the endpoint
+    :param held: what each session ran here
     """
 
     def __init__(
@@ -37,10 +39,12 @@
         board: blackboard.SidecarBoard,
         client: transport.Client,
         endpoint: str,
+        held: accounts.Accounts,
     ) -> None:
         self._board = board
         self._client = client
         self._endpoint = endpoint
+        self._accounts = held
         self._runs = runs.RunController()
         self._signals: dict[str, signal.Signal] = {}
         self._tasks: set[asyncio.Task[None]] = set()
@@ -52,7 +56,7 @@
 
     def start(self, order: types.RunOrder) -> runs.Run:
         """Admit an order and start it unless it runs already."""
-        admitted = self._runs.admit(self._board.runs, order)
+        admitted = self._admit(order)
         if admitted.started:
             self._signals[order["key"]] = signal.Signal()
             task = asyncio.create_task(self._execute(admitted.run))
@@ -76,6 +80,17 @@
         while self._tasks:
             await asyncio.wait(set(self._tasks))
 
+    def _admit(self, order: types.RunOrder) -> runs.Admission:
+        joins = order["key"] in self._board.runs.runs
+        if not joins:
+            self._accounts.admit(order, time.time())
+        try:
+            return self._runs.admit(self._board.runs, order)
+        except base_errors.CodedError:
+            if not joins:
+                self._accounts.settle(order, None, time.time())
+            raise
+
     def _forget(self, task: asyncio.Task[None]) -> None:
         self._tasks.discard(task)
         self._board.running = len(self._tasks)
@@ -93,6 +108,9 @@
                 self._runs.fail(run, refusal, time.monotonic())
             else:
                 self._runs.finish(run, time.monotonic())
+            not_run = run.refusal and run.refusal["run"] == "not_run"
+            used = None if not_run else run.usage
+            self._accounts.settle(order, used, time.time())
             action.add_success_fields(
                 phase=run.phase, status=run.status, usage=run.usage
             )
