Fix routing's interface to the service of requests

Cause: requests and routing are deepened side by side and meet in `Dispatch`. Conclusion: serving can be adapted before the controllers behind change.

--- a/src/cyclamenwing/entry/serving.py
+++ b/src/cyclamenwing/entry/serving.py
@@ -17,6 +17,7 @@
 from cyclamenwing.request import assembly
 from cyclamenwing.request import errors
 from cyclamenwing.request import types
+from cyclamenwing.routing import prefix
 from cyclamenwing.routing import types as routing_types
 from cyclamenwing.transport import errors as transport_errors
 from cyclamenwing.transport import lines
@@ -151,8 +152,10 @@
             accepted.workspace["name"],
             accepted.route["name"],
             accepted.route.get("priority", "interactive"),
-            (),
+            _digest_prompt(accepted),
             time.monotonic() + accepted.timeout_s,
+            accepted.fingerprint,
+            max([need.amount for need in accepted.needs], default=1),
         )
 
     def _note(
@@ -209,6 +212,12 @@
         self.code = code  # type: ignore[misc]
 
 
+def _digest_prompt(accepted: admission.Accepted) -> tuple[int, ...]:
+    if accepted.route["protocol"] != "chat":
+        return ()
+    return prefix.digest_chat(accepted.caller.body)
+
+
 def _make_charge(reservation: budget_types.Reservation) -> types.Charge:
     return {
         "budget": reservation.budget,
--- a/src/cyclamenwing/routing/types.py
+++ b/src/cyclamenwing/routing/types.py
@@ -23,7 +23,9 @@
     """Describe a request as routing sees it.
 
     `prefix` holds digests of the prompt's growing prefixes, the
-    shortest first; `deadline` is in seconds of the local clock.
+    shortest first; `deadline` is in seconds of the local clock; `tokens`
+    bounds prompt and answer; `fingerprint` is the same for equal
+    requests whatever their keys.
     """
 
     request: str
@@ -32,6 +34,8 @@
     priority: Priority
     prefix: tuple[int, ...]
     deadline: float
+    fingerprint: str
+    tokens: int
 
 
 class Policy(Protocol):
