Count requests and refusals on an operators' port

Cause: nothing told operators how long callers wait or what is refused. Conclusion: other concerns count through `board.recorder`.

--- a/src/cyclamenwing/entry/app.py
+++ b/src/cyclamenwing/entry/app.py
@@ -15,8 +15,10 @@
 from cyclamenwing.entry import funding
 from cyclamenwing.entry import inquiry
 from cyclamenwing.entry import membership
+from cyclamenwing.entry import metrics
 from cyclamenwing.entry import serving
 from cyclamenwing.membership import news
+from cyclamenwing.metrics import operators
 from cyclamenwing.routing import scoring
 from cyclamenwing.settings import types as settings_types
 from cyclamenwing.store import client as store_client
@@ -66,6 +68,7 @@
             catalog.CatalogWatch(self.board, self._store),
             inquiry.Inquiry(self.board),
             self._money,
+            self._open_operators(),
         ]
         self._callers = self._listen_callers()
         self._peers = self._listen_peers()
@@ -107,6 +110,29 @@
             settings.get("ledger_shards", DEFAULT_SHARDS),
         )
 
+    def _open_operators(self) -> operators.OperatorsPort:
+        board = self.board
+        board.recorder.watch(metrics.IN_PROGRESS, lambda: board.in_progress)
+        board.recorder.watch(metrics.REVISION, lambda: board.catalog.revision)
+        address = self._settings.get("operators")
+        made = operators.OperatorsPort(
+            address, board.recorder, self._read_health
+        )
+        self.operators_address = made.address
+        return made
+
+    def _read_health(self) -> operators.Health:
+        board = self.board
+        return {
+            "ready": board.catalog.revision > 0 and not board.leaving,
+            "role": "entry",
+            "host": board.host,
+            "zone": board.zone,
+            "revision": board.catalog.revision,
+            "leaving": board.leaving,
+            "in_progress": board.in_progress,
+        }
+
     def _listen_callers(self) -> server.Listener:
         options = {"board": self.board, "service": self._service}
         return server.Listener(
--- a/src/cyclamenwing/entry/blackboard.py
+++ b/src/cyclamenwing/entry/blackboard.py
@@ -8,6 +8,7 @@
 from cyclamenwing.catalog import index
 from cyclamenwing.entry import journal
 from cyclamenwing.membership import view
+from cyclamenwing.metrics import recorder
 
 
 @dataclasses.dataclass(slots=True)
@@ -32,6 +33,9 @@
     journal: journal.Journal = dataclasses.field(
         default_factory=journal.Journal
     )
+    recorder: recorder.Recorder = dataclasses.field(
+        default_factory=recorder.Recorder
+    )
     in_progress: int = 0
     leaving: bool = False
 
--- a/src/cyclamenwing/entry/callers.py
+++ b/src/cyclamenwing/entry/callers.py
@@ -7,7 +7,9 @@
 from cyclamenwing import errors as base_errors
 from cyclamenwing.entry import admission
 from cyclamenwing.entry import blackboard
+from cyclamenwing.entry import metrics
 from cyclamenwing.entry import serving
+from cyclamenwing.metrics import types as metric_types
 from cyclamenwing.transport import server
 
 REQUEST_ID_HEADER = "X-Request-Id"
@@ -23,6 +25,8 @@
         self._board = board
         self._service = service
         self._opened = False
+        self._route = ""
+        self._sent = False
 
     async def open(self, status: int, content_type: str) -> None:
         """Write the status line."""
@@ -36,10 +40,30 @@
         """Write bytes of the answer."""
         super().write(data)
         await self.flush()
+        if not self._sent:
+            self._sent = True
+            self._observe(metrics.FIRST_BYTE)
+
+    def write_refusal(self, error: base_errors.CodedError) -> None:
+        """Write a coded error and count it."""
+        self._board.recorder.count(metrics.REFUSALS, error.code, error.run)
+        super().write_refusal(error)
+
+    def on_finish(self) -> None:
+        """Count the request once its answer is written."""
+        status = str(self.get_status())
+        self._board.recorder.count(metrics.REQUESTS, status)
+        if self._route:
+            self._observe(metrics.DURATION)
+
+    def _observe(self, timer: metric_types.Timer) -> None:
+        elapsed_s = self.request.request_time()
+        self._board.recorder.observe(timer, elapsed_s, self._route)
 
     async def serve(self, accepted: admission.Accepted) -> None:
         """Serve an admitted request, or answer its refusal."""
         self.set_header(REQUEST_ID_HEADER, accepted.request)
+        self._route = accepted.route["name"]
         try:
             await self._service.serve(accepted, CallerSink(self))
         except iostream.StreamClosedError:
--- a/src/cyclamenwing/sidecar/app.py
+++ b/src/cyclamenwing/sidecar/app.py
@@ -5,6 +5,7 @@
 import uuid
 
 from cyclamenwing.membership import news
+from cyclamenwing.metrics import operators
 from cyclamenwing.settings import types as settings_types
 from cyclamenwing.sidecar import blackboard
 from cyclamenwing.sidecar import executor
@@ -43,6 +44,11 @@
         self._parts: list[part.Part] = [
             handlers.RunService(self.board, self.execution),
             self._membership,
+            operators.OperatorsPort(
+                settings.get("operators"),
+                self.board.recorder,
+                self._read_health,
+            ),
         ]
         self._listener = server.Listener(
             server.make_application(
@@ -66,6 +72,18 @@
         """Start a sidecar from its settings."""
         return cls(settings)
 
+    def _read_health(self) -> operators.Health:
+        board = self.board
+        return {
+            "ready": not board.runs.leaving,
+            "role": "sidecar",
+            "host": board.host,
+            "zone": board.zone,
+            "revision": board.revision,
+            "leaving": board.runs.leaving,
+            "in_progress": board.running,
+        }
+
     async def close(self) -> None:
         """Announce leaving, end the runs and stop."""
         self.board.runs.leaving = True
--- a/src/cyclamenwing/sidecar/blackboard.py
+++ b/src/cyclamenwing/sidecar/blackboard.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 
+from cyclamenwing.metrics import recorder
 from cyclamenwing.request import runs
 
 
@@ -22,6 +23,9 @@
     incarnation: str
     route: str
     runs: runs.RunBoard = dataclasses.field(default_factory=runs.RunBoard)
+    recorder: recorder.Recorder = dataclasses.field(
+        default_factory=recorder.Recorder
+    )
     revision: int = 0
     running: int = 0
 
