Report a commit of unknown fate as such

Cause: after a lost answer the loop read again; when that read found the service down, the error said that nothing had taken effect, so an operator would top up again under a new id. Curl also repeated a write on a kept connection that was closed, which hid the loss. Ruled out: the compare-and-swap itself, which never applied a change twice. Change: the loop remembers a lost answer and raises the lost-answer error; writes go out at most once. Conclusion: a failed commit says whether it may have taken effect.

--- a/src/cyclamenwing/store/client.py
+++ b/src/cyclamenwing/store/client.py
@@ -170,12 +170,20 @@
             "modRevision": str(revision),
         }
         body = {"compare": [compare], "success": [action]}
-        return await self._call("kv/txn", body, TxnReply)
-
-    async def _call(self, path: str, body: object, reply: type[T]) -> T:
+        # A write that the client repeats would hide its first answer's loss.
+        return await self._call("kv/txn", body, TxnReply, repeatable=False)
+
+    async def _call(
+        self,
+        path: str,
+        body: object,
+        reply: type[T],
+        repeatable: bool = True,
+    ) -> T:
+        url = f"{self._base}/{path}"
         try:
             return await self._client.call(
-                f"{self._base}/{path}", body, reply, CALL_TIMEOUT_S
+                url, body, reply, CALL_TIMEOUT_S, repeatable
             )
         except transport_errors.ConnectFailedError as err:
             raise errors.StoreUnavailableError(err.message) from err
--- a/src/cyclamenwing/store/commits.py
+++ b/src/cyclamenwing/store/commits.py
@@ -47,24 +47,47 @@
     """Apply a change once, under any number of lost answers.
 
     `change` records `commit_id` in the document. Raise
-    `CommitConflictError` after `max_attempts` conflicts.
+    `CommitConflictError` after `max_attempts` conflicts, and
+    `StoreAnswerLostError` when a write may have taken effect and the
+    store can't be asked.
     """
+    lost = False
     for _ in range(max_attempts):
-        found = await store.get(key)
-        document = codec.decode(found.value if found else None)
-        revision = found.revision if found else 0
-        if codec.contains(document, commit_id):
-            return Committed(document, revision)
-        change(document)
         try:
-            written = await store.swap(key, revision, codec.encode(document))
+            done = await _attempt(store, key, codec, commit_id, change)
         except errors.StoreAnswerLostError:
+            lost = True
             continue
-        if written is not None:
-            return Committed(document, written)
+        except errors.StoreUnavailableError as err:
+            if lost:
+                raise errors.StoreAnswerLostError(err.message) from err
+            raise
+        if done is not None:
+            return done
+    if lost:
+        raise errors.StoreAnswerLostError(f"fate of a commit on {key!r}")
     raise errors.CommitConflictError(f"no commit on {key!r}")
 
 
+async def _attempt(
+    store: protocol.Store,
+    key: str,
+    codec: Codec[T],
+    commit_id: str,
+    change: Callable[[T], None],
+) -> Committed[T] | None:
+    found = await store.get(key)
+    document = codec.decode(found.value if found else None)
+    revision = found.revision if found else 0
+    if codec.contains(document, commit_id):
+        return Committed(document, revision)
+    change(document)
+    written = await store.swap(key, revision, codec.encode(document))
+    if written is None:
+        return None
+    return Committed(document, written)
+
+
 __all__ = (
     "MAX_ATTEMPTS",
     "Codec",
--- a/src/cyclamenwing/transport/client.py
+++ b/src/cyclamenwing/transport/client.py
@@ -119,12 +119,16 @@
         self._pending: set[asyncio.Future[httpclient.HTTPResponse]] = set()
 
     async def call(
-        self, url: str, message: Any, reply: type[T], timeout_s: float
+        self,
+        url: str,
+        message: Any,
+        reply: type[T],
+        timeout_s: float,
+        repeatable: bool = True,
     ) -> T:
         """Post a JSON message and decode the JSON reply."""
-        answer = await self.fetch(
-            "POST", url, {}, msgspec.json.encode(message), timeout_s
-        )
+        body = msgspec.json.encode(message)
+        answer = await self.fetch("POST", url, {}, body, timeout_s, repeatable)
         if answer.status >= 400:
             raise parse_refusal(answer)
         try:
--- a/src/cyclamenwing/transport/protocol.py
+++ b/src/cyclamenwing/transport/protocol.py
@@ -47,9 +47,17 @@
     """
 
     async def call(
-        self, url: str, message: Any, reply: type[T], timeout_s: float
+        self,
+        url: str,
+        message: Any,
+        reply: type[T],
+        timeout_s: float,
+        repeatable: bool = True,
     ) -> T:
-        """Post a JSON message and decode the JSON reply."""
+        """Post a JSON message and decode the JSON reply.
+
+        One that is not `repeatable` is sent at most once.
+        """
 
     async def fetch(
         self,
--- a/tests/store/test_commits.py
+++ b/tests/store/test_commits.py
@@ -12,17 +12,21 @@
 from cyclamenwing.transport import client
 
 
-def top_up(fault_kind: faults.FaultKind, count: int) -> int:
+def make_fault(
+    call: str, kind: faults.FaultKind, skip: int = 0
+) -> faults.Fault:
+    return {
+        "call": call,
+        "kind": kind,
+        "skip": skip,
+        "count": 1,
+        "delay_s": 0.0,
+    }
+
+
+def top_up(rows: list[faults.Fault]) -> int:
     async def run() -> int:
-        table = faults.FaultTable([
-            {
-                "call": "kv/txn",
-                "kind": fault_kind,
-                "skip": 0,
-                "count": count,
-                "delay_s": 0.0,
-            }
-        ])
+        table = faults.FaultTable(rows)
         standin = store.StoreStandin("127.0.0.1:0", table)
         http = client.CurlClient("key")
         try:
@@ -40,9 +44,18 @@
 
 
 def test_lost_answer_commits_once() -> None:
-    assert top_up("lost_answer", 1) == 5
+    assert top_up([make_fault("kv/txn", "lost_answer")]) == 5
 
 
 def test_store_down_is_a_coded_error() -> None:
     with pytest.raises(errors.StoreUnavailableError):
-        top_up("down", 1)
+        top_up([make_fault("kv/txn", "down")])
+
+
+def test_unknown_fate_is_not_reported_as_no_effect() -> None:
+    rows = [
+        make_fault("kv/txn", "lost_answer"),
+        make_fault("kv/range", "down", skip=1),
+    ]
+    with pytest.raises(errors.StoreAnswerLostError):
+        top_up(rows)
