Order the imports of the measurements

Cause: three modules kept imports in another order than the linter asks. Change: the linter's own fix.

--- a/src/cyclamenwing/bench/memory.py
+++ b/src/cyclamenwing/bench/memory.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
 import gc
 import tracemalloc
+from collections.abc import Callable
 
 
 def measure_bytes(make: Callable[[], object]) -> float:
--- a/src/cyclamenwing/bench/slopes.py
+++ b/src/cyclamenwing/bench/slopes.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
+import statistics
 from collections.abc import Callable
 from collections.abc import Sequence
-import statistics
 from typing import Literal
 from typing import NamedTuple
 from typing import TypedDict
--- a/src/cyclamenwing/bench/timing.py
+++ b/src/cyclamenwing/bench/timing.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
 import time
+from collections.abc import Callable
 
 REPEATS = 5
 
