--- a/src/cyclamenwing/cli/bench.py
+++ b/src/cyclamenwing/cli/bench.py
@@ -6,11 +6,12 @@
 import json
 import pathlib
 
+from cyclamenwing.bench import capacity
 from cyclamenwing.bench import protocol as bench_protocol
 from cyclamenwing.bench import tables
 from cyclamenwing.cli import protocol
 
-BENCHES: tuple[bench_protocol.Bench, ...] = ()
+BENCHES: tuple[bench_protocol.Bench, ...] = (capacity.CapacityBench(),)
 
 
 class BenchCommand:
