--- a/src/cyclamenwing/bench/requestprobes.py
+++ b/src/cyclamenwing/bench/requestprobes.py
@@ -7,8 +7,8 @@
 from cyclamenwing.bench import memory
 from cyclamenwing.bench import slopes
 from cyclamenwing.bench import timing
-from cyclamenwing.entry import journal
 from cyclamenwing.request import assembly
+from cyclamenwing.request import journal
 from cyclamenwing.request import runs
 from cyclamenwing.request import types
 from cyclamenwing.sidecar import meter
@@ -29,10 +29,14 @@
     return {
         "request": request,
         "key": f"workspace/{request}",
+        "submission": request,
         "fingerprint": f"{number:064x}",
+        "sidecar": "incarnation",
         "attempt": 1,
         "workspace": "workspace",
         "route": "assistant",
+        "kind": "completion",
+        "reviewer": "",
         "protocol": "chat",
         "idempotent": True,
         "method": "POST",
@@ -54,9 +58,9 @@
         board = runs.RunBoard()
         controller = runs.RunController()
         for number in range(count):
-            run = controller.admit(board, make_order(number)).run
+            run = controller.admit(board, make_order(number), 0.0).run
             controller.append(board, run, EVENT * TOKENS_AN_ANSWER)
-            controller.finish(run, 1.0)
+            controller.finish(board, run, 1.0)
         return board
 
     return memory.measure_bytes(make)
@@ -66,7 +70,7 @@
     """Return the processor time to meter a stream."""
 
     def work() -> None:
-        metered = meter.StreamMeter(False)
+        metered = meter.StreamMeter(False, tokens)
         for _ in range(tokens):
             metered.feed(EVENT)
 
--- a/src/cyclamenwing/cli/explain.py
+++ b/src/cyclamenwing/cli/explain.py
@@ -3,15 +3,28 @@
 from __future__ import annotations
 
 import argparse
+import asyncio
 import json
+from typing import TypedDict
 
+import eliot
+
+from cyclamenwing import errors as base_errors
 from cyclamenwing.cli import protocol
 from cyclamenwing.cli import remote
-from cyclamenwing.entry import journal
+from cyclamenwing.membership import types as membership_types
+from cyclamenwing.request import journal
+from cyclamenwing.transport import client as transport_client
 
 TIMEOUT_S = 3.0
 
 
+class StatusReply(TypedDict):
+    """Hold what `explain` needs of an entry's status."""
+
+    members: list[membership_types.Member]
+
+
 class ExplainCommand:
     """Show what became of one request."""
 
@@ -25,32 +38,72 @@
         remote.add_entries(parser)
 
     def run(self, args: argparse.Namespace) -> int:
-        """Print the request's steps at each entry that knows it."""
+        """Print the request's steps at each process that knows it."""
         courses = remote.run_async(_collect(args))
         if args.json:
             print(json.dumps(courses))
         else:
-            for course in courses:
-                for step in course["steps"]:
-                    print(
-                        f"{step['at']:.3f} {course['entry']}"
-                        f" {step['step']} {json.dumps(step['detail'])}"
-                    )
+            print("\n".join(list_steps(courses)))
         known = any(course["steps"] for course in courses)
         return protocol.EXIT_OK if known else protocol.EXIT_FAILED
 
 
+def list_steps(courses: list[journal.Course]) -> list[str]:
+    """Return one line a step of all processes, in order of time."""
+    steps = [
+        (step["at"], course["host"], step)
+        for course in courses
+        for step in course["steps"]
+    ]
+    return [
+        f"{at:.3f} {host} {step['step']} {json.dumps(step['detail'])}"
+        for at, host, step in sorted(steps, key=lambda item: item[:2])
+    ]
+
+
 async def _collect(args: argparse.Namespace) -> list[journal.Course]:
     async with remote.open_client() as client:
-        return [
-            await client.call(
-                f"http://{entry}/peer/explain",
-                {"request": args.request},
-                journal.Course,
-                TIMEOUT_S,
-            )
-            for entry in args.entry
-        ]
-
-
-__all__ = ("ExplainCommand",)
+        sidecars = await asyncio.gather(
+            *(_list_sidecars(client, entry) for entry in args.entry)
+        )
+        urls = [f"http://{entry}/peer/explain" for entry in args.entry]
+        urls.extend(
+            f"http://{address}/v1/explain"
+            for address in sorted(set().union(*sidecars))
+        )
+        courses = await asyncio.gather(
+            *(_ask(client, url, args.request) for url in urls)
+        )
+        return [course for course in courses if course["steps"]]
+
+
+async def _list_sidecars(
+    client: transport_client.CurlClient, entry: str
+) -> set[str]:
+    try:
+        status = await client.call(
+            f"http://{entry}/peer/status", {}, StatusReply, TIMEOUT_S
+        )
+    except base_errors.CodedError as err:
+        eliot.log_message("explain:unreachable", url=entry, code=err.code)
+        return set()
+    beats = [member["beat"] for member in status["members"]]
+    return {beat["address"] for beat in beats if beat["role"] == "sidecar"}
+
+
+async def _ask(
+    client: transport_client.CurlClient, url: str, request: str
+) -> journal.Course:
+    try:
+        return await client.call(
+            url, {"request": request}, journal.Course, TIMEOUT_S
+        )
+    except base_errors.CodedError as err:
+        eliot.log_message("explain:unreachable", url=url, code=err.code)
+        return {"request": request, "host": url, "steps": []}
+
+
+__all__ = (
+    "ExplainCommand",
+    "list_steps",
+)
--- a/src/cyclamenwing/entry/admission.py
+++ b/src/cyclamenwing/entry/admission.py
@@ -19,9 +19,19 @@
 DEFAULT_MAX_TOKENS = 1024
 DEFAULT_TIMEOUT_S = 120.0
 MESSAGE_OVERHEAD_TOKENS = 16
+MAX_CHOICES = 16
+MAX_KEY_LENGTH = 255
 CHAT_KIND = "completion"
 CALL_KIND = "call"
-PASSED_HEADERS = ("Accept", "Content-Type", "X-Reviewer")
+PASSED_HEADERS = (
+    "Accept",
+    "Accept-Language",
+    "Content-Encoding",
+    "Content-Type",
+    "If-Match",
+    "If-None-Match",
+    "X-Reviewer",
+)
 
 
 class Caller(NamedTuple):
@@ -42,10 +52,15 @@
 
 
 class Accepted(NamedTuple):
-    """Hold a request that may be served."""
+    """Hold a request that may be served.
+
+    `keyed` marks a key that the caller gave, so that a retry has it too.
+    """
 
     request: str
     key: str
+    submission: str
+    keyed: bool
     fingerprint: str
     workspace: catalog_types.Workspace
     route: catalog_types.Route
@@ -77,7 +92,7 @@
     workspace = authenticate(catalog, caller)
     try:
         body = msgspec.json.decode(caller.body, type=dict[str, Any])
-        prompt = bound_prompt(body)
+        prompt = bound_prompt(body, len(caller.body))
     except (
         msgspec.ValidationError,
         msgspec.DecodeError,
@@ -92,9 +107,11 @@
     )
     if route is None:
         raise errors.UnknownRouteError(f"no route for model {model!r}")
-    wanted = body.get("max_tokens", DEFAULT_MAX_TOKENS)
-    if not isinstance(wanted, int) or isinstance(wanted, bool) or wanted < 1:
-        raise errors.MalformedRequestError("max_tokens is not positive")
+    wanted = _read_count(body, "max_tokens", DEFAULT_MAX_TOKENS)
+    wanted = _read_count(body, "max_completion_tokens", wanted)
+    choices = _read_count(body, "n", 1)
+    if choices > MAX_CHOICES:
+        raise errors.MalformedRequestError(f"n is above {MAX_CHOICES}")
     made = Pass(
         route,
         route.get("kind", CHAT_KIND),
@@ -102,7 +119,7 @@
         body.get("stream") is True,
         caller.path,
         prompt,
-        min(wanted, route.get("max_tokens", wanted)),
+        min(wanted, route.get("max_tokens", wanted)) * choices,
     )
     return _accept(catalog, workspace, made, caller)
 
@@ -143,11 +160,13 @@
     return workspace
 
 
-def bound_prompt(body: dict[str, Any]) -> int:
-    """Return a bound on the prompt's tokens; no token is under a byte."""
+def bound_prompt(body: dict[str, Any], length: int) -> int:
+    """Return a bound on the prompt's tokens; no token is under a byte.
+
+    The whole body counts, since tools and schemas are in the prompt too.
+    """
     messages = msgspec.convert(body.get("messages"), list[dict[str, Any]])
-    contents = len(msgspec.json.encode(messages))
-    return contents + MESSAGE_OVERHEAD_TOKENS * (len(messages) + 1)
+    return length + MESSAGE_OVERHEAD_TOKENS * (len(messages) + 1)
 
 
 def fingerprint_request(
@@ -161,12 +180,18 @@
     return digest.hexdigest()
 
 
+def identify_request(key: str) -> str:
+    """Return the request id of a caller's key in its workspace."""
+    return hashlib.sha256(key.encode()).hexdigest()[:32]
+
+
 def make_order(
     accepted: Accepted,
     charges: list[types.Charge],
     sidecar: str,
     attempt: int,
     revision: int,
+    remaining_s: float,
 ) -> types.RunOrder:
     """Make the order that a sidecar runs."""
     headers = {
@@ -177,6 +202,7 @@
     return {
         "request": accepted.request,
         "key": accepted.key,
+        "submission": accepted.submission,
         "fingerprint": accepted.fingerprint,
         "sidecar": sidecar,
         "attempt": attempt,
@@ -193,20 +219,38 @@
         "charges": charges,
         "max_tokens": accepted.max_tokens,
         "priority": 0,
-        "deadline_ms": int(accepted.timeout_s * 1000),
+        "deadline_ms": max(1, int(remaining_s * 1000)),
         "revision": revision,
     }
 
 
+def _read_count(body: dict[str, Any], name: str, default: int) -> int:
+    value = body.get(name)
+    if value is None:
+        return default
+    if not isinstance(value, int) or isinstance(value, bool) or value < 1:
+        raise errors.MalformedRequestError(f"{name} is not positive")
+    return value
+
+
+def _read_key(caller: Caller) -> str:
+    given = caller.headers.get("Idempotency-Key", "")
+    if len(given) > MAX_KEY_LENGTH or not given.isascii():
+        raise errors.MalformedRequestError("Idempotency-Key can't be used")
+    return given
+
+
 def _accept(
     catalog: index.Index,
     workspace: catalog_types.Workspace,
     made: Pass,
     caller: Caller,
 ) -> Accepted:
-    request = uuid.uuid4().hex
-    given = caller.headers.get("Idempotency-Key", "")
-    key = f"{workspace['name']}/{given or request}"
+    given = _read_key(caller)
+    fresh = uuid.uuid4().hex
+    key = f"{workspace['name']}/{given or fresh}"
+    # A retry has the same id, so that bills of one key fold to one.
+    request = identify_request(key) if given else fresh
     reviewer = caller.headers.get("X-Reviewer", "")
     tokens = made.prompt_tokens + made.max_tokens
     amounts = {"tokens": tokens, "requests": 1}
@@ -220,6 +264,8 @@
     return Accepted(
         request,
         key,
+        fresh,
+        bool(given),
         fingerprint_request(
             workspace["name"], name, caller.method, made.path, caller.body
         ),
@@ -246,5 +292,6 @@
     "authenticate",
     "bound_prompt",
     "fingerprint_request",
+    "identify_request",
     "make_order",
 )
--- a/src/cyclamenwing/entry/app.py
+++ b/src/cyclamenwing/entry/app.py
@@ -11,6 +11,7 @@
 from cyclamenwing.entry import blackboard
 from cyclamenwing.entry import callers
 from cyclamenwing.entry import catalog
+from cyclamenwing.entry import claims
 from cyclamenwing.entry import dispatch
 from cyclamenwing.entry import funding
 from cyclamenwing.entry import inquiry
@@ -28,6 +29,7 @@
 from cyclamenwing.transport import server
 
 DRAIN_POLL_S = 0.05
+LINGER_S = 0.5
 DEFAULT_SHARDS = 4
 DEFAULT_COMMIT_INTERVAL_MS = 20
 DEFAULT_GRANT_CHUNK = 20_000
@@ -54,8 +56,9 @@
         choice = dispatch.Dispatch(
             self.board, scoring.ScoringPolicy(settings["zone"])
         )
+        self._claims = claims.Claims(self._store)
         self._service = serving.Serving(
-            self.board, self._money, choice, self._client
+            self.board, self._money, choice, self._client, self._claims
         )
         sources: list[news.Source] = []
         self._parts: list[part.Part] = [
@@ -68,6 +71,7 @@
             ),
             catalog.CatalogWatch(self.board, self._store),
             inquiry.Inquiry(self.board),
+            self._claims,
             sessions.Sessions(self.board, self._store),
             self._money,
             self._open_operators(),
@@ -87,6 +91,8 @@
     async def close(self) -> None:
         """Finish the requests in progress, settle and stop."""
         self.board.leaving = True
+        # The balancer goes on sending until it notices.
+        await asyncio.sleep(LINGER_S)
         while self.board.in_progress:
             await asyncio.sleep(DRAIN_POLL_S)
         for item in self._parts:
--- a/src/cyclamenwing/entry/blackboard.py
+++ b/src/cyclamenwing/entry/blackboard.py
@@ -6,9 +6,9 @@
 
 from cyclamenwing.budget import holder
 from cyclamenwing.catalog import index
-from cyclamenwing.entry import journal
 from cyclamenwing.membership import view
 from cyclamenwing.metrics import recorder
+from cyclamenwing.request import journal
 
 
 @dataclasses.dataclass(slots=True)
--- a/src/cyclamenwing/entry/callers.py
+++ b/src/cyclamenwing/entry/callers.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import contextlib
+
 from tornado import iostream
 
 from cyclamenwing import errors as base_errors
@@ -10,6 +12,7 @@
 from cyclamenwing.entry import metrics
 from cyclamenwing.entry import serving
 from cyclamenwing.metrics import types as metric_types
+from cyclamenwing.request import errors
 from cyclamenwing.transport import server
 
 REQUEST_ID_HEADER = "X-Request-Id"
@@ -24,17 +27,22 @@
         """Take the shared state."""
         self._board = board
         self._service = service
-        self._opened = False
         self._route = ""
         self._sent = False
 
-    async def open(self, status: int, content_type: str) -> None:
-        """Write the status line."""
-        if self._opened:
+    def prepare(self) -> None:
+        """Refuse new requests while the entry is leaving."""
+        if self._board.leaving:
+            raise errors.EntryDrainingError("this entry is leaving")
+
+    def open(self, status: int, headers: dict[str, str]) -> None:
+        """Set the status line and headers, until they are written."""
+        if self._headers_written:
             return
-        self._opened = True
         self.set_status(status)
-        self.set_header("Content-Type", content_type)
+        self.clear_header("Content-Type")
+        for name, value in headers.items():
+            self.set_header(name, value)
 
     async def send(self, data: bytes) -> None:
         """Write bytes of the answer."""
@@ -44,9 +52,15 @@
             self._sent = True
             self._observe(metrics.FIRST_BYTE)
 
+    def compute_etag(self) -> str | None:
+        """Leave the endpoint's own header as it is."""
+        return None
+
     def write_refusal(self, error: base_errors.CodedError) -> None:
         """Write a coded error and count it."""
         self._board.recorder.count(metrics.REFUSALS, error.code, error.run)
+        if self._board.leaving:
+            self.set_header("Connection", "close")
         super().write_refusal(error)
 
     def on_finish(self) -> None:
@@ -64,10 +78,15 @@
         """Serve an admitted request, or answer its refusal."""
         self.set_header(REQUEST_ID_HEADER, accepted.request)
         self._route = accepted.route["name"]
+        self._board.in_progress += 1
+        try:
+            await self._serve(accepted)
+        finally:
+            self._board.in_progress -= 1
+
+    async def _serve(self, accepted: admission.Accepted) -> None:
         try:
             await self._service.serve(accepted, CallerSink(self))
-        except iostream.StreamClosedError:
-            return
         except base_errors.CodedError as err:
             if not self._headers_written:
                 self.write_refusal(err)
@@ -75,7 +94,8 @@
             # The status line is gone: a cut connection shows the break.
             self.request.connection.stream.close()  # type: ignore[union-attr]
             return
-        await self.finish()
+        with contextlib.suppress(iostream.StreamClosedError):
+            await self.finish()
 
     def read_caller(self) -> admission.Caller:
         """Return the request as it arrived."""
@@ -91,19 +111,30 @@
 class CallerSink:
     """Pass an answer on to a caller's connection.
 
+    A run goes on to its end when the caller is gone.
+
     :param handler: the handler of the connection
     """
 
     def __init__(self, handler: CallerHandler) -> None:
         self._handler = handler
+        self._gone = False
 
-    async def open(self, status: int, content_type: str) -> None:
-        """Write the status line."""
-        await self._handler.open(status, content_type)
+    async def open(self, status: int, headers: dict[str, str]) -> None:
+        """Set the status line and headers."""
+        self._handler.open(status, headers)
 
     async def write(self, data: bytes) -> None:
-        """Write bytes of the answer."""
-        await self._handler.send(data)
+        """Write bytes of the answer, unless the caller is gone."""
+        if self._gone:
+            return
+        try:
+            await self._handler.send(data)
+        except iostream.StreamClosedError:
+            self._gone = True
+
+    async def finish(self) -> None:
+        """Do nothing; the handler ends the answer."""
 
 
 class ChatHandler(CallerHandler):
--- /dev/null
+++ b/src/cyclamenwing/entry/finder.py
@@ -0,0 +1,92 @@
+"""Search of the sidecar that has a key's run."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+
+from cyclamenwing import errors as base_errors
+from cyclamenwing.entry import admission
+from cyclamenwing.entry import attempts
+from cyclamenwing.entry import blackboard
+from cyclamenwing.membership import rank
+from cyclamenwing.membership import types as membership_types
+from cyclamenwing.membership import view
+from cyclamenwing.request import types
+from cyclamenwing.transport import protocol as transport
+
+FIND_TIMEOUT_S = 0.25
+MAX_ASKED = 64
+
+
+class Finder:
+    """Ask a route's sidecars, those that are leaving among them.
+
+    :param board: the entry's state
+    :param client: HTTP client
+    """
+
+    def __init__(
+        self, board: blackboard.EntryBoard, client: transport.Client
+    ) -> None:
+        self._board = board
+        self._client = client
+        self._members = view.MemberController()
+
+    async def find(self, accepted: admission.Accepted) -> str | None:
+        """Return the address of the sidecar that has the run, if found."""
+        asked = [
+            asyncio.create_task(self._ask(accepted, beat))
+            for beat in self._pick_sidecars(accepted)
+        ]
+        try:
+            async with asyncio.timeout(FIND_TIMEOUT_S):
+                for answer in asyncio.as_completed(asked):
+                    address = await answer
+                    if address is not None:
+                        return address
+        except TimeoutError:
+            return None
+        finally:
+            for task in asked:
+                task.cancel()
+        return None
+
+    async def ask(self, address: str, query: types.KeyQuery) -> types.KeyReply:
+        """Ask one sidecar; raise a coded error."""
+        return await self._client.call(
+            f"http://{address}/v1/runs/find",
+            query,
+            types.KeyReply,
+            FIND_TIMEOUT_S,
+        )
+
+    def _pick_sidecars(
+        self, accepted: admission.Accepted
+    ) -> list[membership_types.Heartbeat]:
+        live = self._members.list_live(
+            self._board.members, "sidecar", time.monotonic()
+        )
+        name = accepted.route["name"]
+        beats = {beat["host"]: beat for beat in live if beat["route"] == name}
+        ranked = rank.rank_members(accepted.key, beats)
+        return [beats[host] for host in ranked[:MAX_ASKED]]
+
+    async def _ask(
+        self,
+        accepted: admission.Accepted,
+        beat: membership_types.Heartbeat,
+    ) -> str | None:
+        query = attempts.make_query(accepted, beat["incarnation"], 0)
+        try:
+            reply = await self.ask(beat["address"], query)
+        except base_errors.CodedError:
+            return None
+        return beat["address"] if reply["found"] else None
+
+
+__all__ = (
+    "FIND_TIMEOUT_S",
+    "MAX_ASKED",
+    "Finder",
+)
--- a/src/cyclamenwing/entry/inquiry.py
+++ b/src/cyclamenwing/entry/inquiry.py
@@ -24,7 +24,7 @@
         request = asked.get("request", "")
         self.write_json({
             "request": request,
-            "entry": self._board.host,
+            "host": self._board.host,
             "steps": self._board.journal.find(request),
         })
 
--- a/src/cyclamenwing/entry/serving.py
+++ b/src/cyclamenwing/entry/serving.py
@@ -1,40 +1,34 @@
-"""Service of an admitted request: attempts, resumption, settlement."""
+"""Service of an admitted request: reservation, attempts, settlement."""
 
 from __future__ import annotations
 
 import time
-from typing import Protocol
+from collections.abc import Awaitable
+from collections.abc import Callable
 
 import eliot
-import msgspec
 
 from cyclamenwing import errors as base_errors
-from cyclamenwing.budget import types as budget_types
 from cyclamenwing.entry import admission
+from cyclamenwing.entry import attempts
 from cyclamenwing.entry import blackboard
+from cyclamenwing.entry import claimed
+from cyclamenwing.entry import claims as entry_claims
 from cyclamenwing.entry import dispatch
+from cyclamenwing.entry import finder
+from cyclamenwing.entry import follower
 from cyclamenwing.entry import funding
-from cyclamenwing.request import assembly
+from cyclamenwing.entry import sinks
+from cyclamenwing.entry import tickets
+from cyclamenwing.request import attempts as request_attempts
+from cyclamenwing.request import claims
 from cyclamenwing.request import errors
 from cyclamenwing.request import types
 from cyclamenwing.routing import prefix
 from cyclamenwing.routing import types as routing_types
-from cyclamenwing.transport import errors as transport_errors
-from cyclamenwing.transport import lines
 from cyclamenwing.transport import protocol as transport
 
-SILENCE_S = 3.0
-MAX_ATTEMPTS = 4
-
-
-class Sink(Protocol):
-    """Take the answer for the caller."""
-
-    async def open(self, status: int, content_type: str) -> None:
-        """Write the status line."""
-
-    async def write(self, data: bytes) -> None:
-        """Write bytes of the answer."""
+MAX_CLAIM_ROUNDS = 5
 
 
 class Serving:
@@ -44,6 +38,7 @@
     :param money: reservations and settlement
     :param choice: choice of sidecars
     :param client: HTTP client
+    :param held: claims in the store
     """
 
     def __init__(
@@ -52,102 +47,183 @@
         money: funding.Funding,
         choice: dispatch.Dispatch,
         client: transport.Client,
+        held: entry_claims.Claims,
     ) -> None:
         self._board = board
         self._money = money
         self._dispatch = choice
-        self._client = client
+        self._claims = held
+        self._finder = finder.Finder(board, client)
+        self._attempts = attempts.Attempts(board, choice, client)
+        self._claimed = claimed.ClaimFollower(
+            held, self._finder, self._attempts
+        )
 
-    async def serve(self, accepted: admission.Accepted, sink: Sink) -> None:
+    async def serve(
+        self, accepted: admission.Accepted, sink: sinks.Sink
+    ) -> None:
         """Run a request and pass its whole answer on, billed once."""
-        self._board.in_progress += 1
-        try:
-            with eliot.start_action(
-                action_type="entry:request",
-                request=accepted.request,
-                workspace=accepted.workspace["name"],
-                route=accepted.route["name"],
-            ):
-                await self._serve(accepted, sink)
-        finally:
-            self._board.in_progress -= 1
+        with eliot.start_action(
+            action_type="entry:request",
+            request=accepted.request,
+            workspace=accepted.workspace["name"],
+            route=accepted.route["name"],
+        ):
+            await self._pick_way(accepted)(self, accepted, sink)
+
+    def _pick_way(self, accepted: admission.Accepted) -> Way:
+        if not accepted.keyed:
+            return Serving._serve_fresh
+        if accepted.idempotent:
+            return Serving._serve_keyed
+        return Serving._serve_claimed
+
+    async def _serve_fresh(
+        self, accepted: admission.Accepted, sink: sinks.Sink
+    ) -> None:
+        task = self._make_task(accepted, sink)
+        await self._run(task, tickets.PaidTicket(accepted, self._money))
 
-    async def _serve(self, accepted: admission.Accepted, sink: Sink) -> None:
-        made = await self._money.reserve(accepted)
-        self._note(accepted, "reserved", reservations=made)
+    async def _serve_keyed(
+        self, accepted: admission.Accepted, sink: sinks.Sink
+    ) -> None:
+        task = self._make_task(accepted, sink)
+        address = await self._finder.find(accepted)
+        if address is not None:
+            self._note(accepted, "found", sidecar=address)
+            if await self._attach(task, address):
+                return
+            task.answer.restart()
+        await self._run(task, tickets.PaidTicket(accepted, self._money))
+
+    async def _attach(self, task: attempts.Task, address: str) -> bool:
+        """Follow a run that was found; False means to run it anew."""
+        query = attempts.make_query(task.accepted, "", 0)
+        try:
+            await self._attempts.attach(task, address, query)
+        except base_errors.CodedError as err:
+            failure = attempts.classify_failure(err)
+            if failure.kind == "final" and err.code != "run_not_found":
+                raise
+            return False
+        self._note(task.accepted, "attached", sidecar=address)
+        return True
+
+    async def _serve_claimed(
+        self, accepted: admission.Accepted, sink: sinks.Sink
+    ) -> None:
+        replaces = 0
+        for _ in range(MAX_CLAIM_ROUNDS):
+            copy = sinks.RecordingSink(sink, claims.MAX_RECORDED_BYTES)
+            task = self._make_task(accepted, copy)
+            ticket = tickets.ClaimTicket(
+                accepted, self._money, self._claims, self._board, replaces
+            )
+            try:
+                await self._run(task, ticket)
+            except tickets.ClaimedError as err:
+                self._note(accepted, "claimed_before", claim=err.claim)
+                replaces = await self._claimed.answer(task, err.claim, copy)
+                if replaces:
+                    continue
+                if err.claim["phase"] == "claimed":
+                    self._record(accepted, err.claim["attempt"], copy)
+                return
+            self._record(accepted, ticket.attempt, copy)
+            return
+        raise errors.OutcomeUnknownError("the claim keeps moving", "unknown")
+
+    def _record(
+        self,
+        accepted: admission.Accepted,
+        attempt: int,
+        copy: sinks.RecordingSink,
+    ) -> None:
+        self._claims.record({
+            "op": "end",
+            "key": accepted.key,
+            "attempt": attempt,
+            "status": copy.status,
+            "headers": copy.headers,
+            "body": claims.encode_body(copy.body),
+        })
+
+    async def _run(
+        self, task: attempts.Task, ticket: tickets.PaidTicket
+    ) -> None:
+        accepted = task.accepted
+        await self._dispatch.enter(task.job)
         try:
-            usage = await self._attempt_all(accepted, made, sink)
+            outcome = await self._attempts.run(task, ticket)
         except base_errors.CodedError as err:
             self._note(accepted, "failed", **err.describe())
+            self._settle_failed(task, ticket, err)
             if err.run == "not_run":
-                self._money.release(made)
-            else:
-                self._money.doubt(accepted, made)
+                await self._withdraw(task, ticket, err)
             raise
-        self._money.settle(accepted, made, usage)
-        self._note(accepted, "settled", usage=usage)
+        finally:
+            self._dispatch.leave(task.job)
+        self._settle(task, ticket, outcome)
 
-    async def _attempt_all(
+    async def _withdraw(
         self,
-        accepted: admission.Accepted,
-        made: list[budget_types.Reservation],
-        sink: Sink,
-    ) -> types.Usage:
-        passed = assembly.Assembler()
-        job = self._make_job(accepted)
-        tried: list[str] = []
-        await self._dispatch.enter(job)
+        task: attempts.Task,
+        ticket: tickets.PaidTicket,
+        error: base_errors.CodedError,
+    ) -> None:
+        """Give the claim back, so that "not run" stays true."""
+        if isinstance(error, tickets.ClaimedError):
+            return
         try:
-            while True:
-                candidate = self._dispatch.choose(job, tried)
-                tried.append(candidate.host)
-                order = admission.make_order(
-                    accepted,
-                    [_make_charge(reservation) for reservation in made],
-                    candidate.incarnation,
-                    len(tried),
-                    self._board.catalog.revision,
-                )
-                self._note(accepted, "attempt", sidecar=candidate.host)
-                self._dispatch.note_start(job, candidate.host)
-                try:
-                    return await self._attempt(candidate, order, passed, sink)
-                except base_errors.CodedError as err:
-                    self._note(accepted, "attempt_failed", **err.describe())
-                    if err.run != "not_run" or len(tried) == MAX_ATTEMPTS:
-                        raise
-                finally:
-                    self._dispatch.note_end(job, candidate.host)
-        finally:
-            self._dispatch.leave(job)
+            kept = await ticket.withdraw()
+        except base_errors.CodedError as err:
+            raise errors.OutcomeUnknownError(err.message, "unknown") from error
+        if not kept:
+            raise errors.OutcomeUnknownError(
+                "another attempt took the request over", "unknown"
+            ) from error
 
-    async def _attempt(
+    def _settle(
         self,
-        candidate: routing_types.Candidate,
-        order: types.RunOrder,
-        passed: assembly.Assembler,
-        sink: Sink,
-    ) -> types.Usage:
-        stream = self._client.open_stream(
-            "POST",
-            f"http://{candidate.address}/v1/runs?offset={passed.offset}",
-            {},
-            msgspec.json.encode(order),
-            SILENCE_S,
-        )
-        try:
-            head = await stream.read_head()
-            if head.status != 200:
-                raise transport_errors.PeerRefusedError(
-                    "refused", f"sidecar answered {head.status}", "not_run"
-                )
-            async for frame in lines.read_frames(stream.read_chunks()):
-                usage = await _FRAMES[frame["t"]](frame, passed, sink)
-                if usage is not None:
-                    return usage
-        finally:
-            stream.close()
-        raise transport_errors.ConnectionLostError("no end", "unknown")
+        task: attempts.Task,
+        ticket: tickets.PaidTicket,
+        outcome: types.Outcome,
+    ) -> None:
+        accepted = task.accepted
+        made = ticket.made or []
+        if outcome.charges == ticket.charges:
+            self._money.settle(accepted, made, outcome.usage)
+            self._note(accepted, "settled", usage=outcome.usage)
+        elif task.progress.doubtful:
+            self._money.doubt(accepted, made)
+            self._note(accepted, "doubted", paid_by=outcome.charges)
+        else:
+            self._money.release(made)
+            self._note(accepted, "released", paid_by=outcome.charges)
+
+    def _settle_failed(
+        self,
+        task: attempts.Task,
+        ticket: tickets.PaidTicket,
+        error: base_errors.CodedError,
+    ) -> None:
+        made = ticket.made or []
+        outcome = _read_failed(error)
+        if error.run == "not_run":
+            self._money.release(made)
+        elif outcome is not None:
+            self._settle(task, ticket, outcome)
+        else:
+            self._money.doubt(task.accepted, made)
+
+    def _make_task(
+        self, accepted: admission.Accepted, sink: sinks.Sink
+    ) -> attempts.Task:
+        job = self._make_job(accepted)
+        hold_bytes = 0 if accepted.stream else sinks.HOLD_BYTES
+        answer = follower.Follower(sinks.HeldSink(sink, hold_bytes))
+        progress = request_attempts.Progress(accepted.idempotent, job.deadline)
+        return attempts.Task(accepted, job, answer, progress)
 
     def _make_job(self, accepted: admission.Accepted) -> routing_types.Job:
         return routing_types.Job(
@@ -167,52 +243,13 @@
         self._board.journal.note(accepted.request, time.time(), step, **detail)
 
 
-async def _take_head(
-    frame: types.Frame, passed: assembly.Assembler, sink: Sink
-) -> types.Usage | None:
-    await sink.open(frame["status"], frame["content_type"])
-    return None
-
-
-async def _take_part(
-    frame: types.Frame, passed: assembly.Assembler, sink: Sink
-) -> types.Usage | None:
-    await sink.write(passed.accept(frame))
-    return None
-
-
-async def _take_beat(
-    frame: types.Frame, passed: assembly.Assembler, sink: Sink
-) -> types.Usage | None:
-    return None
-
-
-async def _take_end(
-    frame: types.Frame, passed: assembly.Assembler, sink: Sink
-) -> types.Usage | None:
-    passed.check_end(frame)
-    return frame["usage"]
-
-
-async def _take_refusal(
-    frame: types.Frame, passed: assembly.Assembler, sink: Sink
-) -> types.Usage | None:
-    raise RunRefusedError(frame["code"], frame["message"], frame["run"])
-
-
-class RunRefusedError(errors.RequestError):
-    """Report a sidecar's refusal under the sidecar's code.
-
-    :param code: the sidecar's code
-    """
-
-    status = 502
-
-    def __init__(
-        self, code: str, message: str, run: base_errors.RunState
-    ) -> None:
-        super().__init__(message, run)
-        self.code = code  # type: ignore[misc]
+def _read_failed(error: base_errors.CodedError) -> types.Outcome | None:
+    """Return what a failed run used, if its sidecar told."""
+    if not isinstance(error, follower.RunRefusedError):
+        return None
+    if error.usage is None or error.run != "ran":
+        return None
+    return types.Outcome(error.usage, error.charges or [])
 
 
 def _digest_prompt(accepted: admission.Accepted) -> tuple[int, ...]:
@@ -221,26 +258,6 @@
     return prefix.digest_chat(accepted.caller.body)
 
 
-def _make_charge(reservation: budget_types.Reservation) -> types.Charge:
-    return {
-        "budget": reservation.budget,
-        "session": reservation.session,
-        "sequence": reservation.sequence,
-        "amount": reservation.amount,
-        "unit": reservation.unit,
-    }
-
-
-_FRAMES = {
-    "head": _take_head,
-    "part": _take_part,
-    "beat": _take_beat,
-    "end": _take_end,
-    "refusal": _take_refusal,
-}
-
-__all__ = (
-    "RunRefusedError",
-    "Serving",
-    "Sink",
-)
+Way = Callable[[Serving, admission.Accepted, sinks.Sink], Awaitable[None]]
+
+__all__ = ("Serving",)
--- a/src/cyclamenwing/request/assembly.py
+++ b/src/cyclamenwing/request/assembly.py
@@ -29,33 +29,65 @@
 
 
 class Assembler:
-    """Pass on each byte of an answer once and in order."""
+    """Pass on each byte of an answer once and in order.
+
+    After `rewind` the parts of another run are compared with the bytes
+    that were passed on, so that answers of two runs never mix.
+    """
 
     def __init__(self) -> None:
         self.offset = 0
         self._hash = hashlib.sha256()
+        self._read = 0
+        self._again: hashlib._Hash | None = None
+
+    @property
+    def next_offset(self) -> int:
+        """Return the offset from which parts are needed."""
+        return self.offset if self._again is None else self._read
+
+    def rewind(self) -> None:
+        """Expect another run's answer from its start."""
+        if self.offset:
+            self._read = 0
+            self._again = hashlib.sha256()
 
     def accept(self, frame: types.Frame) -> bytes:
         """Return the new bytes of a part; a gap raises an error."""
         data = decode_part(frame)
         start = frame["o"]
-        if start > self.offset:
-            raise errors.AnswerBrokenError(
-                f"gap: have {self.offset}, got part at {start}", "unknown"
+        if start > self.next_offset or start < 0:
+            raise errors.AnswerGapError(
+                f"have {self.next_offset}, got part at {start}", "unknown"
             )
-        new = data[self.offset - start :]
+        new = data[self.next_offset - start :]
+        if self._again is not None:
+            new = self._compare(new)
         self._hash.update(new)
         self.offset += len(new)
         return new
 
     def check_end(self, frame: types.Frame) -> None:
-        """Raise `AnswerBrokenError` unless all bytes were passed on."""
-        if frame["length"] != self.offset:
-            raise errors.AnswerBrokenError(
-                f"short: have {self.offset} of {frame['length']}", "unknown"
+        """Raise a coded error unless all bytes were passed on."""
+        if frame["length"] > self.next_offset:
+            raise errors.AnswerGapError(
+                f"have {self.next_offset} of {frame['length']}", "unknown"
             )
-        if frame["digest"] != self._hash.hexdigest():
-            raise errors.AnswerBrokenError("digest differs", "unknown")
+        digest = self._hash.hexdigest()
+        if frame["length"] != self.offset or frame["digest"] != digest:
+            raise errors.AnswerBrokenError("length or digest differs", "ran")
+
+    def _compare(self, data: bytes) -> bytes:
+        again = self._again
+        assert again is not None
+        known = data[: self.offset - self._read]
+        again.update(known)
+        self._read += len(known)
+        if self._read == self.offset:
+            if again.digest() != self._hash.digest():
+                raise errors.AnswerBrokenError("two runs differ", "ran")
+            self._again = None
+        return data[len(known) :]
 
 
 __all__ = (
--- a/src/cyclamenwing/request/errors.py
+++ b/src/cyclamenwing/request/errors.py
@@ -46,11 +46,19 @@
     status = 422
 
 
+class OtherIncarnationError(RequestError):
+    """Report an order for an earlier incarnation of the sidecar."""
+
+    code = "other_incarnation"
+    status = 409
+
+
 class OutcomeUnknownError(RequestError):
     """Report a run whose fate is not known."""
 
     code = "outcome_unknown"
     status = 502
+    retry_after_s = 2.0
 
 
 class AnswerBrokenError(RequestError):
@@ -67,6 +75,57 @@
     status = 410
 
 
+class AnswerGapError(AnswerBrokenError):
+    """Report parts that are missing and may be asked for again."""
+
+    code = "answer_gap"
+
+
+class AnswerTooLargeError(RequestError):
+    """Report an answer beyond what a sidecar may hold."""
+
+    code = "answer_too_large"
+    status = 502
+
+
+class BuffersFullError(RequestError):
+    """Report a sidecar whose buffers hold running answers only."""
+
+    code = "buffers_full"
+    status = 503
+    retry_after_s = 1.0
+
+
+class ClaimsFullError(RequestError):
+    """Report that no further claim can be kept."""
+
+    code = "claims_full"
+    status = 503
+    retry_after_s = 30.0
+
+
+class EntryDrainingError(RequestError):
+    """Report a request to an entry that is leaving."""
+
+    code = "entry_draining"
+    status = 503
+    retry_after_s = 1.0
+
+
+class RunNotFoundError(RequestError):
+    """Report a key that no run at a sidecar has."""
+
+    code = "run_not_found"
+    status = 404
+
+
+class CancelledError(RequestError):
+    """Report a run that was cancelled."""
+
+    code = "cancelled"
+    status = 409
+
+
 class DeadlineExceededError(RequestError):
     """Report a request that ran out of time."""
 
@@ -76,12 +135,20 @@
 
 __all__ = (
     "AnswerBrokenError",
+    "AnswerGapError",
+    "AnswerTooLargeError",
+    "BuffersFullError",
+    "CancelledError",
+    "ClaimsFullError",
     "DeadlineExceededError",
+    "EntryDrainingError",
     "ExpiredAnswerError",
     "KeyReusedError",
     "MalformedRequestError",
+    "OtherIncarnationError",
     "OutcomeUnknownError",
     "RequestError",
+    "RunNotFoundError",
     "TooLargeError",
     "UnauthorizedError",
     "UnknownRouteError",
--- a/src/cyclamenwing/entry/journal.py
+++ b/src/cyclamenwing/request/journal.py
@@ -6,7 +6,8 @@
 from typing import Any
 from typing import TypedDict
 
-MAX_COURSES = 20_000
+MAX_COURSES = 10_000
+MAX_STEPS = 40
 
 
 class Step(TypedDict):
@@ -18,26 +19,37 @@
 
 
 class Course(TypedDict):
-    """Record all steps of a request at one entry."""
+    """Record all steps of a request at one process."""
 
     request: str
-    entry: str
+    host: str
     steps: list[Step]
 
 
 class Journal:
-    """Keep the courses of the latest requests in bounded memory."""
+    """Keep the courses of the latest requests in bounded memory.
 
-    def __init__(self) -> None:
+    :param max_courses: requests that are kept
+    :param max_steps: steps of a request that are kept, the first and
+        the latest
+    """
+
+    def __init__(
+        self, max_courses: int = MAX_COURSES, max_steps: int = MAX_STEPS
+    ) -> None:
         self._courses: collections.OrderedDict[str, list[Step]] = (
             collections.OrderedDict()
         )
+        self._max_courses = max_courses
+        self._max_steps = max_steps
 
     def note(self, request: str, at: float, step: str, **detail: Any) -> None:
         """Add a step; `at` is in seconds since the epoch."""
         steps = self._courses.setdefault(request, [])
         steps.append({"at": at, "step": step, "detail": detail})
-        while len(self._courses) > MAX_COURSES:
+        if len(steps) > self._max_steps:
+            del steps[self._max_steps // 2]
+        while len(self._courses) > self._max_courses:
             self._courses.popitem(last=False)
 
     def find(self, request: str) -> list[Step]:
@@ -47,6 +59,7 @@
 
 __all__ = (
     "MAX_COURSES",
+    "MAX_STEPS",
     "Course",
     "Journal",
     "Step",
--- a/src/cyclamenwing/request/types.py
+++ b/src/cyclamenwing/request/types.py
@@ -28,11 +28,13 @@
 
     `key` identifies the request across retries, `fingerprint` its
     content, `body` is base64 unless `text` holds it, `sidecar` is the
-    incarnation that the order is meant for.
+    incarnation that the order is meant for, `submission` differs each
+    time that a caller sends the request.
     """
 
     request: str
     key: str
+    submission: str
     fingerprint: str
     sidecar: str
     attempt: int
@@ -65,7 +67,7 @@
 
     t: Literal["head"]
     status: int
-    content_type: str
+    headers: dict[str, str]
     request: str
 
 
@@ -85,22 +87,28 @@
 
 
 class End(TypedDict):
-    """Close a run's stream; `length` and `digest` cover all bytes."""
+    """Close a run's stream; `length` and `digest` cover all bytes.
+
+    `charges` are the reservations that pay for the run.
+    """
 
     t: Literal["end"]
     length: int
     digest: str
     usage: Usage
     billed_request: str
+    charges: list[Charge]
 
 
 class Refusal(TypedDict):
-    """Close a stream with a coded error."""
+    """Close a stream with a coded error, after a run with its usage."""
 
     t: Literal["refusal"]
     code: str
     message: str
     run: errors.RunState
+    usage: NotRequired[Usage]
+    charges: NotRequired[list[Charge]]
 
 
 class Frame(TypedDict, total=False):
@@ -108,7 +116,7 @@
 
     t: Literal["head", "part", "beat", "end", "refusal"]
     status: int
-    content_type: str
+    headers: dict[str, str]
     request: str
     o: int
     d: str
@@ -117,26 +125,49 @@
     digest: str
     usage: Usage
     billed_request: str
+    charges: list[Charge]
     code: str
     message: str
     run: errors.RunState
 
 
-class Attempt(NamedTuple):
-    """Record one attempt for `explain`."""
+class KeyQuery(TypedDict):
+    """Name a request's run at a sidecar.
 
-    sidecar: str
-    at: float
-    outcome: str
+    `incarnation` is the one that may know it, `attempt` the number up
+    to which a fence bars it.
+    """
+
+    key: str
+    fingerprint: str
+    incarnation: str
+    attempt: int
+
+
+class KeyReply(TypedDict):
+    """Tell whether a sidecar has a key's run, or has barred it."""
+
+    found: bool
+    barred: bool
+    incarnation: str
+
+
+class Outcome(NamedTuple):
+    """Hold how a request ended and which reservations pay for it."""
+
+    usage: Usage
+    charges: list[Charge]
 
 
 __all__ = (
-    "Attempt",
     "Beat",
     "Charge",
     "End",
     "Frame",
     "Head",
+    "KeyQuery",
+    "KeyReply",
+    "Outcome",
     "Part",
     "Protocol",
     "Refusal",
--- a/src/cyclamenwing/sidecar/blackboard.py
+++ b/src/cyclamenwing/sidecar/blackboard.py
@@ -5,6 +5,7 @@
 import dataclasses
 
 from cyclamenwing.metrics import recorder
+from cyclamenwing.request import journal
 from cyclamenwing.request import runs
 
 
@@ -26,8 +27,12 @@
     recorder: recorder.Recorder = dataclasses.field(
         default_factory=recorder.Recorder
     )
+    journal: journal.Journal = dataclasses.field(
+        default_factory=journal.Journal
+    )
     revision: int = 0
     running: int = 0
+    followers: int = 0
 
 
 __all__ = ("SidecarBoard",)
--- a/src/cyclamenwing/sidecar/errors.py
+++ b/src/cyclamenwing/sidecar/errors.py
@@ -25,6 +25,12 @@
     code = "endpoint_crashed"
 
 
+class EndpointSilentError(SidecarError):
+    """Report an endpoint that sent nothing within the bound."""
+
+    code = "endpoint_silent"
+
+
 class EndpointMalformedError(SidecarError):
     """Report an answer of the endpoint that can't be read."""
 
@@ -35,5 +41,6 @@
     "EndpointCrashedError",
     "EndpointDownError",
     "EndpointMalformedError",
+    "EndpointSilentError",
     "SidecarError",
 )
--- a/src/cyclamenwing/sidecar/executor.py
+++ b/src/cyclamenwing/sidecar/executor.py
@@ -3,27 +3,23 @@
 from __future__ import annotations
 
 import asyncio
-import base64
 import time
-from typing import Any
 
 import eliot
-import msgspec
 
 from cyclamenwing import errors as base_errors
+from cyclamenwing.request import errors as request_errors
 from cyclamenwing.request import runs
 from cyclamenwing.request import types
 from cyclamenwing.sidecar import accounts
 from cyclamenwing.sidecar import blackboard
+from cyclamenwing.sidecar import calls
 from cyclamenwing.sidecar import errors
 from cyclamenwing.sidecar import meter
 from cyclamenwing.sidecar import signal
 from cyclamenwing.transport import errors as transport_errors
 from cyclamenwing.transport import protocol as transport
 
-ENDPOINT_SILENCE_S = 30.0
-CHAT_PATH = "/v1/chat/completions"
-
 
 class Executor:
     """Run admitted orders to their end, whoever still follows them.
@@ -47,53 +43,90 @@
         self._accounts = held
         self._runs = runs.RunController()
         self._signals: dict[str, signal.Signal] = {}
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks: dict[str, asyncio.Task[None]] = {}
 
     @property
     def running(self) -> int:
         """Return the number of runs in progress."""
         return len(self._tasks)
 
-    def start(self, order: types.RunOrder) -> runs.Run:
+    def start(self, order: types.RunOrder, resumed: bool = False) -> runs.Run:
         """Admit an order and start it unless it runs already."""
-        admitted = self._admit(order)
+        if order["sidecar"] != self._board.incarnation:
+            raise request_errors.OtherIncarnationError(
+                "the order is for another incarnation"
+            )
+        admitted = self._admit(order, resumed)
+        step = "run_started" if admitted.started else "run_joined"
+        self._note(order, step, attempt=order["attempt"], resumed=resumed)
         if admitted.started:
-            self._signals[order["key"]] = signal.Signal()
-            task = asyncio.create_task(self._execute(admitted.run))
-            self._tasks.add(task)
-            task.add_done_callback(self._forget)
+            key = order["key"]
+            self._signals[key] = signal.Signal()
+            self._tasks[key] = asyncio.create_task(self._execute(admitted.run))
             self._board.running = len(self._tasks)
         return admitted.run
 
+    def attach(self, query: types.KeyQuery) -> runs.Run:
+        """Return the run of a key; raise a coded error."""
+        run = self._runs.find(self._board.runs, query["key"])
+        if run is None:
+            raise request_errors.RunNotFoundError("no run has this key")
+        self._runs.check_content(run, query["fingerprint"])
+        self._note(run.order, "run_attached")
+        return run
+
+    def find(self, query: types.KeyQuery) -> types.KeyReply:
+        """Tell whether a key has a run, barring its attempts if asked."""
+        run = self._runs.find(self._board.runs, query["key"])
+        own = query["incarnation"] == self._board.incarnation
+        barred = False
+        if run is None and query["attempt"] and own:
+            barred = self._runs.fence(
+                self._board.runs,
+                query["key"],
+                query["attempt"],
+                time.monotonic(),
+            )
+        return {
+            "found": run is not None,
+            "barred": barred,
+            "incarnation": self._board.incarnation,
+        }
+
+    def cancel(self, key: str) -> bool:
+        """Cancel a run in progress; tell whether there was one."""
+        run = self._runs.find(self._board.runs, key)
+        if run is None or run.phase != "running":
+            return False
+        return self._tasks[key].cancel()
+
     def get_signal(self, run: runs.Run) -> signal.Signal:
         """Return the signal that a run's progress raises."""
-        return self._signals[run.order["key"]]
+        return self._signals.get(run.order["key"]) or signal.Signal()
 
     def expire(self, now: float) -> None:
         """Drop runs past their retention."""
         self._runs.expire(self._board.runs, now)
-        for key in self._signals.keys() - self._board.runs.runs.keys():
-            del self._signals[key]
 
     async def drain(self) -> None:
         """Wait until every run has ended."""
         while self._tasks:
-            await asyncio.wait(set(self._tasks))
+            await asyncio.wait(set(self._tasks.values()))
 
-    def _admit(self, order: types.RunOrder) -> runs.Admission:
-        joins = order["key"] in self._board.runs.runs
-        if not joins:
-            self._accounts.admit(order, time.time())
+    def _admit(self, order: types.RunOrder, resumed: bool) -> runs.Admission:
+        now = time.monotonic()
+        admitted = self._runs.admit(self._board.runs, order, now, resumed)
+        if not admitted.started:
+            return admitted
         try:
-            return self._runs.admit(self._board.runs, order)
-        except base_errors.CodedError:
-            if not joins:
-                self._accounts.settle(order, None, time.time())
+            self._accounts.admit(order, time.time())
+        except base_errors.CodedError as err:
+            refusal = _make_refusal(admitted.run, err)
+            self._runs.fail(self._board.runs, admitted.run, refusal, now)
+            if resumed and not self._runs.bar(self._board.runs, order, now):
+                err.run = "unknown"
             raise
-
-    def _forget(self, task: asyncio.Task[None]) -> None:
-        self._tasks.discard(task)
-        self._board.running = len(self._tasks)
+        return admitted
 
     async def _execute(self, run: runs.Run) -> None:
         order = run.order
@@ -101,140 +134,114 @@
             action_type="sidecar:run", request=order["request"]
         ) as action:
             run.phase = "running"
-            try:
-                await _EXECUTORS[order["protocol"]](self, run)
-            except base_errors.CodedError as err:
-                refusal = types.Refusal(t="refusal", **err.describe())
-                self._runs.fail(run, refusal, time.monotonic())
+            error = await self._run_bounded(run)
+            now = time.monotonic()
+            if error is None:
+                self._runs.finish(self._board.runs, run, now)
             else:
-                self._runs.finish(run, time.monotonic())
-            not_run = run.refusal and run.refusal["run"] == "not_run"
+                refusal = _make_refusal(run, error)
+                self._runs.fail(self._board.runs, run, refusal, now)
+            not_run = error is not None and error.run == "not_run"
             used = None if not_run else run.usage
             self._accounts.settle(order, used, time.time())
-            action.add_success_fields(
-                phase=run.phase, status=run.status, usage=run.usage
-            )
-        self.get_signal(run).notify()
-
-    async def _execute_chat(self, run: runs.Run) -> None:
-        body = decode_chat(run.order)
-        wants = body.get("stream_options") or {}
-        body["max_tokens"] = run.order["max_tokens"]
-        if not body.get("stream"):
-            await self._execute_whole(run, CHAT_PATH, body)
-            return
-        body["stream_options"] = wants | {"include_usage": True}
-        metered = meter.StreamMeter(bool(wants.get("include_usage")))
-        stream = self._open(run, CHAT_PATH, msgspec.json.encode(body))
-        try:
-            await self._copy_stream(run, stream, metered)
-        finally:
-            stream.close()
-
-    async def _copy_stream(
-        self,
-        run: runs.Run,
-        stream: transport.Stream,
-        metered: meter.StreamMeter,
-    ) -> None:
-        head = await self._read_head(stream)
-        run.status = head.status
-        run.content_type = head.content_type
-        plain = head.status != 200
-        try:
-            async for chunk in stream.read_chunks():
-                data = chunk if plain else metered.feed(chunk)
-                self._append(run, data)
-                run.usage = metered.usage
-        except transport_errors.TransportError as err:
-            raise errors.EndpointCrashedError(err.message, "unknown") from err
-        if not plain and not metered.done:
-            raise errors.EndpointCrashedError("stream cut off", "unknown")
-
-    async def _execute_whole(
-        self, run: runs.Run, path: str, body: dict[str, Any]
-    ) -> None:
-        answer = await self._fetch(
-            run, "POST", path, msgspec.json.encode(body)
-        )
-        if answer.status == 200:
-            try:
-                read = msgspec.json.decode(answer.body, type=dict[str, Any])
-            except msgspec.DecodeError as err:
-                raise errors.EndpointMalformedError(str(err), "ran") from err
-            run.usage = meter.read_usage(read.get("usage") or {})
-        self._append(run, answer.body)
-
-    async def _execute_plain(self, run: runs.Run) -> None:
-        order = run.order
-        body = base64.b64decode(order["body"])
-        answer = await self._fetch(run, order["method"], order["path"], body)
-        self._append(run, answer.body)
-
-    async def _fetch(
-        self, run: runs.Run, method: str, path: str, body: bytes
-    ) -> transport.Answer:
+            summary = {
+                "phase": run.phase,
+                "status": run.status,
+                "usage": run.usage,
+                "code": error.code if error else None,
+            }
+            self._note(order, "run_ended", bytes=len(run.answer), **summary)
+            action.add_success_fields(**summary)
+        self._forget(order["key"])
+
+    def _forget(self, key: str) -> None:
+        self._tasks.pop(key, None)
+        self._board.running = len(self._tasks)
+        raised = self._signals.pop(key, None)
+        if raised is not None:
+            raised.notify()
+
+    async def _run_bounded(
+        self, run: runs.Run
+    ) -> base_errors.CodedError | None:
+        """Run to the end; return the error of a run that failed."""
         try:
-            answer = await self._client.fetch(
-                method,
-                f"http://{self._endpoint}{path}",
-                self._make_headers(run),
-                body or None,
-                run.order["deadline_ms"] / 1000,
-                run.order["idempotent"],
+            async with asyncio.timeout_at(run.deadline):
+                await self._call_endpoint(run)
+        except TimeoutError:
+            return request_errors.DeadlineExceededError(
+                "the deadline passed during the run", "unknown"
             )
-        except transport_errors.ConnectFailedError as err:
-            raise errors.EndpointDownError(err.message) from err
-        except transport_errors.TransportError as err:
-            raise errors.EndpointCrashedError(err.message, "unknown") from err
-        run.status = answer.status
-        run.content_type = answer.headers.get("Content-Type", "")
-        return answer
-
-    def _open(self, run: runs.Run, path: str, body: bytes) -> transport.Stream:
-        return self._client.open_stream(
-            "POST",
-            f"http://{self._endpoint}{path}",
-            self._make_headers(run),
-            body,
-            ENDPOINT_SILENCE_S,
+        except asyncio.CancelledError:
+            return request_errors.CancelledError("cancelled", "unknown")
+        except base_errors.CodedError as err:
+            return err
+        except Exception as err:  # Followers must hear of any failure.
+            eliot.write_traceback()
+            return errors.SidecarError(type(err).__name__, "unknown")
+        return None
+
+    async def _call_endpoint(self, run: runs.Run) -> None:
+        call = calls.make_call(run.order, run.deadline - time.monotonic())
+        stream = self._client.open_stream(
+            call.method,
+            f"http://{self._endpoint}{call.path}",
+            call.headers,
+            call.body,
+            call.silence_s,
+            call.fresh,
         )
-
-    async def _read_head(self, stream: transport.Stream) -> transport.Head:
         try:
-            return await stream.read_head()
+            await self._copy_answer(run, stream, call.metered)
         except transport_errors.ConnectFailedError as err:
             raise errors.EndpointDownError(err.message) from err
+        except transport_errors.ConnectionSilentError as err:
+            raise errors.EndpointSilentError(err.message, "unknown") from err
         except transport_errors.TransportError as err:
             raise errors.EndpointCrashedError(err.message, "unknown") from err
+        finally:
+            stream.close()
 
-    def _make_headers(self, run: runs.Run) -> dict[str, str]:
-        # The fleet key is for the fleet's own processes only.
-        own = {"Authorization": "", "X-Request-Id": run.order["request"]}
-        return run.order["headers"] | own
+    async def _copy_answer(
+        self, run: runs.Run, stream: transport.Stream, metered: meter.Meter
+    ) -> None:
+        head = await stream.read_head()
+        run.status = head.status
+        run.headers = calls.pick_headers(head)
+        used = metered if head.status == 200 else meter.PlainMeter()
+        run.usage = used.usage
+        async for chunk in stream.read_chunks():
+            self._append(run, used.feed(chunk))
+            run.usage = used.usage
+            if used.stopped:
+                break
+        self._append(run, used.finish())
+        run.usage = used.usage
 
     def _append(self, run: runs.Run, data: bytes) -> None:
         if data:
             self._runs.append(self._board.runs, run, data)
             self.get_signal(run).notify()
 
+    def _note(
+        self, order: types.RunOrder, step: str, **detail: object
+    ) -> None:
+        self._board.journal.note(order["request"], time.time(), step, **detail)
 
-def decode_chat(order: types.RunOrder) -> dict[str, Any]:
-    """Read the JSON body of a chat order."""
-    try:
-        return msgspec.json.decode(
-            base64.b64decode(order["body"]), type=dict[str, Any]
-        )
-    except (msgspec.ValidationError, msgspec.DecodeError, ValueError) as err:
-        raise errors.SidecarError(f"order's body: {err}") from err
 
+def _make_refusal(
+    run: runs.Run, error: base_errors.CodedError
+) -> types.Refusal:
+    refusal: types.Refusal = {
+        "t": "refusal",
+        "code": error.code,
+        "message": error.message,
+        "run": error.run,
+    }
+    if error.run != "not_run":
+        refusal["usage"] = run.usage
+        refusal["charges"] = run.order["charges"]
+    return refusal
 
-_EXECUTORS = {
-    "chat": Executor._execute_chat,
-    "plain": Executor._execute_plain,
-}
 
-__all__ = (
-    "Executor",
-    "decode_chat",
-)
+__all__ = ("Executor",)
--- a/src/cyclamenwing/sidecar/handlers.py
+++ b/src/cyclamenwing/sidecar/handlers.py
@@ -14,38 +14,58 @@
 from cyclamenwing.request import types
 from cyclamenwing.sidecar import blackboard
 from cyclamenwing.sidecar import executor
+from cyclamenwing.transport import errors as transport_errors
 from cyclamenwing.transport import lines
 from cyclamenwing.transport import server
 
 BEAT_INTERVAL_S = 1.0
 EXPIRY_INTERVAL_S = 5.0
+FOLLOWERS_POLL_S = 0.02
 FRAME_BYTES = 64 * 1024
 
 
-class RunsHandler(server.PeerHandler):
-    """Serve ``POST /v1/runs``: start a run, or join one, and follow it."""
+class SidecarHandler(server.PeerHandler):
+    """Hold the shared state of a sidecar's handlers."""
 
     def initialize(
         self,
         execution: executor.Executor,
+        board: blackboard.SidecarBoard,
     ) -> None:
         """Take the shared state."""
         self._execution = execution
+        self._board = board
 
-    async def post(self) -> None:
-        """Run an order and stream its frames from the offset."""
-        order = self.decode_body(types.RunOrder)
-        offset = int(self.get_query_argument("offset", "0"))
+
+class FollowHandler(SidecarHandler):
+    """Stream the frames of a run."""
+
+    async def follow(self, run: runs.Run, offset: int) -> None:
+        """Send a run's frames from an offset to its end."""
+        self._board.followers += 1
+        run.followers += 1
         try:
-            run = self._execution.start(order)
-        except base_errors.CodedError as err:
-            await self._send({"t": "refusal", **err.describe()})
+            await self._follow(run, offset)
+        except iostream.StreamClosedError:
             return
+        finally:
+            run.followers -= 1
+            self._board.followers -= 1
+
+    async def refuse(self, error: base_errors.CodedError) -> None:
+        """Send a refusal as the only frame."""
         try:
-            await self._follow(run, offset)
+            await self._send({"t": "refusal", **error.describe()})
         except iostream.StreamClosedError:
             return
 
+    def read_offset(self) -> int:
+        """Return the offset of the query."""
+        text = self.get_query_argument("offset", "0")
+        if not text.isascii() or not text.isdecimal():
+            raise transport_errors.MalformedMessageError("bad offset")
+        return int(text)
+
     async def _follow(self, run: runs.Run, offset: int) -> None:
         signal = self._execution.get_signal(run)
         opened = False
@@ -60,6 +80,7 @@
             closing = _make_closing(run)
             if closing is not None:
                 await self._send(closing)
+                await self.finish()
                 return
             if not await signal.wait(BEAT_INTERVAL_S):
                 await self._send({"t": "beat"})
@@ -69,17 +90,71 @@
         await self.flush()
 
 
-class HealthHandler(server.PeerHandler):
-    """Serve ``POST /v1/status``."""
+class RunsHandler(FollowHandler):
+    """Serve ``POST /v1/runs``: start a run, or join one, and follow it."""
+
+    async def post(self) -> None:
+        """Run an order and stream its frames from the offset."""
+        order = self.decode_body(types.RunOrder)
+        offset = self.read_offset()
+        resumed = self.get_query_argument("resumed", "") == "1"
+        try:
+            run = self._execution.start(order, resumed)
+        except base_errors.CodedError as err:
+            await self.refuse(err)
+            return
+        await self.follow(run, offset)
+
+
+class AttachHandler(FollowHandler):
+    """Serve ``POST /v1/runs/attach``: follow the run of a key."""
+
+    async def post(self) -> None:
+        """Stream the frames of a run from the offset."""
+        query = self.decode_body(types.KeyQuery)
+        offset = self.read_offset()
+        try:
+            run = self._execution.attach(query)
+        except base_errors.CodedError as err:
+            await self.refuse(err)
+            return
+        await self.follow(run, offset)
+
+
+class FindHandler(SidecarHandler):
+    """Serve ``POST /v1/runs/find``: tell whether a key has a run."""
+
+    async def post(self) -> None:
+        """Find a key, and bar its attempts up to the given number."""
+        query = self.decode_body(types.KeyQuery)
+        self.write_json(self._execution.find(query))
 
-    def initialize(
-        self,
-        execution: executor.Executor,
-        board: blackboard.SidecarBoard,
-    ) -> None:
-        """Take the shared state."""
-        self._execution = execution
-        self._board = board
+
+class CancelHandler(SidecarHandler):
+    """Serve ``POST /v1/runs/cancel``."""
+
+    async def post(self) -> None:
+        """Cancel the run of a key."""
+        query = self.decode_body(types.KeyQuery)
+        self.write_json({"cancelled": self._execution.cancel(query["key"])})
+
+
+class ExplainHandler(SidecarHandler):
+    """Serve ``POST /v1/explain``."""
+
+    async def post(self) -> None:
+        """Return a request's course at this sidecar."""
+        asked = self.decode_body(dict[str, str])
+        request = asked.get("request", "")
+        self.write_json({
+            "request": request,
+            "host": self._board.host,
+            "steps": self._board.journal.find(request),
+        })
+
+
+class HealthHandler(SidecarHandler):
+    """Serve ``POST /v1/status``."""
 
     async def post(self) -> None:
         """Report the sidecar's state."""
@@ -87,7 +162,9 @@
             "host": self._board.host,
             "route": self._board.route,
             "running": self._execution.running,
+            "followers": self._board.followers,
             "held_bytes": self._board.runs.held_bytes,
+            "held_runs": len(self._board.runs.runs),
             "leaving": self._board.runs.leaving,
             "revision": self._board.revision,
         })
@@ -97,7 +174,7 @@
     return {
         "t": "head",
         "status": run.status,
-        "content_type": run.content_type,
+        "headers": run.headers,
         "request": run.order["request"],
     }
 
@@ -107,12 +184,15 @@
         return run.refusal
     if run.phase != "done":
         return None
+    if run.expired:
+        return _EXPIRED
     return {
         "t": "end",
         "length": len(run.answer),
         "digest": run.digest,
         "usage": run.usage,
         "billed_request": run.order["request"],
+        "charges": run.order["charges"],
     }
 
 
@@ -132,11 +212,14 @@
 
     def list_handlers(self) -> list[Any]:
         """Return handlers for other processes, by path."""
-        runs_options = {"execution": self._execution}
-        status_options = runs_options | {"board": self._board}
+        options = {"execution": self._execution, "board": self._board}
         return [
-            (r"/v1/runs", RunsHandler, runs_options),
-            (r"/v1/status", HealthHandler, status_options),
+            (r"/v1/runs", RunsHandler, options),
+            (r"/v1/runs/attach", AttachHandler, options),
+            (r"/v1/runs/find", FindHandler, options),
+            (r"/v1/runs/cancel", CancelHandler, options),
+            (r"/v1/explain", ExplainHandler, options),
+            (r"/v1/status", HealthHandler, options),
         ]
 
     def start(self) -> None:
@@ -144,7 +227,9 @@
         self._task = asyncio.create_task(self._expire())
 
     async def close(self) -> None:
-        """Stop dropping runs."""
+        """Stop dropping runs once every follower has its end."""
+        while self._board.followers:
+            await asyncio.sleep(FOLLOWERS_POLL_S)
         if self._task is not None:
             self._task.cancel()
 
@@ -154,7 +239,18 @@
             self._execution.expire(time.monotonic())
 
 
+_EXPIRED: types.Refusal = {
+    "t": "refusal",
+    "code": "answer_expired",
+    "message": "the answer is no longer held",
+    "run": "ran",
+}
+
 __all__ = (
+    "AttachHandler",
+    "CancelHandler",
+    "ExplainHandler",
+    "FindHandler",
     "HealthHandler",
     "RunService",
     "RunsHandler",
--- a/src/cyclamenwing/transport/client.py
+++ b/src/cyclamenwing/transport/client.py
@@ -45,7 +45,7 @@
         self._closed = False
         self._error: errors.TransportError | None = None
         self._status = 0
-        self._content_type = ""
+        self._headers: dict[str, str] = {}
 
     async def read_head(self) -> protocol.Head:
         """Wait for the status line and headers."""
@@ -76,12 +76,12 @@
         line = line.strip()
         if line.startswith("HTTP/"):
             self._status = int(line.split()[1])
-        elif line.lower().startswith("content-type:"):
-            self._content_type = line.partition(":")[2].strip()
-        elif not line and not self._head.done() and self._status >= 200:
-            self._head.set_result(
-                protocol.Head(self._status, self._content_type)
-            )
+            self._headers = {}
+        elif line:
+            name, _, value = line.partition(":")
+            self._headers[name.strip().lower()] = value.strip()
+        elif not self._head.done() and self._status >= 200:
+            self._head.set_result(protocol.Head(self._status, self._headers))
 
     def finish(self, error: errors.TransportError | None) -> None:
         """End the stream, with an error if it broke."""
@@ -166,14 +166,20 @@
         headers: dict[str, str],
         body: bytes | None,
         silence_s: float,
+        fresh: bool = False,
     ) -> CurlStream:
-        """Send a request and stream the answer."""
+        """Send a request and stream the answer.
+
+        A `fresh` one gets a new connection and is sent at most once.
+        """
         stream = CurlStream()
         request = self._make_request(
             method, url, headers, body, STREAM_TIMEOUT_S
         )
         request.header_callback = stream.take_header
-        request.prepare_curl_callback = _make_preparer(stream, silence_s)
+        request.prepare_curl_callback = _make_preparer(
+            stream, silence_s, fresh
+        )
         task = asyncio.create_task(self._transfer(request, stream))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
@@ -246,13 +252,13 @@
 
 
 def _make_preparer(
-    stream: CurlStream, silence_s: float
+    stream: CurlStream, silence_s: float, fresh: bool
 ) -> Callable[[pycurl.Curl], None]:
     def prepare(curl: pycurl.Curl) -> None:
         stream.prepare(curl)
         curl.setopt(pycurl.LOW_SPEED_LIMIT, 1)
         curl.setopt(pycurl.LOW_SPEED_TIME, max(1, math.ceil(silence_s)))
-        curl.setopt(pycurl.FRESH_CONNECT, 0)
+        curl.setopt(pycurl.FRESH_CONNECT, int(fresh))
 
     return prepare
 
--- a/src/cyclamenwing/transport/lines.py
+++ b/src/cyclamenwing/transport/lines.py
@@ -12,10 +12,10 @@
 MAX_LINE_BYTES = 4 * 1024 * 1024
 
 _REQUIRED: dict[str, tuple[str, ...]] = {
-    "head": ("status", "content_type", "request"),
+    "head": ("status", "headers", "request"),
     "part": ("o", "d"),
     "beat": (),
-    "end": ("length", "digest", "usage", "billed_request"),
+    "end": ("length", "digest", "usage", "billed_request", "charges"),
     "refusal": ("code", "message", "run"),
 }
 
--- a/src/cyclamenwing/transport/protocol.py
+++ b/src/cyclamenwing/transport/protocol.py
@@ -20,10 +20,13 @@
 
 
 class Head(NamedTuple):
-    """Hold the status line of a streamed answer."""
+    """Hold the status line and headers of a streamed answer.
+
+    Names of headers are in lower case.
+    """
 
     status: int
-    content_type: str
+    headers: dict[str, str]
 
 
 class Stream(Protocol):
@@ -80,8 +83,12 @@
         headers: dict[str, str],
         body: bytes | None,
         silence_s: float,
+        fresh: bool = False,
     ) -> Stream:
-        """Send a request and stream the answer."""
+        """Send a request and stream the answer.
+
+        A `fresh` one gets a new connection and is sent at most once.
+        """
 
 
 __all__ = (
