Bill by sequence, refund a key's second run, transfer between holders

Cause: `spent` counted a duplicate run twice while it was billed once; a grant came only through the shard, so that a store outage or the last units in another entry's hands meant a refusal; shards were numbered by each process's own settings; a dead session's grant could not be closed. Change: the ledger charges bills by sequence, so that bills add up to it, and refunds a key billed before; closing, recovery, settlement of doubt and transfers are operations of it, bounded and idempotent; bills move to segments; the number of shards is fixed in the store. A holder keeps a stock sized by its demand, returns surplus, and asks peers before it refuses; a refusal says asked, left, out of reach and when to come back. The tests of store commits fix the layout before their faults begin, and spare its read: the faults hit the same calls of the top-up as before. Conclusion: recovery through the sidecars can be wired on these.

--- a/src/cyclamenwing/bench/budgetprobes.py
+++ b/src/cyclamenwing/bench/budgetprobes.py
@@ -5,8 +5,9 @@
 from cyclamenwing.bench import memory
 from cyclamenwing.bench import slopes
 from cyclamenwing.bench import timing
-from cyclamenwing.budget import holder
+from cyclamenwing.budget import account
 from cyclamenwing.budget import ledger
+from cyclamenwing.budget import shard as shards
 from cyclamenwing.budget import types
 
 NOW = 1_800_000_000.0
@@ -15,7 +16,7 @@
 
 def make_shard(budgets: int, grants: int) -> types.LedgerShard:
     """Return a shard with some grants on each budget."""
-    shard = ledger.make_shard()
+    shard = shards.make_shard()
     for number in range(budgets):
         name = f"workspace-{number:06d}-tokens"
         ledger.apply_op(
@@ -37,6 +38,8 @@
                     "session": f"{SESSION}{holder_number:04d}",
                     "target": 1_000_000,
                     "floor": 1_000,
+                    "rate": 10.0,
+                    "partial": False,
                 },
                 NOW,
             )
@@ -45,17 +48,17 @@
 
 def measure_shard_bytes(budgets: int) -> float:
     """Return the size of a shard with four grants a budget."""
-    return float(len(ledger.ShardCodec().encode(make_shard(budgets, 4))))
+    return float(len(shards.ShardCodec().encode(make_shard(budgets, 4))))
 
 
 def measure_commit_cpu(budgets: int) -> float:
     """Return the processor time to read, change and write a shard."""
-    codec = ledger.ShardCodec()
+    codec = shards.ShardCodec()
     value = codec.encode(make_shard(budgets, 4))
 
     def work() -> None:
         shard = codec.decode(value)
-        ledger.record_commit(shard, "0" * 32)
+        shards.record_commit(shard, "0" * 32)
         codec.encode(shard)
 
     return timing.measure_cpu_us(work)
@@ -64,8 +67,8 @@
 def measure_account_bytes(accounts: int) -> float:
     """Return the memory of a holder's accounts."""
 
-    def make() -> holder.HolderBoard:
-        board = holder.HolderBoard(SESSION)
+    def make() -> account.HolderBoard:
+        board = account.HolderBoard(SESSION)
         for number in range(accounts):
             board.get_account(f"workspace-{number:06d}-tokens")
         return board
--- a/src/cyclamenwing/budget/coordinator.py
+++ b/src/cyclamenwing/budget/coordinator.py
@@ -3,15 +3,35 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import dataclasses
 import uuid
 from collections.abc import Callable
 
+from cyclamenwing.budget import billing
+from cyclamenwing.budget import errors
 from cyclamenwing.budget import ledger
+from cyclamenwing.budget import messages
+from cyclamenwing.budget import segments
+from cyclamenwing.budget import shard as shards
 from cyclamenwing.budget import types
 from cyclamenwing.store import commits
+from cyclamenwing.store import errors as store_errors
 from cyclamenwing.store import keys
 from cyclamenwing.store import protocol
 
+MAX_QUEUED_OPS = 5_000
+SETTLE_DELAY_S = 1.0
+
+
+@dataclasses.dataclass(slots=True)
+class Gathering:
+    """Hold the operations of one shard's next commit."""
+
+    ops: list[messages.LedgerOp] = dataclasses.field(default_factory=list)
+    urgent: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
+    task: asyncio.Task[list[messages.OpResult]] | None = None
+
 
 class Coordinator:
     """Commit the operations that arrive within an interval together.
@@ -19,6 +39,7 @@
     :param store: the platform's key-value service
     :param wall_clock: seconds since the epoch
     :param interval_s: time over which operations are gathered
+    :param settle_delay_s: time that settlements alone may wait
     """
 
     def __init__(
@@ -26,53 +47,103 @@
         store: protocol.Store,
         wall_clock: Callable[[], float],
         interval_s: float,
+        settle_delay_s: float = SETTLE_DELAY_S,
     ) -> None:
         self._store = store
         self._wall_clock = wall_clock
         self._interval_s = interval_s
-        self._codec = ledger.ShardCodec()
-        self._gathering: dict[int, asyncio.Task[list[types.OpResult]]] = {}
-        self._queued: dict[int, list[types.LedgerOp]] = {}
+        self._settle_delay_s = settle_delay_s
+        self._codec = shards.ShardCodec()
+        self._gathering: dict[int, Gathering] = {}
+        self._locks: dict[int, asyncio.Lock] = {}
+        self._written: dict[int, int] = {}
+        self.commits = 0
+
+    async def submit(
+        self, batch: messages.LedgerBatch
+    ) -> messages.LedgerReply:
+        """Commit a batch and return its results in order.
 
-    async def submit(self, batch: types.LedgerBatch) -> types.LedgerReply:
-        """Commit a batch and return its results in order."""
+        Raise `LedgerBusyError` beyond the bound on queued operations.
+        """
+        ops = ledger.list_ops(batch)
+        queued = sum(len(held.ops) for held in self._gathering.values())
+        if queued + len(ops) > MAX_QUEUED_OPS:
+            raise errors.LedgerBusyError(f"{queued} operations wait")
         shard = batch["shard"]
-        queued = self._queued.setdefault(shard, [])
-        first = len(queued)
-        queued.extend(batch["settlements"])
-        middle = len(queued)
-        queued.extend(batch["grants"])
-        last = len(queued)
-        if first == 0:
-            self._gathering[shard] = asyncio.create_task(self._flush(shard))
-        task = self._gathering[shard]
-        results = await asyncio.shield(task)
-        return {
-            "settlements": results[first:middle],
-            "grants": results[middle:last],
-        }
-
-    async def _flush(self, shard: int) -> list[types.OpResult]:
+        held = self._gathering.setdefault(shard, Gathering())
+        first = len(held.ops)
+        held.ops.extend(ops)
+        if len(batch["settlements"]) < len(ops):
+            held.urgent.set()
+        if held.task is None:
+            held.task = asyncio.create_task(self._flush(shard, held))
+        results = await asyncio.shield(held.task)
+        return {"results": results[first : first + len(ops)]}
+
+    async def _flush(
+        self, shard: int, held: Gathering
+    ) -> list[messages.OpResult]:
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(self._settle_delay_s):
+                await held.urgent.wait()
         await asyncio.sleep(self._interval_s)
-        ops = self._queued.pop(shard)
+        lock = self._locks.setdefault(shard, asyncio.Lock())
+        async with lock:
+            del self._gathering[shard]
+            return await self._commit(shard, held.ops)
+
+    async def _commit(
+        self, shard: int, ops: list[messages.LedgerOp]
+    ) -> list[messages.OpResult]:
         commit_id = uuid.uuid4().hex
-        results: list[types.OpResult] = []
+        results: dict[int, messages.OpResult] = {}
         now = self._wall_clock()
+        segment = self._written.pop(shard, None)
 
         def change(document: types.LedgerShard) -> None:
-            results.clear()
-            for op in ops:
-                results.append(ledger.apply_op(document, op, now))
-            ledger.record_commit(document, commit_id)
+            shards.expire(document, now)
+            billing.expire_keys(document, now)
+            if segment is not None:
+                segments.drop_segment(document, segment)
+            for place in _order_ops(ops):
+                results[place] = ledger.apply_op(document, ops[place], now)
+            shards.record_commit(document, commit_id)
 
-        await commits.commit(
+        made = await commits.commit(
             self._store,
             keys.name_ledger(shard),
             self._codec,
             commit_id,
             change,
         )
-        return results
+        self.commits += 1
+        await self._move_bills(shard, made.document)
+        return [results[place] for place in range(len(ops))]
+
+    async def _move_bills(
+        self, shard: int, document: types.LedgerShard
+    ) -> None:
+        with contextlib.suppress(store_errors.StoreError):
+            if await segments.write_segment(self._store, shard, document):
+                self._written[shard] = document["segments"]
+
+
+def _order_ops(ops: list[messages.LedgerOp]) -> list[int]:
+    """Return places, those first that free units for the others."""
+    return sorted(range(len(ops)), key=lambda place: _RANK[ops[place]["op"]])
+
 
+_RANK = {
+    "close": 0,
+    "top_up": 1,
+    "settle": 2,
+    "settle_doubt": 3,
+    "recover": 3,
+    "grant": 4,
+}
 
-__all__ = ("Coordinator",)
+__all__ = (
+    "MAX_QUEUED_OPS",
+    "Coordinator",
+)
--- a/src/cyclamenwing/budget/errors.py
+++ b/src/cyclamenwing/budget/errors.py
@@ -18,13 +18,19 @@
     :param asked: units that the request may use at most
     :param left: units unspent in the whole budget
     :param out_of_reach: units of `left` that this process can't get now
+    :param retry_after_s: when asking again can succeed
     """
 
     code = "budget_exhausted"
     status = 402
 
     def __init__(
-        self, budget: str, asked: int, left: int, out_of_reach: int
+        self,
+        budget: str,
+        asked: int,
+        left: int,
+        out_of_reach: int,
+        retry_after_s: float | None = None,
     ) -> None:
         super().__init__(
             f"budget {budget!r}: asked {asked}, left {left},"
@@ -33,6 +39,7 @@
         self.asked = asked
         self.left = left
         self.out_of_reach = out_of_reach
+        self.retry_after_s = retry_after_s
 
 
 class UnknownBudgetError(BudgetError):
@@ -48,6 +55,12 @@
     code = "stale_session"
 
 
+class SessionOpenError(BudgetError):
+    """Report an operation for closing sessions on one that is open."""
+
+    code = "session_open"
+
+
 class LedgerInvariantError(BudgetError):
     """Report an operation that would charge more than was paid."""
 
@@ -55,6 +68,34 @@
     status = 500
 
 
+class ShardFullError(BudgetError):
+    """Report a ledger shard without room for an operation."""
+
+    code = "ledger_full"
+    status = 503
+
+
+class LedgerBusyError(BudgetError):
+    """Report a coordinator whose queue is full."""
+
+    code = "ledger_busy"
+    status = 503
+
+
+class BillsFullError(BudgetError):
+    """Report that no bill can be held until the ledger takes some."""
+
+    code = "bills_full"
+    status = 503
+    retry_after_s = 2.0
+
+
+class TopUpReusedError(BudgetError):
+    """Report a top-up id that names another payment."""
+
+    code = "top_up_reused"
+
+
 class MalformedLedgerError(BudgetError):
     """Report a ledger shard that can't be read."""
 
@@ -63,10 +104,15 @@
 
 
 __all__ = (
+    "BillsFullError",
     "BudgetError",
     "BudgetExhaustedError",
+    "LedgerBusyError",
     "LedgerInvariantError",
     "MalformedLedgerError",
+    "SessionOpenError",
+    "ShardFullError",
     "StaleSessionError",
+    "TopUpReusedError",
     "UnknownBudgetError",
 )
--- a/src/cyclamenwing/budget/holder.py
+++ b/src/cyclamenwing/budget/holder.py
@@ -1,200 +1,130 @@
-"""Spending of one session's grants, the holder's side of the ledger."""
+"""Reservations and settlement, the holder's side of the ledger."""
 
 from __future__ import annotations
 
-import dataclasses
-
+from cyclamenwing.budget import account as accounts
 from cyclamenwing.budget import errors
 from cyclamenwing.budget import types
-from cyclamenwing.membership import rank
 
 MAX_UNSETTLED_BILLS = 20_000
 
 
-@dataclasses.dataclass(slots=True)
-class Account:
-    """Count what this session holds of one budget, fields cumulative."""
-
-    granted: int = 0
-    spent: int = 0
-    returned: int = 0
-    reserved: int = 0
-    version: int = 0
-    free: int = 0
-    left: int = 0
-    known: bool = False
-    dirty: bool = False
-    wanted: int = 0
-    bills: list[types.Bill] = dataclasses.field(default_factory=list)
-
-    def count_available(self) -> int:
-        """Return the units that may be reserved now."""
-        return self.granted - self.spent - self.returned - self.reserved
-
-
-@dataclasses.dataclass(slots=True)
-class HolderBoard:
-    """Hold the accounts of one session by budget.
-
-    :param session: id of the entry's incarnation
-    """
-
-    session: str
-    accounts: dict[str, Account] = dataclasses.field(default_factory=dict)
-    open: dict[int, types.Reservation] = dataclasses.field(
-        default_factory=dict
-    )
-    doubtful: dict[int, types.Reservation] = dataclasses.field(
-        default_factory=dict
-    )
-    sequence: int = 0
-
-    def get_account(self, budget: str) -> Account:
-        """Return a budget's account, making it if absent."""
-        return self.accounts.setdefault(budget, Account())
-
-
 class HolderController:
-    """Reserve and settle units of the session's grants.
-
-    :param chunk: units asked for beyond the immediate need
-    """
-
-    def __init__(self, chunk: int) -> None:
-        self._chunk = chunk
+    """Reserve and settle units of the session's grants."""
 
     def reserve(
         self,
-        board: HolderBoard,
+        board: accounts.HolderBoard,
         budget: str,
         amount: int,
-        unit: types.Unit = "tokens",
+        unit: types.Unit,
+        now: float,
     ) -> types.Reservation | None:
-        """Reserve units; None means that a larger grant is needed."""
+        """Reserve units; None means that a larger grant is needed.
+
+        Raise `BillsFullError` when no further bill can be held.
+        """
+        if board.unsettled + len(board.open) >= MAX_UNSETTLED_BILLS:
+            raise errors.BillsFullError("too many bills not yet settled")
         account = board.get_account(budget)
         if account.count_available() < amount:
-            account.wanted = max(account.wanted, amount)
             return None
-        board.sequence += 1
+        account.sequence += 1
         account.reserved += amount
+        account.note_demand(amount, now)
+        account.open.add(account.sequence)
         made = types.Reservation(
-            budget, board.session, board.sequence, amount, unit
+            budget, board.session, account.sequence, amount, unit
         )
-        board.open[made.sequence] = made
+        board.open[budget, account.sequence] = made
         return made
 
-    def doubt(
-        self, board: HolderBoard, reservation: types.Reservation
+    def wait(
+        self, board: accounts.HolderBoard, budget: str, amount: int
+    ) -> int:
+        """Take note that a request waits for units; return its ticket."""
+        account = board.get_account(budget)
+        account.tickets += 1
+        account.waiting[account.tickets] = amount
+        board.waiting.add(budget)
+        return account.tickets
+
+    def leave(
+        self, board: accounts.HolderBoard, budget: str, ticket: int
     ) -> None:
-        """Keep a reservation charged whose run is unknown."""
-        if reservation.sequence in board.open:
-            board.doubtful[reservation.sequence] = reservation
+        """Take note that a request waits no more."""
+        account = board.get_account(budget)
+        account.waiting.pop(ticket, None)
+        if not account.waiting:
+            board.waiting.discard(budget)
+
+    def release(
+        self, board: accounts.HolderBoard, reservation: types.Reservation
+    ) -> None:
+        """Give back the reservation of a request that did not run."""
+        self._close(board, reservation)
 
     def settle(
         self,
-        board: HolderBoard,
+        board: accounts.HolderBoard,
         reservation: types.Reservation,
-        bill: types.Bill | None,
-        used: int,
+        bill: types.Bill,
     ) -> None:
-        """Turn a reservation into spending; a second call has no effect."""
-        if reservation.session != board.session:
+        """Turn a reservation into a bill; a second call has no effect."""
+        if not self._close(board, reservation):
             return
-        if board.open.pop(reservation.sequence, None) is None:
-            return
-        board.doubtful.pop(reservation.sequence, None)
         account = board.get_account(reservation.budget)
-        account.reserved -= reservation.amount
-        account.spent += min(used, reservation.amount)
-        account.dirty = True
-        if bill is not None:
-            account.bills.append(bill)
-
-    def collect_batches(
-        self, board: HolderBoard, shards: int
-    ) -> list[types.LedgerBatch]:
-        """Return what this session has for the ledger, by shard."""
-        batches: dict[int, types.LedgerBatch] = {}
-        for budget, account in board.accounts.items():
-            settles = account.dirty
-            asks = account.wanted > account.count_available()
-            if not settles and not asks:
-                continue
-            shard = rank.pick_shard(budget, shards)
-            batch = batches.setdefault(
-                shard, {"shard": shard, "settlements": [], "grants": []}
-            )
-            if settles:
-                made = self._make_settlement(board, budget, account)
-                batch["settlements"].append(made)
-            if asks:
-                batch["grants"].append(
-                    self._make_request(board, budget, account)
-                )
-        return list(batches.values())
-
-    def apply_reply(
+        account.spent += bill["units"]
+        account.bills.append(bill)
+        board.unsettled += 1
+
+    def doubt(
         self,
-        board: HolderBoard,
-        batch: types.LedgerBatch,
-        reply: types.LedgerReply,
+        board: accounts.HolderBoard,
+        reservation: types.Reservation,
+        bill: types.Bill,
+        now: float,
     ) -> None:
-        """Take over the ledger's answer to a batch."""
-        settled = zip(batch["settlements"], reply["settlements"], strict=True)
-        for settlement, result in settled:
-            self._apply_result(board, settlement, result)
-        granted = zip(batch["grants"], reply["grants"], strict=True)
-        for request, result in granted:
-            self._apply_result(board, request, result)
-
-    def _apply_result(
+        """Keep a reservation charged whose run is unknown."""
+        name = reservation.budget, reservation.sequence
+        if reservation.session == board.session and name in board.open:
+            board.doubtful[name] = accounts.Doubtful(reservation, bill, now)
+
+    def resolve(
         self,
-        board: HolderBoard,
-        op: types.LedgerOp,
-        result: types.OpResult,
+        board: accounts.HolderBoard,
+        name: accounts.ReservationName,
+        used: int | None,
     ) -> None:
-        """Take over the ledger's answer to one operation."""
-        account = board.get_account(op["budget"])
-        account.granted = max(account.granted, result["granted"])
-        account.free = result["free"]
-        account.left = result["left"]
-        account.known = result["error"] != errors.UnknownBudgetError.code
-        if op["op"] == "grant":
-            account.wanted = 0
-        if op["op"] == "settle" and result["version"] >= op["version"]:
-            del account.bills[: len(op["bills"])]
-            account.dirty = op["version"] != account.version
-
-    def _make_settlement(
-        self, board: HolderBoard, budget: str, account: Account
-    ) -> types.Settlement:
-        account.version += 1
-        return {
-            "op": "settle",
-            "budget": budget,
-            "session": board.session,
-            "version": account.version,
-            "spent": account.spent,
-            "returned": account.returned,
-            "bills": list(account.bills),
-        }
-
-    def _make_request(
-        self, board: HolderBoard, budget: str, account: Account
-    ) -> types.GrantRequest:
-        floor = account.granted + account.wanted - account.count_available()
-        return {
-            "op": "grant",
-            "budget": budget,
-            "session": board.session,
-            "target": floor + self._chunk,
-            "floor": floor,
-        }
+        """End a doubt; None means that the request did not run."""
+        held = board.doubtful.get(name)
+        if held is None:
+            return
+        if used is None:
+            self.release(board, held.reservation)
+            return
+        units = min(used, held.reservation.amount)
+        bill = held.bill.copy()
+        bill["units"] = units
+        self.settle(board, held.reservation, bill)
+
+    def _close(
+        self, board: accounts.HolderBoard, reservation: types.Reservation
+    ) -> bool:
+        if reservation.session != board.session:
+            return False
+        name = reservation.budget, reservation.sequence
+        if board.open.pop(name, None) is None:
+            return False
+        board.doubtful.pop(name, None)
+        account = board.get_account(reservation.budget)
+        account.open.discard(reservation.sequence)
+        account.reserved -= reservation.amount
+        account.dirty = True
+        return True
 
 
 __all__ = (
     "MAX_UNSETTLED_BILLS",
-    "Account",
-    "HolderBoard",
     "HolderController",
 )
--- /dev/null
+++ b/src/cyclamenwing/budget/shard.py
@@ -0,0 +1,143 @@
+"""Form and bounds of a ledger shard."""
+
+from __future__ import annotations
+
+import msgspec
+
+from cyclamenwing.budget import errors
+from cyclamenwing.budget import types
+
+MAX_COMMIT_IDS = 64
+MAX_SHARD_BYTES = 900_000
+MAX_TOP_UP_IDS = 1_000
+TOP_UP_RETENTION_S = 30 * 86_400.0
+CLOSED_RETENTION_S = 86_400.0
+
+
+class ShardCodec:
+    """Convert a ledger shard to and from JSON."""
+
+    def decode(self, value: bytes | None) -> types.LedgerShard:
+        """Read a shard; raise `MalformedLedgerError` on a wrong one."""
+        if value is None:
+            return make_shard()
+        try:
+            return msgspec.json.decode(value, type=types.LedgerShard)
+        except (msgspec.ValidationError, msgspec.DecodeError) as err:
+            raise errors.MalformedLedgerError(str(err)) from err
+
+    def encode(self, document: types.LedgerShard) -> bytes:
+        """Write a shard; raise `ShardFullError` beyond the bound."""
+        value = msgspec.json.encode(document)
+        if len(value) > MAX_SHARD_BYTES:
+            raise errors.ShardFullError(f"{len(value)} bytes")
+        return value
+
+    def contains(self, document: types.LedgerShard, commit_id: str) -> bool:
+        """Tell whether the shard holds a commit."""
+        return commit_id in document["commits"]
+
+
+def make_shard() -> types.LedgerShard:
+    """Return an empty shard."""
+    return {
+        "version": 0,
+        "commits": [],
+        "budgets": {},
+        "top_ups": {},
+        "bills": [],
+        "billed": [],
+        "segments": 0,
+        "closed": {},
+    }
+
+
+def make_grant() -> types.Grant:
+    """Return a grant of nothing."""
+    return {
+        "granted": 0,
+        "spent": 0,
+        "refunded": 0,
+        "returned": 0,
+        "next": 1,
+        "open": [],
+        "given": 1,
+        "early": [],
+        "taken": [],
+        "rate": 0.0,
+        "closing": 0.0,
+        "reason": "",
+    }
+
+
+def record_commit(shard: types.LedgerShard, commit_id: str) -> None:
+    """Remember a commit id, dropping the oldest beyond the bound."""
+    shard["version"] += 1
+    shard["commits"].append(commit_id)
+    del shard["commits"][:-MAX_COMMIT_IDS]
+
+
+def expire(shard: types.LedgerShard, now: float) -> None:
+    """Drop closed sessions and top-up ids past their retention."""
+    shard["closed"] = {
+        session: at
+        for session, at in shard["closed"].items()
+        if now - at < CLOSED_RETENTION_S
+    }
+    shard["top_ups"] = {
+        name: made
+        for name, made in shard["top_ups"].items()
+        if now - made["at"] < TOP_UP_RETENTION_S
+    }
+
+
+def count_outstanding(grant: types.Grant) -> int:
+    """Return the units that a grant may still spend."""
+    return grant["granted"] - grant["spent"] - grant["returned"]
+
+
+def count_settled(budget: types.Budget) -> int:
+    """Return the units billed."""
+    return budget["settled"] + sum(
+        grant["spent"] - grant["refunded"]
+        for grant in budget["grants"].values()
+    )
+
+
+def count_doubt(budget: types.Budget) -> int:
+    """Return the units that closing grants may have spent."""
+    return sum(
+        count_outstanding(grant)
+        for grant in budget["grants"].values()
+        if grant["closing"]
+    )
+
+
+def count_charged(budget: types.Budget) -> int:
+    """Return the units billed, granted or in doubt."""
+    outstanding = sum(count_outstanding(g) for g in budget["grants"].values())
+    return count_settled(budget) + outstanding
+
+
+def count_free(budget: types.Budget) -> int:
+    """Return the units that may still be granted."""
+    return budget["paid"] - count_charged(budget)
+
+
+__all__ = (
+    "CLOSED_RETENTION_S",
+    "MAX_COMMIT_IDS",
+    "MAX_SHARD_BYTES",
+    "MAX_TOP_UP_IDS",
+    "TOP_UP_RETENTION_S",
+    "ShardCodec",
+    "count_charged",
+    "count_doubt",
+    "count_free",
+    "count_outstanding",
+    "count_settled",
+    "expire",
+    "make_grant",
+    "make_shard",
+    "record_commit",
+)
--- a/src/cyclamenwing/budget/types.py
+++ b/src/cyclamenwing/budget/types.py
@@ -1,4 +1,4 @@
-"""Records of the ledger and messages between holders and coordinators."""
+"""Records of the ledger and of its operations."""
 
 from __future__ import annotations
 
@@ -9,32 +9,61 @@
 Unit = Literal["tokens", "requests"]
 
 
+class Transfer(TypedDict):
+    """Move units from one session's grant to another's.
+
+    `donor` and `number` identify it within the budget.
+    """
+
+    budget: str
+    donor: str
+    number: int
+    receiver: str
+    amount: int
+
+
 class Grant(TypedDict):
-    """Count what one session was granted, all fields cumulative."""
+    """Count what one session holds of a budget, all fields cumulative.
+
+    Sequences below `next` are folded but for those in `open`, transfers
+    given below `given` but for those at or above it in `early`. `taken`
+    holds transfers that the session has not acknowledged. A grant that
+    is `closing` since a time has a `reason` for what is still in doubt.
+    """
 
     granted: int
     spent: int
+    refunded: int
     returned: int
-    version: int
+    next: int
+    open: list[int]
+    given: int
+    early: list[int]
+    taken: list[Transfer]
+    rate: float
+    closing: float
+    reason: str
 
 
 class Budget(TypedDict):
     """Count one prepaid budget.
 
-    `settled` holds the spending of closed grants, `doubt` what closed
-    grants may have spent, by session.
+    `settled` holds the billed units of grants that are gone.
     """
 
     paid: int
     settled: int
     grants: dict[str, Grant]
-    doubt: dict[str, int]
 
 
 class Bill(TypedDict):
-    """Record one billed request; `sequence` counts within a session."""
+    """Record one billed request; `sequence` counts within a grant.
+
+    `key` names the request across retries; an empty one has none.
+    """
 
     request: str
+    key: str
     workspace: str
     budget: str
     session: str
@@ -52,6 +81,7 @@
     """
 
     request: str
+    key: str
     workspace: str
     budget: str
     sequence: int
@@ -63,78 +93,37 @@
     at: float
 
 
-class LedgerShard(TypedDict):
-    """Hold one shard of the ledger, the value of one key."""
-
-    commits: list[str]
-    budgets: dict[str, Budget]
-    top_ups: dict[str, int]
-    bills: list[Bill]
-    billed: dict[str, float]
-    segments: int
-
-
-class GrantRequest(TypedDict):
-    """Ask that a session's cumulative grant reach `target`."""
-
-    op: Literal["grant"]
-    budget: str
-    session: str
-    target: int
-    floor: int
-
-
-class Settlement(TypedDict):
-    """Report a session's cumulative spending and returns."""
+class Payment(TypedDict):
+    """Remember one top-up by its id."""
 
-    op: Literal["settle"]
-    budget: str
-    session: str
-    version: int
-    spent: int
-    returned: int
-    bills: list[Bill]
-
-
-class TopUp(TypedDict):
-    """Add money to a budget once by id."""
-
-    op: Literal["top_up"]
-    id: str
     budget: str
     amount: int
+    at: float
 
 
-LedgerOp = GrantRequest | Settlement | TopUp
-
-
-class LedgerBatch(TypedDict):
-    """Carry ledger operations to a shard's coordinator.
+class BilledKeys(TypedDict):
+    """Hold digests of keys billed since a time, for one span."""
 
-    Settlements are applied first, so what they free can be granted.
-    """
+    at: float
+    digests: list[str]
 
-    shard: int
-    settlements: list[Settlement]
-    grants: list[GrantRequest]
 
+class LedgerShard(TypedDict):
+    """Hold one shard of the ledger, the value of one key.
 
-class OpResult(TypedDict):
-    """Answer one operation with the grant as the shard now holds it."""
+    `version` counts commits, `closed` holds the sessions that may hold
+    no grant and when they were closed, `segments` counts the runs of
+    bills that were moved to keys of their own.
+    """
 
-    budget: str
-    error: str | None
-    granted: int
     version: int
-    free: int
-    left: int
-
-
-class LedgerReply(TypedDict):
-    """Answer a batch, one result an operation, in order."""
-
-    settlements: list[OpResult]
-    grants: list[OpResult]
+    commits: list[str]
+    budgets: dict[str, Budget]
+    top_ups: dict[str, Payment]
+    bills: list[Bill]
+    billed: list[BilledKeys]
+    segments: int
+    closed: dict[str, float]
 
 
 class Reservation(NamedTuple):
@@ -149,17 +138,13 @@
 
 __all__ = (
     "Bill",
+    "BilledKeys",
     "Budget",
     "Grant",
-    "GrantRequest",
-    "LedgerBatch",
-    "LedgerOp",
-    "LedgerReply",
     "LedgerShard",
-    "OpResult",
+    "Payment",
     "Reservation",
     "RunRecord",
-    "Settlement",
-    "TopUp",
+    "Transfer",
     "Unit",
 )
--- a/src/cyclamenwing/cli/topup.py
+++ b/src/cyclamenwing/cli/topup.py
@@ -6,13 +6,11 @@
 import json
 import uuid
 
+from cyclamenwing.budget import messages
 from cyclamenwing.budget import payment
-from cyclamenwing.budget import types
 from cyclamenwing.cli import protocol
 from cyclamenwing.cli import remote
 
-DEFAULT_SHARDS = 4
-
 
 class TopUpCommand:
     """Add money to a budget once by id."""
@@ -25,12 +23,11 @@
         parser.add_argument("budget")
         parser.add_argument("amount", type=int)
         parser.add_argument("--id", default=None, help="id of the payment")
-        parser.add_argument("--shards", type=int, default=DEFAULT_SHARDS)
         remote.add_store(parser)
 
     def run(self, args: argparse.Namespace) -> int:
         """Top up and print the budget as it stands."""
-        op: types.TopUp = {
+        op: messages.TopUp = {
             "op": "top_up",
             "id": args.id or uuid.uuid4().hex,
             "budget": args.budget,
@@ -38,12 +35,14 @@
         }
         result = remote.run_async(_top_up(args, op))
         print(json.dumps({"id": op["id"], **result}))
-        return protocol.EXIT_OK
+        return protocol.EXIT_FAILED if result["error"] else protocol.EXIT_OK
 
 
-async def _top_up(args: argparse.Namespace, op: types.TopUp) -> types.OpResult:
+async def _top_up(
+    args: argparse.Namespace, op: messages.TopUp
+) -> messages.OpResult:
     async with remote.open_store(args.store) as store:
-        return await payment.apply_top_up(store, op, args.shards)
+        return await payment.apply_top_up(store, op)
 
 
 __all__ = ("TopUpCommand",)
--- a/src/cyclamenwing/demo/tour.py
+++ b/src/cyclamenwing/demo/tour.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from cyclamenwing.budget import ledger
+from cyclamenwing.budget import shard as budget_shard
 from cyclamenwing.demo import fleet as demo_fleet
 from cyclamenwing.store import keys
 from cyclamenwing.transport import protocol as transport
@@ -98,9 +98,11 @@
     faults: list[str] = []
     for shard in range(demo_fleet.SHARDS):
         found = await fleet.store_client.get(keys.name_ledger(shard))
-        document = ledger.ShardCodec().decode(found.value if found else None)
+        document = budget_shard.ShardCodec().decode(
+            found.value if found else None
+        )
         for name, budget in document["budgets"].items():
-            charged = ledger.count_charged(budget)
+            charged = budget_shard.count_charged(budget)
             print(f"budget {name}: paid {budget['paid']}, held {charged}")
             if charged > budget["paid"]:
                 faults.append(f"budget {name} is overspent")
--- a/src/cyclamenwing/entry/app.py
+++ b/src/cyclamenwing/entry/app.py
@@ -6,17 +6,22 @@
 import time
 import uuid
 
+from cyclamenwing.budget import account
 from cyclamenwing.budget import coordinator
-from cyclamenwing.budget import holder
+from cyclamenwing.budget import exchange as budget_exchange
+from cyclamenwing.budget import layout
+from cyclamenwing.budget import sizing
 from cyclamenwing.entry import blackboard
 from cyclamenwing.entry import callers
 from cyclamenwing.entry import catalog
 from cyclamenwing.entry import dispatch
+from cyclamenwing.entry import exchange
 from cyclamenwing.entry import funding
 from cyclamenwing.entry import inquiry
 from cyclamenwing.entry import membership
 from cyclamenwing.entry import serving
 from cyclamenwing.entry import sessions
+from cyclamenwing.entry import transfers
 from cyclamenwing.membership import news
 from cyclamenwing.routing import scoring
 from cyclamenwing.settings import types as settings_types
@@ -26,9 +31,7 @@
 from cyclamenwing.transport import server
 
 DRAIN_POLL_S = 0.05
-DEFAULT_SHARDS = 4
 DEFAULT_COMMIT_INTERVAL_MS = 20
-DEFAULT_GRANT_CHUNK = 20_000
 
 
 class EntryApp:
@@ -44,10 +47,11 @@
             settings["host"],
             settings["zone"],
             session,
-            holder.HolderBoard(session),
+            account.HolderBoard(session),
         )
         self._client = client.CurlClient(settings["fleet_keys"][0])
         self._store = store_client.StoreClient(self._client, settings["store"])
+        self._transfers = transfers.Transfers(self.board, self._client)
         self._money = self._make_funding()
         choice = dispatch.Dispatch(
             self.board, scoring.ScoringPolicy(settings["zone"])
@@ -67,6 +71,7 @@
             catalog.CatalogWatch(self.board, self._store),
             inquiry.Inquiry(self.board),
             sessions.Sessions(self.board, self._store),
+            self._transfers,
             self._money,
         ]
         self._callers = self._listen_callers()
@@ -97,17 +102,20 @@
         interval_ms = settings.get(
             "commit_interval_ms", DEFAULT_COMMIT_INTERVAL_MS
         )
-        return funding.Funding(
+        size = sizing.Sizing.from_weight(
+            settings.get("budget_weight", sizing.DEFAULT_WEIGHT)
+        )
+        ledger = exchange.Exchange(
             self.board,
-            holder.HolderController(
-                settings.get("grant_chunk", DEFAULT_GRANT_CHUNK)
-            ),
+            budget_exchange.ExchangeController(size),
             coordinator.Coordinator(
                 self._store, time.time, interval_ms / 1000
             ),
             self._client,
-            settings.get("ledger_shards", DEFAULT_SHARDS),
+            self._store,
+            settings.get("ledger_shards", layout.DEFAULT_SHARDS),
         )
+        return funding.Funding(self.board, ledger, self._transfers, size)
 
     def _listen_callers(self) -> server.Listener:
         options = {"board": self.board, "service": self._service}
--- a/src/cyclamenwing/entry/blackboard.py
+++ b/src/cyclamenwing/entry/blackboard.py
@@ -4,7 +4,7 @@
 
 import dataclasses
 
-from cyclamenwing.budget import holder
+from cyclamenwing.budget import account
 from cyclamenwing.catalog import index
 from cyclamenwing.entry import journal
 from cyclamenwing.membership import view
@@ -24,7 +24,7 @@
     host: str
     zone: str
     session: str
-    holder: holder.HolderBoard
+    holder: account.HolderBoard
     catalog: index.Index = dataclasses.field(
         default_factory=lambda: index.Index({"revision": 0, "services": {}})
     )
--- a/src/cyclamenwing/entry/funding.py
+++ b/src/cyclamenwing/entry/funding.py
@@ -1,4 +1,4 @@
-"""Reservations of a request and the exchange with the ledger."""
+"""Reservations of requests, their settlement and their refusals."""
 
 from __future__ import annotations
 
@@ -13,17 +13,19 @@
 from cyclamenwing.budget import coordinator
 from cyclamenwing.budget import errors
 from cyclamenwing.budget import holder
+from cyclamenwing.budget import messages
+from cyclamenwing.budget import sizing
 from cyclamenwing.budget import types
 from cyclamenwing.entry import admission
 from cyclamenwing.entry import blackboard
-from cyclamenwing.membership import rank
-from cyclamenwing.membership import view
+from cyclamenwing.entry import exchange
+from cyclamenwing.entry import transfers
 from cyclamenwing.request import types as request_types
-from cyclamenwing.transport import protocol as transport
 from cyclamenwing.transport import server
 
-SETTLE_INTERVAL_S = 1.0
-LEDGER_TIMEOUT_S = 3.0
+SETTLE_INTERVAL_S = 5.0
+RETRY_SOON_S = 2.0
+RETRY_LATER_S = 60.0
 
 
 class LedgerHandler(server.PeerHandler):
@@ -35,7 +37,7 @@
 
     async def post(self) -> None:
         """Commit a batch as the shard's coordinator."""
-        batch = self.decode_body(types.LedgerBatch)
+        batch = self.decode_body(messages.LedgerBatch)
         self.write_json(await self._ledger.submit(batch))
 
 
@@ -43,47 +45,59 @@
     """Reserve units for requests and keep the ledger informed.
 
     :param board: the entry's state
-    :param controller: decisions on the session's grants
-    :param local: group commit of shards that this entry coordinates
-    :param client: HTTP client
-    :param shards: number of ledger shards
+    :param ledger: exchange with the ledger's coordinators
+    :param donors: transfers from peers
+    :param size: how long a request may wait for units
     """
 
     def __init__(
         self,
         board: blackboard.EntryBoard,
-        controller: holder.HolderController,
-        local: coordinator.Coordinator,
-        client: transport.Client,
-        shards: int,
+        ledger: exchange.Exchange,
+        donors: transfers.Transfers,
+        size: sizing.Sizing,
     ) -> None:
         self._board = board
-        self._controller = controller
-        self._local = local
-        self._client = client
-        self._shards = shards
-        self._members = view.MemberController()
-        self._needed = asyncio.Event()
-        self._answered = asyncio.Condition()
+        self._ledger = ledger
+        self._donors = donors
+        self._size = size
+        self._controller = holder.HolderController()
+        self._gathering: dict[str, asyncio.Lock] = {}
         self._task: asyncio.Task[None] | None = None
 
     def list_handlers(self) -> list[Any]:
         """Return handlers for other processes, by path."""
-        options = {"ledger": self._local}
+        options = {"ledger": self._ledger.local}
         return [(r"/peer/ledger", LedgerHandler, options)]
 
     def start(self) -> None:
-        """Start the exchange with the ledger."""
+        """Start telling the ledger what was spent."""
         self._task = asyncio.create_task(self._run())
 
+    async def close(self) -> None:
+        """Give back what is left, send the last settlements and stop."""
+        if self._task is not None:
+            self._task.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await self._task
+        for account in self._board.holder.accounts.values():
+            rest = account.count_available()
+            if rest > 0 and not account.taking:
+                account.returned += rest
+                account.dirty = True
+        await self._settle()
+
     async def reserve(
         self, accepted: admission.Accepted
     ) -> list[types.Reservation]:
         """Reserve all needs, or none and raise a coded error."""
         made: list[types.Reservation] = []
+        deadline = (
+            time.monotonic() + accepted.timeout_s * self._size.wait_share
+        )
         try:
             for need in accepted.needs:
-                made.append(await self._reserve_one(need, accepted.timeout_s))
+                made.append(await self._reserve_one(need, deadline))
         except base_errors.CodedError:
             self.release(made)
             raise
@@ -92,7 +106,7 @@
     def release(self, made: list[types.Reservation]) -> None:
         """Give back reservations of a request that did not run."""
         for reservation in made:
-            self._controller.settle(self._board.holder, reservation, None, 0)
+            self._controller.release(self._board.holder, reservation)
 
     def doubt(
         self, accepted: admission.Accepted, made: list[types.Reservation]
@@ -102,7 +116,10 @@
         They stay so until the sidecar that may have run them tells.
         """
         for reservation in made:
-            self._controller.doubt(self._board.holder, reservation)
+            bill = _make_bill(accepted, reservation, reservation.amount)
+            self._controller.doubt(
+                self._board.holder, reservation, bill, time.time()
+            )
 
     def settle(
         self,
@@ -113,118 +130,114 @@
         """Turn reservations into bills."""
         tokens = usage["prompt"] + usage["completion"]
         used = {"tokens": tokens, "requests": 1}
-        for need, reservation in zip(accepted.needs, made, strict=True):
-            units = min(used[need.unit], reservation.amount)
-            bill: types.Bill = {
-                "request": accepted.request,
-                "workspace": accepted.workspace["name"],
-                "budget": need.budget,
-                "session": reservation.session,
-                "sequence": reservation.sequence,
-                "kind": accepted.kind,
-                "reviewer": accepted.reviewer,
-                "units": units,
-                "at": time.time(),
-            }
+        for reservation in made:
+            units = min(used[reservation.unit], reservation.amount)
             self._controller.settle(
-                self._board.holder, reservation, bill, units
+                self._board.holder,
+                reservation,
+                _make_bill(accepted, reservation, units),
             )
 
-    async def close(self) -> None:
-        """Send the last settlements and stop."""
-        if self._task is not None:
-            self._task.cancel()
-            with contextlib.suppress(asyncio.CancelledError):
-                await self._task
-        await self._exchange()
-
     async def _reserve_one(
-        self, need: admission.Need, timeout_s: float
+        self, need: admission.Need, deadline: float
     ) -> types.Reservation:
-        ends_at = time.monotonic() + timeout_s
-        while True:
-            made = self._controller.reserve(
-                self._board.holder, need.budget, need.amount, need.unit
-            )
-            if made is not None:
+        made = self._try(need)
+        if made is not None:
+            return made
+        board = self._board.holder
+        ticket = self._controller.wait(board, need.budget, need.amount)
+        try:
+            async with asyncio.timeout_at(
+                asyncio.get_running_loop().time()
+                + max(0.0, deadline - time.monotonic())
+            ):
+                made = await self._obtain(need, deadline)
+        except TimeoutError:
+            made = self._try(need)
+        finally:
+            self._controller.leave(board, need.budget, ticket)
+        if made is None:
+            raise self._explain(need)
+        return made
+
+    async def _obtain(
+        self, need: admission.Need, deadline: float
+    ) -> types.Reservation | None:
+        """Ask the ledger, then peers, then both for what is left."""
+        reachable = await self._ledger.ask(need.budget)
+        made = self._try(need)
+        if made is not None:
+            return made
+        account = self._board.holder.get_account(need.budget)
+        if reachable and account.left < need.amount:
+            return None
+        lock = self._gathering.setdefault(need.budget, asyncio.Lock())
+        async with lock:
+            if (made := self._try(need)) is not None:
                 return made
-            self._needed.set()
-            if not await self._wait_answer(ends_at - time.monotonic()):
-                raise self._explain(need)
-            account = self._board.holder.get_account(need.budget)
-            short = need.amount - account.count_available()
-            if account.known and account.free < short:
-                raise self._explain(need)
-
-    def _explain(self, need: admission.Need) -> errors.BudgetExhaustedError:
+            await self._donors.gather(need.budget, need.amount, deadline)
+            if (made := self._try(need)) is not None or not reachable:
+                return made
+            account.partial = True
+            try:
+                await self._ledger.ask(need.budget)
+            finally:
+                account.partial = False
+            return self._try(need)
+
+    def _try(self, need: admission.Need) -> types.Reservation | None:
+        return self._controller.reserve(
+            self._board.holder,
+            need.budget,
+            need.amount,
+            need.unit,
+            time.monotonic(),
+        )
+
+    def _explain(self, need: admission.Need) -> base_errors.CodedError:
         account = self._board.holder.get_account(need.budget)
-        own = account.count_available()
-        reachable = max(0, account.free) + max(0, own)
+        if account.answered and not account.exists:
+            return errors.UnknownBudgetError(
+                f"budget {need.budget!r} was never topped up"
+            )
+        own = max(0, account.count_available()) + account.reserved
+        out_of_reach = max(0, account.left - own - max(0, account.free))
+        soon = account.left >= need.amount or not account.answered
         return errors.BudgetExhaustedError(
             need.budget,
             need.amount,
             account.left,
-            max(0, account.left - reachable),
+            out_of_reach,
+            RETRY_SOON_S if soon else RETRY_LATER_S,
         )
 
-    async def _wait_answer(self, timeout_s: float) -> bool:
-        try:
-            async with asyncio.timeout(max(0.0, timeout_s)):
-                async with self._answered:
-                    await self._answered.wait()
-        except TimeoutError:
-            return False
-        return True
-
     async def _run(self) -> None:
         while True:
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(SETTLE_INTERVAL_S):
-                    await self._needed.wait()
-            self._needed.clear()
-            await self._exchange()
-
-    async def _exchange(self) -> None:
-        batches = self._controller.collect_batches(
-            self._board.holder, self._shards
-        )
-        await asyncio.gather(*(self._submit(batch) for batch in batches))
-        async with self._answered:
-            self._answered.notify_all()
+            await asyncio.sleep(SETTLE_INTERVAL_S)
+            await self._settle()
 
-    async def _submit(self, batch: types.LedgerBatch) -> None:
-        shard = batch["shard"]
-        for address in self._rank_coordinators(shard):
-            try:
-                reply = await self._send(address, batch)
-            except base_errors.CodedError as err:
-                eliot.log_message(
-                    "entry:ledger", shard=shard, to=address, code=err.code
-                )
-                continue
-            self._controller.apply_reply(self._board.holder, batch, reply)
-            return
-
-    async def _send(
-        self, address: str, batch: types.LedgerBatch
-    ) -> types.LedgerReply:
-        if not address:
-            return await self._local.submit(batch)
-        return await self._client.call(
-            f"http://{address}/peer/ledger",
-            batch,
-            types.LedgerReply,
-            LEDGER_TIMEOUT_S,
-        )
-
-    def _rank_coordinators(self, shard: int) -> list[str]:
-        live = self._members.list_live(
-            self._board.members, "entry", time.monotonic()
-        )
-        addresses = {beat["host"]: beat["address"] for beat in live}
-        addresses[self._board.host] = ""
-        ranked = rank.rank_members(f"ledger/{shard}", addresses)
-        return [addresses[host] for host in ranked]
+    async def _settle(self) -> None:
+        try:
+            await self._ledger.settle()
+        except base_errors.CodedError as err:
+            eliot.log_message("entry:settle", code=err.code)
+
+
+def _make_bill(
+    accepted: admission.Accepted, reservation: types.Reservation, units: int
+) -> types.Bill:
+    return {
+        "request": accepted.request,
+        "key": accepted.key,
+        "workspace": accepted.workspace["name"],
+        "budget": reservation.budget,
+        "session": reservation.session,
+        "sequence": reservation.sequence,
+        "kind": accepted.kind,
+        "reviewer": accepted.reviewer,
+        "units": units,
+        "at": time.time(),
+    }
 
 
 __all__ = ("Funding",)
--- a/src/cyclamenwing/entry/sessions.py
+++ b/src/cyclamenwing/entry/sessions.py
@@ -10,8 +10,8 @@
 import eliot
 
 from cyclamenwing import errors as base_errors
+from cyclamenwing.budget import account
 from cyclamenwing.budget import errors
-from cyclamenwing.budget import holder
 from cyclamenwing.budget import session
 from cyclamenwing.entry import blackboard
 from cyclamenwing.membership import view
@@ -85,7 +85,7 @@
         """Take a new session; what the old one held is recovered."""
         old = self._board.session
         self._board.session = f"{self._board.host}/{uuid.uuid4().hex}"
-        self._board.holder = holder.HolderBoard(self._board.session)
+        self._board.holder = account.HolderBoard(self._board.session)
         self._board.served = set()
         eliot.log_message(
             "entry:session_renewed", old=old, new=self._board.session
--- a/src/cyclamenwing/settings/types.py
+++ b/src/cyclamenwing/settings/types.py
@@ -27,7 +27,7 @@
     peers: str
     ledger_shards: NotRequired[int]
     commit_interval_ms: NotRequired[int]
-    grant_chunk: NotRequired[int]
+    budget_weight: NotRequired[float]
 
 
 class SidecarSettings(CommonSettings):
@@ -75,7 +75,7 @@
         "peers": _ADDRESS,
         "ledger_shards": {"type": "integer", "minimum": 1, "maximum": 4096},
         "commit_interval_ms": {"type": "integer", "minimum": 1},
-        "grant_chunk": {"type": "integer", "minimum": 0},
+        "budget_weight": {"type": "number", "minimum": 0, "maximum": 1},
     },
 }
 SIDECAR_SCHEMA: dict[str, Any] = {
--- a/src/cyclamenwing/sidecar/accounts.py
+++ b/src/cyclamenwing/sidecar/accounts.py
@@ -94,6 +94,7 @@
 ) -> budget_types.RunRecord:
     return {
         "request": order["request"],
+        "key": order["key"],
         "workspace": order["workspace"],
         "budget": charge["budget"],
         "sequence": charge["sequence"],
--- a/src/cyclamenwing/store/keys.py
+++ b/src/cyclamenwing/store/keys.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 CATALOG_HEAD = "catalog/head"
+LEDGER_LAYOUT = "ledger/layout"
+SESSION_PREFIX = "session/"
 
 
 def name_ledger(shard: int) -> str:
@@ -37,6 +39,8 @@
 
 __all__ = (
     "CATALOG_HEAD",
+    "LEDGER_LAYOUT",
+    "SESSION_PREFIX",
     "name_audit",
     "name_bill_segment",
     "name_chunk",
--- a/tests/store/test_commits.py
+++ b/tests/store/test_commits.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from cyclamenwing.budget import layout
 from cyclamenwing.budget import payment
 from cyclamenwing.standin import faults
 from cyclamenwing.standin import store
@@ -26,12 +27,16 @@
 
 def top_up(rows: list[faults.Fault]) -> int:
     async def run() -> int:
-        table = faults.FaultTable(rows)
+        table = faults.FaultTable()
         standin = store.StoreStandin("127.0.0.1:0", table)
         http = client.CurlClient("key")
+        made = store_client.StoreClient(http, standin.address)
         try:
+            # The faults are for the top-up, not for fixing the layout.
+            await layout.load_layout(made, 4)
+            table.faults = rows
             result = await payment.apply_top_up(
-                store_client.StoreClient(http, standin.address),
+                made,
                 {"op": "top_up", "id": "t", "budget": "b", "amount": 5},
                 4,
             )
@@ -53,9 +58,10 @@
 
 
 def test_unknown_fate_is_not_reported_as_no_effect() -> None:
+    # The first reads are of the layout and of the shard.
     rows = [
         make_fault("kv/txn", "lost_answer"),
-        make_fault("kv/range", "down", skip=1),
+        make_fault("kv/range", "down", skip=2),
     ]
     with pytest.raises(errors.StoreAnswerLostError):
         top_up(rows)
