Batch, cache and crash in the engine stand-in as an engine does

Cause: the stand-in gave each request a fixed pace, so that no choice of an endpoint could be better than another. Change: a batch model without a clock (bounded batch, queue by priority, prefill in chunks, prefix cache in limited memory, cache events late and with gaps, load with a lag, crash on a marked request) that serves behind HTTP and under a fake clock alike; reports, cancel, resume and orders with or without a fencing check around it. Conclusion: routing can be measured against a queue, a cache and faults.

--- a/src/cyclamenwing/standin/engine.py
+++ b/src/cyclamenwing/standin/engine.py
@@ -3,112 +3,106 @@
 from __future__ import annotations
 
 import asyncio
-import collections
+import time
 from typing import Any
 
 import msgspec
-from tornado import iostream
+import prometheus_client
+from prometheus_client import registry
 
-from cyclamenwing.standin import faults
+from cyclamenwing.standin import completions
+from cyclamenwing.standin import generation
+from cyclamenwing.standin import orders
 from cyclamenwing.transport import server
 
-TOKEN_INTERVAL_S = 0.005
-MAX_BATCH = 64
+EngineState = generation.EngineState
+make_words = generation.make_words
 
 
-class EngineState:
-    """Hold the engine's batch and the count of runs by request.
+class ModelsHandler(completions.EngineHandler):
+    """Serve ``GET /v1/models``."""
 
-    :param model: name that the engine answers to
-    :param table: faults by path
-    :param token_interval_s: time between tokens of one stream
-    """
-
-    def __init__(
-        self,
-        model: str,
-        table: faults.FaultTable,
-        token_interval_s: float = TOKEN_INTERVAL_S,
-    ) -> None:
-        self.model = model
-        self.table = table
-        self.token_interval_s = token_interval_s
-        self.slots = asyncio.Semaphore(MAX_BATCH)
-        self.running = 0
-        self.runs: collections.Counter[str] = collections.Counter()
+    async def get(self) -> None:
+        """List the model and its adapters."""
+        names = [self.state.model, *self.state.orders.adapters]
+        data = [{"id": name, "object": "model"} for name in names]
+        self.write_json({"object": "list", "data": data})
 
 
-def make_words(prompt: str, count: int) -> list[str]:
-    """Return the words that the engine answers to a prompt."""
-    seeds = prompt.split() or ["empty"]
-    return [f"{seeds[i % len(seeds)]} " for i in range(count)]
+class TokenizeHandler(completions.EngineHandler):
+    """Serve ``POST /tokenize``."""
 
+    async def post(self) -> None:
+        """Count the tokens of messages."""
+        body = self.decode_body(dict[str, list[dict[str, Any]]])
+        text = " ".join(str(item["content"]) for item in body["messages"])
+        self.write_json({"count": generation.count_tokens(text)})
+
+
+class LoadHandler(completions.EngineHandler):
+    """Serve ``GET /load``."""
+
+    async def get(self) -> None:
+        """Report the load as it was before the lag."""
+        self.write_json(self.state.batch.read_load(time.monotonic()))
+
+
+class MetricsHandler(completions.EngineHandler):
+    """Serve ``GET /metrics``."""
+
+    async def get(self) -> None:
+        """Report the load in the usual text form."""
+        load = self.state.batch.read_load(time.monotonic())
+        made = registry.CollectorRegistry()
+        for name, value in (
+            ("engine_requests_running", load["running"]),
+            ("engine_requests_waiting", load["waiting"]),
+            ("engine_cache_usage_ratio", load["cache_used"]),
+        ):
+            prometheus_client.Gauge(name, name, registry=made).set(value)
+        self.set_header("Content-Type", "text/plain; version=0.0.4")
+        self.finish(prometheus_client.generate_latest(made))
+
+
+class EventsHandler(completions.EngineHandler):
+    """Serve ``GET /cache/events?after=SEQ``."""
+
+    async def get(self) -> None:
+        """Return the cache events that are due, one JSON line each."""
+        after = int(self.get_query_argument("after", "0"))
+        events = self.state.batch.cache.read_events(after, time.monotonic())
+        self.set_header("Content-Type", "application/x-ndjson")
+        self.finish(
+            b"".join(msgspec.json.encode(event) + b"\n" for event in events)
+        )
 
-class ChatHandler(server.CodedHandler):
-    """Serve ``POST /v1/chat/completions``."""
 
-    def initialize(self, state: EngineState) -> None:
-        """Take the shared state."""
-        self._state = state
+class CancelHandler(completions.EngineHandler):
+    """Serve ``POST /cancel``."""
 
     async def post(self) -> None:
-        """Answer a prompt, whole or streamed."""
-        body = self.decode_body(dict[str, Any])
-        self._state.runs[self.request.headers.get("X-Request-Id", "")] += 1
-        async with self._state.slots:
-            self._state.running += 1
-            try:
-                await self._answer(body)
-            except iostream.StreamClosedError:
-                return
-            finally:
-                self._state.running -= 1
-
-    async def _answer(self, body: dict[str, Any]) -> None:
-        prompt = " ".join(m["content"] for m in body["messages"])
-        words = make_words(prompt, int(body.get("max_tokens", 16)))
-        usage = {
-            "prompt_tokens": len(prompt.split()),
-            "completion_tokens": len(words),
-            "total_tokens": len(prompt.split()) + len(words),
-        }
-        if body.get("stream"):
-            await self._stream(words, usage)
-            return
-        await asyncio.sleep(self._state.token_interval_s * len(words))
-        choice = {
-            "index": 0,
-            "message": {"role": "assistant", "content": "".join(words)},
-            "finish_reason": "stop",
-        }
-        self.write_json(
-            self._make("chat.completion", choice) | {"usage": usage}
-        )
+        """Cancel a request by its id."""
+        body = self.decode_body(dict[str, str])
+        found = self.state.cancel(body.get("request", ""))
+        self.write_json({"cancelled": found})
+
 
-    async def _stream(self, words: list[str], usage: dict[str, int]) -> None:
-        self.set_header("Content-Type", "text/event-stream")
-        for word in words:
-            await asyncio.sleep(self._state.token_interval_s)
-            delta = {"index": 0, "delta": {"content": word}}
-            await self._send(self._make("chat.completion.chunk", delta))
-        last = {"index": 0, "delta": {}, "finish_reason": "stop"}
-        await self._send(self._make("chat.completion.chunk", last))
-        closing = self._make("chat.completion.chunk", None)
-        await self._send(closing | {"usage": usage})
-        self.write(b"data: [DONE]\n\n")
-        self.finish()
-
-    async def _send(self, message: object) -> None:
-        self.write(b"data: " + msgspec.json.encode(message) + b"\n\n")
-        await self.flush()
-
-    def _make(self, kind: str, choice: object) -> dict[str, Any]:
-        return {
-            "id": f"chatcmpl-{self.request.headers.get('X-Request-Id', '')}",
-            "object": kind,
-            "model": self._state.model,
-            "choices": [choice] if choice else [],
-        }
+class OrdersHandler(completions.EngineHandler):
+    """Serve ``/orders``."""
+
+    async def get(self) -> None:
+        """Return the orders applied and the highest fencing number."""
+        book = self.state.orders
+        self.write_json({"applied": book.applied, "fence": book.highest_fence})
+
+    async def post(self) -> None:
+        """Apply an order, or refuse its old fencing number."""
+        applied = self.state.orders.apply(self.decode_body(orders.EngineOrder))
+        self.set_status(200 if applied else 409)
+        self.write_json({
+            "applied": applied,
+            "fence": self.state.orders.highest_fence,
+        })
 
 
 class EngineStandin:
@@ -118,20 +112,43 @@
     :param state: the engine's state
     """
 
-    def __init__(self, address: str, state: EngineState) -> None:
+    def __init__(self, address: str, state: generation.EngineState) -> None:
         self.state = state
-        self._listener = server.Listener(
-            server.make_application([
-                (r"/v1/chat/completions", ChatHandler, {"state": state}),
-            ]),
-            address,
-        )
+        self._listener = self._listen(address)
         self.address = self._listener.address
+        self._loop = asyncio.create_task(state.run(self._restart))
 
     async def close(self) -> None:
         """Stop serving."""
+        self._loop.cancel()
+        await self._listener.close()
+
+    async def _restart(self) -> None:
+        # A crashed engine drops its connections and refuses new ones.
         await self._listener.close()
+        await asyncio.sleep(self.state.down_s)
+        self._listener = self._listen(self.address)
 
+    def _listen(self, address: str) -> server.Listener:
+        options = {"state": self.state}
+        return server.Listener(
+            server.make_application([
+                (path, handler, options) for path, handler in _HANDLERS
+            ]),
+            address,
+        )
+
+
+_HANDLERS = (
+    (r"/v1/chat/completions", completions.ChatHandler),
+    (r"/v1/models", ModelsHandler),
+    (r"/tokenize", TokenizeHandler),
+    (r"/load", LoadHandler),
+    (r"/metrics", MetricsHandler),
+    (r"/cache/events", EventsHandler),
+    (r"/cancel", CancelHandler),
+    (r"/orders", OrdersHandler),
+)
 
 __all__ = (
     "EngineStandin",
