--- a/src/cyclamenwing/entry/serving.py
+++ b/src/cyclamenwing/entry/serving.py
@@ -81,6 +81,8 @@
             self._note(accepted, "failed", **err.describe())
             if err.run == "not_run":
                 self._money.release(made)
+            else:
+                self._money.doubt(accepted, made)
             raise
         self._money.settle(accepted, made, usage)
         self._note(accepted, "settled", usage=usage)
@@ -102,6 +104,7 @@
                 order = admission.make_order(
                     accepted,
                     [_make_charge(reservation) for reservation in made],
+                    candidate.incarnation,
                     len(tried),
                     self._board.catalog.revision,
                 )
@@ -224,6 +227,7 @@
         "session": reservation.session,
         "sequence": reservation.sequence,
         "amount": reservation.amount,
+        "unit": reservation.unit,
     }
 
 
