Queue fairly, score by expected time, and quarantine what crashes

Cause: a job went to the host with the fewest runs, at once, whoever sent it; nothing bounded retries, and a request that crashes endpoints could take one after the other. Change: pure controllers for a fair queue with early refusal, learnt limits, prefix affinity from late and gappy events, lagged load corrected by own jobs, slowness and ejection, slow start, subset, retry budget with full jitter, and the quarantine with claims of suspects; the entry's parts around them; the sidecar observes its engine and relays the quarantine; entries tell each other which hosts leave. Only sidecars that the session names are candidates, so the demo waits until it names them.

--- a/src/cyclamenwing/demo/fleet.py
+++ b/src/cyclamenwing/demo/fleet.py
@@ -183,8 +183,9 @@
                 await asyncio.sleep(0.02)
 
     def _is_ready(self, entry: entry_app.EntryApp) -> bool:
-        known = entry.board.members.members
-        return entry.board.catalog.revision > 0 and len(known) == 4
+        board = entry.board
+        heard = len(board.members.members) == 4 and len(board.served) == 3
+        return heard and board.catalog.revision > 0
 
 
 __all__ = (
--- a/src/cyclamenwing/entry/app.py
+++ b/src/cyclamenwing/entry/app.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 import time
 import uuid
 
@@ -11,10 +12,12 @@
 from cyclamenwing.entry import blackboard
 from cyclamenwing.entry import callers
 from cyclamenwing.entry import catalog
+from cyclamenwing.entry import departures
 from cyclamenwing.entry import dispatch
 from cyclamenwing.entry import funding
 from cyclamenwing.entry import inquiry
 from cyclamenwing.entry import membership
+from cyclamenwing.entry import quarantine
 from cyclamenwing.entry import serving
 from cyclamenwing.entry import sessions
 from cyclamenwing.membership import news
@@ -49,13 +52,21 @@
         self._client = client.CurlClient(settings["fleet_keys"][0])
         self._store = store_client.StoreClient(self._client, settings["store"])
         self._money = self._make_funding()
+        held = quarantine.Quarantine(
+            self.board, self._client, quarantine.log_lift
+        )
+        leaving = departures.Departures(self.board)
         choice = dispatch.Dispatch(
-            self.board, scoring.ScoringPolicy(settings["zone"])
+            self.board,
+            scoring.ScoringPolicy(settings["zone"]),
+            held,
+            leaving,
+            random.Random(),
         )
         self._service = serving.Serving(
             self.board, self._money, choice, self._client
         )
-        sources: list[news.Source] = []
+        sources: list[news.Source] = [choice, held, leaving]
         self._parts: list[part.Part] = [
             membership.Membership(
                 self.board,
@@ -66,6 +77,8 @@
             ),
             catalog.CatalogWatch(self.board, self._store),
             inquiry.Inquiry(self.board),
+            choice,
+            held,
             sessions.Sessions(self.board, self._store),
             self._money,
         ]
--- a/src/cyclamenwing/entry/dispatch.py
+++ b/src/cyclamenwing/entry/dispatch.py
@@ -1,31 +1,91 @@
-"""Choice of the sidecar that runs a request."""
+"""Choice of the sidecar that runs a request, and of its turn."""
 
 from __future__ import annotations
 
+import asyncio
+import math
+import random
 import time
 from collections.abc import Collection
+from typing import Any
+
+import eliot
+import msgspec
 
 from cyclamenwing.entry import blackboard
+from cyclamenwing.entry import departures
+from cyclamenwing.entry import quarantine
+from cyclamenwing.membership import types as membership_types
 from cyclamenwing.membership import view
 from cyclamenwing.routing import errors
+from cyclamenwing.routing import queueing
+from cyclamenwing.routing import retries
+from cyclamenwing.routing import subset
 from cyclamenwing.routing import types
 
-MAX_ATTEMPTS = 4
+TICK_S = 0.05
+NO_ENDPOINT_RETRY_AFTER_S = 2
 
 
 class Dispatch:
-    """Choose among the live sidecars of a route.
+    """Queue jobs and choose among the live sidecars of a route.
 
     :param board: the entry's state
     :param policy: order of candidates
+    :param held: quarantine of jobs that crash endpoints
+    :param leaving: hosts that others know to be leaving
+    :param draw: source of the jitter
     """
 
+    NEWS = "endpoint"
+
     def __init__(
-        self, board: blackboard.EntryBoard, policy: types.Policy
+        self,
+        board: blackboard.EntryBoard,
+        policy: types.Policy,
+        held: quarantine.Quarantine,
+        leaving: departures.Departures,
+        draw: random.Random,
     ) -> None:
         self._board = board
         self._policy = policy
+        self._held = held
+        self._leaving = leaving
+        self._draw = draw
         self._members = view.MemberController()
+        self._retries = retries.RetryBudget()
+        self._queues: dict[str, queueing.FairQueue] = {}
+        self._turns: dict[str, asyncio.Future[None]] = {}
+        self._granted: dict[str, str] = {}
+        self._task: asyncio.Task[None] | None = None
+
+    def list_handlers(self) -> list[Any]:
+        """Return handlers for other processes, by path."""
+        return []
+
+    def start(self) -> None:
+        """Start giving turns as places become free elsewhere."""
+        self._task = asyncio.create_task(self._tick())
+
+    async def close(self) -> None:
+        """Stop giving turns."""
+        if self._task is not None:
+            self._task.cancel()
+
+    def tell_news(self) -> None:
+        """Tell nothing; sidecars report endpoints."""
+
+    def hear_news(
+        self, sender: membership_types.Heartbeat | None, news: Any
+    ) -> None:
+        """Take over a sidecar's report of its endpoint."""
+        try:
+            read = msgspec.convert(news, types.EndpointNews)
+        except msgspec.ValidationError as err:
+            eliot.log_message("entry:endpoint_news", message=str(err))
+            return
+        if sender is not None:
+            self._policy.hear(sender["host"], read, time.monotonic())
 
     async def enter(self, job: types.Job) -> None:
         """Wait for the job's turn, before anything is reserved.
@@ -33,61 +93,167 @@
         Raise `OverloadedError` early when the turn can't come in time and
         `QuarantinedError` for a request that crashed endpoints.
         """
+        self._held.check(job, "not_run")
+        self._retries.note_request()
+        queue = self._queues.setdefault(job.route, queueing.FairQueue())
+        queue.enter(job, time.monotonic())
+        turn = asyncio.get_running_loop().create_future()
+        self._turns[job.request] = turn
+        self._give_turns(job.route)
+        try:
+            await turn
+            await self._held.wait_turn(job, "not_run")
+        except BaseException:
+            self._withdraw(job)
+            raise
 
     def leave(self, job: types.Job) -> None:
         """Give the job's turn back."""
+        self._granted.pop(job.request, None)
+        self._held.leave(job)
+        self._queues[job.route].note_done(job, time.monotonic())
+        self._give_turns(job.route)
 
     def choose(
         self, job: types.Job, tried: Collection[str]
     ) -> types.Candidate:
-        """Return the best sidecar not tried; raise `NoEndpointError`."""
+        """Return the best sidecar not tried; raise `NoEndpointError`.
+
+        The last one tried counts as failed.
+        """
         now = time.monotonic()
-        beats = self._members.list_open(self._board.members, job.route, now)
+        self._held.check(job, "unknown" if tried else "not_run")
+        if tried:
+            self._policy.note_failure([*tried][-1], now)
         candidates = [
-            types.Candidate(
-                beat["host"],
-                beat["address"],
-                beat["zone"],
-                beat["incarnation"],
-                beat["load"],
-            )
-            for beat in beats
-            if beat["host"] not in tried
+            candidate
+            for candidate in self.list_candidates(job.route, now)
+            if candidate.host not in tried
         ]
         ordered = self._policy.order(job, candidates, now)
         if not ordered:
-            raise errors.NoEndpointError(
-                f"no endpoint of route {job.route!r} takes work"
-            )
+            raise _make_no_endpoint(job.route)
+        if self._held.is_suspect(job):
+            # What runs beside a suspect may be lost with it.
+            ordered.sort(key=lambda candidate: candidate.load)
         return ordered[0]
 
     def note_start(self, job: types.Job, host: str) -> None:
         """Take note that a job was sent to a host."""
+        self._granted.pop(job.request, None)
+        self._held.note_start(job)
         self._policy.note_start(job, host, time.monotonic())
 
     def note_first(self, job: types.Job, host: str) -> None:
         """Take note of the first bytes of a job's answer."""
+        self._policy.note_first(job, host, time.monotonic())
 
     def note_end(
         self, job: types.Job, host: str, completed: bool = False
     ) -> None:
         """Take note that a job left a host, with its whole answer or not."""
-        self._policy.note_end(job, host, time.monotonic())
+        self._held.note_end(job, completed)
+        self._policy.note_end(job, host, completed, time.monotonic())
 
     def note_crash(self, job: types.Job, host: str) -> None:
         """Take note that the host's endpoint crashed during the job."""
+        self._held.note_crash(job, host)
+        self._policy.note_failure(host, time.monotonic())
+
+    def note_draining(self, host: str, incarnation: str) -> None:
+        """Take note that a host refused work because it is leaving."""
+        self._leaving.note_refusal(host, incarnation)
 
     async def retry(self, job: types.Job, attempt: int) -> None:
         """Wait before attempt number 2 and up.
 
-        Raise `RetriesExhaustedError` when attempts, the deadline or the
-        retry budget leave no room for it.
+        Raise `RetriesExhaustedError` at once when attempts, the deadline
+        or the retry budget leave no room for it, and `QuarantinedError`
+        for a request that crashed endpoints. What the earlier attempts
+        did is for the caller to know.
         """
-        if attempt > MAX_ATTEMPTS:
-            raise errors.RetriesExhaustedError(f"{attempt - 1} attempts")
+        self._held.check(job, "unknown")
+        delay_s = self._retries.plan(
+            job, attempt, self._draw.random(), time.monotonic()
+        )
+        await asyncio.sleep(delay_s)
+        await self._held.wait_turn(job, "unknown")
+
+    def list_candidates(self, route: str, now: float) -> list[types.Candidate]:
+        """Return this entry's candidates of a route that take work."""
+        members = self._board.members
+        candidates = [
+            types.Candidate(
+                beat["host"],
+                beat["address"],
+                beat["zone"],
+                beat["incarnation"],
+                beat["load"],
+                members.members[beat["host"]]["heard_at"],
+            )
+            for beat in self._members.list_open(members, route, now)
+            if beat["incarnation"] in self._board.served
+            and not self._leaving.is_leaving(beat["host"], beat["incarnation"])
+        ]
+        return subset.pick_subset(self._board.host, candidates)
+
+    async def _tick(self) -> None:
+        while True:
+            await asyncio.sleep(TICK_S)
+            for route in list(self._queues):
+                self._review(route)
+                self._give_turns(route)
+
+    def _review(self, route: str) -> None:
+        for refused in self._queues[route].review(time.monotonic()):
+            turn = self._turns.pop(refused.job.request, None)
+            if turn is not None and not turn.done():
+                turn.set_exception(refused.error)
+
+    def _give_turns(self, route: str) -> None:
+        queue = self._queues[route]
+        if not queue.queued:
+            return
+        rooms = self._count_rooms(route)
+        while True:
+            job = queue.take(rooms)
+            if job is None:
+                return
+            rooms = {priority: room - 1 for priority, room in rooms.items()}
+            self._granted[job.request] = route
+            turn = self._turns.pop(job.request, None)
+            if turn is not None and not turn.done():
+                turn.set_result(None)
+
+    def _count_rooms(self, route: str) -> dict[types.Priority, float]:
+        now = time.monotonic()
+        candidates = self.list_candidates(route, now)
+        if not candidates:
+            # Without endpoints all go on, to be refused at once.
+            return {"interactive": math.inf, "batch": math.inf}
+        entries = self._members.list_live(self._board.members, "entry", now)
+        sharing = len({beat["host"] for beat in entries} | {self._board.host})
+        granted = sum(1 for name in self._granted.values() if name == route)
+        return {
+            priority: math.ceil(
+                self._policy.count_room(candidates, priority, now) / sharing
+            )
+            - granted
+            for priority in types.PRIORITIES
+        }
+
+    def _withdraw(self, job: types.Job) -> None:
+        self._held.leave(job)
+        if self._turns.pop(job.request, None) is not None:
+            self._queues[job.route].remove(job)
+        if self._granted.pop(job.request, None) is not None:
+            self._give_turns(job.route)
+
+
+def _make_no_endpoint(route: str) -> errors.NoEndpointError:
+    made = errors.NoEndpointError(f"no endpoint of route {route!r} takes work")
+    made.retry_after_s = NO_ENDPOINT_RETRY_AFTER_S
+    return made
 
 
-__all__ = (
-    "MAX_ATTEMPTS",
-    "Dispatch",
-)
+__all__ = ("Dispatch",)
--- /dev/null
+++ b/src/cyclamenwing/entry/quarantine.py
@@ -0,0 +1,267 @@
+"""Quarantine of requests that crash endpoints, as an entry keeps it."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Callable
+from typing import Any
+from typing import TypedDict
+
+import eliot
+import msgspec
+
+from cyclamenwing import errors as base_errors
+from cyclamenwing.entry import blackboard
+from cyclamenwing.membership import types as membership_types
+from cyclamenwing.membership import view
+from cyclamenwing.routing import errors
+from cyclamenwing.routing import quarantine
+from cyclamenwing.routing import types
+from cyclamenwing.transport import errors as transport_errors
+from cyclamenwing.transport import protocol as transport
+from cyclamenwing.transport import server
+
+POLL_S = 0.1
+EXPIRY_INTERVAL_S = 1.0
+PUSH_TIMEOUT_S = 1.0
+
+
+class Lift(TypedDict):
+    """Ask to lift a request's quarantine."""
+
+    fingerprint: str
+    author: str
+    origin: str
+
+
+class Quarantine:
+    """Check, report and spread the quarantine.
+
+    :param board: the entry's state
+    :param client: HTTP client
+    :param audit: takes note of what an operator lifted
+    """
+
+    NEWS = "quarantine"
+
+    def __init__(
+        self,
+        board: blackboard.EntryBoard,
+        client: transport.Client,
+        audit: Callable[[Lift], None],
+    ) -> None:
+        self._board = board
+        self._client = client
+        self._audit = audit
+        self._state = quarantine.QuarantineBoard()
+        self._controller = quarantine.QuarantineController()
+        self._members = view.MemberController()
+        self._started_ms: dict[str, int] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._task: asyncio.Task[None] | None = None
+
+    def list_handlers(self) -> list[Any]:
+        """Return handlers for other processes, by path."""
+        options = {"held": self}
+        return [
+            (r"/peer/quarantine/news", NewsHandler, options),
+            (r"/peer/quarantine/list", ListHandler, options),
+            (r"/peer/quarantine/lift", LiftHandler, options),
+        ]
+
+    def start(self) -> None:
+        """Start dropping old records."""
+        self._task = asyncio.create_task(self._expire())
+
+    async def close(self) -> None:
+        """Stop dropping old records."""
+        if self._task is not None:
+            self._task.cancel()
+
+    def tell_news(self) -> quarantine.QuarantineNews | None:
+        """Return records and claims for a heartbeat."""
+        return self._controller.tell(
+            self._state, self._board.host, _read_clock_ms()
+        )
+
+    def hear_news(
+        self, sender: membership_types.Heartbeat | None, news: Any
+    ) -> None:
+        """Take over another process's records and claims."""
+        try:
+            read = msgspec.convert(news, quarantine.QuarantineNews)
+        except msgspec.ValidationError as err:
+            eliot.log_message("entry:quarantine_news", message=str(err))
+            return
+        self._controller.hear(self._state, read, _read_clock_ms())
+
+    def check(self, job: types.Job, run: base_errors.RunState) -> None:
+        """Raise `QuarantinedError` if a job may not run."""
+        state = self._controller.read_state(self._state, job.fingerprint)
+        if state == "quarantined":
+            raise errors.QuarantinedError("request crashed endpoints", run)
+
+    def is_suspect(self, job: types.Job) -> bool:
+        """Return whether a job was present at one crash."""
+        state = self._controller.read_state(self._state, job.fingerprint)
+        return state == "suspect"
+
+    async def wait_turn(
+        self, job: types.Job, run: base_errors.RunState
+    ) -> None:
+        """Hold a suspect until no other entry runs it or is first."""
+        while self.is_suspect(job):
+            if self._controller.try_run(
+                self._state,
+                job.fingerprint,
+                self._board.host,
+                job.request,
+                _read_clock_ms(),
+            ):
+                return
+            self._push()
+            if time.monotonic() + POLL_S > job.deadline:
+                raise errors.QuarantinedError("suspect waits its turn", run)
+            await asyncio.sleep(POLL_S)
+        self.check(job, run)
+
+    def note_start(self, job: types.Job) -> None:
+        """Take note that a job starts to run."""
+        self._started_ms[job.request] = _read_clock_ms()
+
+    def note_end(self, job: types.Job, completed: bool) -> None:
+        """Take note that a run ended; a whole answer clears the request."""
+        started_ms = self._started_ms.pop(job.request, None)
+        if completed and started_ms is not None:
+            self._controller.clear(
+                self._state, job.fingerprint, started_ms, _read_clock_ms()
+            )
+
+    def leave(self, job: types.Job) -> None:
+        """Give up a job's claim to run."""
+        self._controller.end_run(
+            self._state, job.fingerprint, self._board.host, job.request
+        )
+
+    def note_crash(self, job: types.Job, host: str) -> None:
+        """Take note that the endpoint of a job crashed, and tell others."""
+        self._controller.note_crash(
+            self._state, job.fingerprint, host, _read_clock_ms()
+        )
+        state = self._controller.read_state(self._state, job.fingerprint)
+        eliot.log_message(
+            "entry:quarantine",
+            fingerprint=job.fingerprint,
+            host=host,
+            state=state,
+        )
+        self._push()
+
+    def list_records(self) -> list[quarantine.Record]:
+        """Return suspects and quarantined requests."""
+        return self._controller.list_records(self._state)
+
+    def lift(self, asked: Lift) -> bool:
+        """Let a request run again; False if it was not held."""
+        now_ms = _read_clock_ms()
+        lifted = self._controller.clear(
+            self._state, asked["fingerprint"], now_ms, now_ms
+        )
+        if lifted:
+            self._audit(asked)
+            self._push()
+        return lifted
+
+    def _push(self) -> None:
+        # One push at a time; the next heartbeat carries what came since.
+        if self._tasks:
+            return
+        task = asyncio.create_task(self._push_all())
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _push_all(self) -> None:
+        news = self.tell_news()
+        entries = self._members.list_live(
+            self._board.members, "entry", time.monotonic()
+        )
+        await asyncio.gather(
+            *(
+                self._push_to(beat["address"], news)
+                for beat in entries
+                if beat["host"] != self._board.host
+            )
+        )
+
+    async def _push_to(self, address: str, news: Any) -> None:
+        url = f"http://{address}/peer/quarantine/news"
+        try:
+            await self._client.call(url, news, dict[str, bool], PUSH_TIMEOUT_S)
+        except transport_errors.TransportError as err:
+            eliot.log_message("entry:quarantine_push", **err.describe())
+
+    async def _expire(self) -> None:
+        while True:
+            await asyncio.sleep(EXPIRY_INTERVAL_S)
+            self._controller.expire(
+                self._state, self._board.host, _read_clock_ms()
+            )
+
+
+class QuarantineHandler(server.PeerHandler):
+    """Serve one call about the quarantine."""
+
+    def initialize(self, held: Quarantine) -> None:
+        """Take the part that keeps the quarantine."""
+        self.held = held
+
+
+class NewsHandler(QuarantineHandler):
+    """Serve ``POST /peer/quarantine/news``."""
+
+    async def post(self) -> None:
+        """Take over another entry's news at once."""
+        self.held.hear_news(None, self.decode_body(quarantine.QuarantineNews))
+        self.write_json({"heard": True})
+
+
+class ListHandler(QuarantineHandler):
+    """Serve ``POST /peer/quarantine/list``."""
+
+    async def post(self) -> None:
+        """Return suspects and quarantined requests."""
+        self.write_json(self.held.list_records())
+
+
+class LiftHandler(QuarantineHandler):
+    """Serve ``POST /peer/quarantine/lift``."""
+
+    async def post(self) -> None:
+        """Lift a request's quarantine."""
+        lifted = self.held.lift(self.decode_body(Lift))
+        self.write_json({"lifted": lifted})
+
+
+def log_lift(asked: Lift) -> None:
+    """Write a lift to the log."""
+    eliot.log_message(
+        "entry:quarantine_lift",
+        fingerprint=asked["fingerprint"],
+        author=asked["author"],
+        origin=asked["origin"],
+    )
+
+
+def _read_clock_ms() -> int:
+    return int(time.time() * 1000)
+
+
+__all__ = (
+    "Lift",
+    "LiftHandler",
+    "ListHandler",
+    "NewsHandler",
+    "Quarantine",
+    "log_lift",
+)
--- a/src/cyclamenwing/routing/errors.py
+++ b/src/cyclamenwing/routing/errors.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 from cyclamenwing import errors
 
 
@@ -24,6 +26,13 @@
     code = "overloaded"
     status = 429
 
+    @classmethod
+    def from_wait(cls, message: str, retry_after_s: float) -> OverloadedError:
+        """Make a refusal that tells when to come back."""
+        made = cls(message)
+        made.retry_after_s = math.ceil(retry_after_s)
+        return made
+
 
 class QuarantinedError(RoutingError):
     """Report a request that crashed endpoints before."""
--- a/src/cyclamenwing/routing/prefix.py
+++ b/src/cyclamenwing/routing/prefix.py
@@ -10,7 +10,7 @@
 import xxhash
 
 BLOCK_BYTES = 256
-DIGEST_BITS = 48
+DIGEST_BITS = 32
 # Block counts at which a prefix is digested; each is at most twice the last.
 ANCHORS = (1, 2, 3, 4, 6, 8, 12, 16, 24, 32, 48, 64, 96, 128, 192, 256)
 
--- /dev/null
+++ b/src/cyclamenwing/routing/queueing.py
@@ -0,0 +1,266 @@
+"""Fair queue of one route's jobs by workspace."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import math
+from collections.abc import Mapping
+from typing import NamedTuple
+
+from cyclamenwing.routing import errors
+from cyclamenwing.routing import types
+
+MAX_QUEUED = 10_000
+MAX_QUEUED_BY_WORKSPACE = 4_000
+# While both wait, one start in so many is a batch job's.
+BATCH_TURN = 8
+# Share of the time to a deadline that a job may spend waiting.
+WAIT_SHARE = 0.8
+RATE_WINDOW_S = 1.0
+RATE_SMOOTHING = 0.3
+REVIEW_INTERVAL_S = 1.0
+MIN_RETRY_AFTER_S = 1.0
+
+
+class Waiting(NamedTuple):
+    """Hold a queued job and its virtual start."""
+
+    start: float
+    job: types.Job
+
+
+@dataclasses.dataclass(slots=True)
+class Flow:
+    """Hold one workspace's waiting jobs of one priority."""
+
+    waiting: collections.deque[Waiting] = dataclasses.field(
+        default_factory=collections.deque
+    )
+    tokens: int = 0
+    last_finish: float = 0.0
+
+
+@dataclasses.dataclass(slots=True)
+class ServiceRate:
+    """Measure the tokens that a route completes a second while busy."""
+
+    tokens_per_s: float = 0.0
+    done_tokens: int = 0
+    since: float = 0.0
+
+    def note_done(self, tokens: int, now: float) -> None:
+        """Count a job that left."""
+        self.done_tokens += tokens
+        length_s = now - self.since
+        if length_s < RATE_WINDOW_S:
+            return
+        measured = self.done_tokens / length_s
+        if self.tokens_per_s:
+            measured = self.tokens_per_s + RATE_SMOOTHING * (
+                measured - self.tokens_per_s
+            )
+        self.tokens_per_s = measured
+        self.restart(now)
+
+    def restart(self, now: float) -> None:
+        """Begin a new window."""
+        self.done_tokens = 0
+        self.since = now
+
+
+class Refused(NamedTuple):
+    """Hold a job that the queue gave up on."""
+
+    job: types.Job
+    error: errors.RoutingError
+
+
+class FairQueue:
+    """Queue jobs by workspace, interactive before batch.
+
+    Workspaces share by start-time fair queueing over the jobs' tokens.
+    A job whose turn can't come in time is refused as soon as that is
+    known.
+    """
+
+    def __init__(self) -> None:
+        self._flows: dict[types.Priority, dict[str, Flow]] = {
+            priority: {} for priority in types.PRIORITIES
+        }
+        self._virtual = dict.fromkeys(types.PRIORITIES, 0.0)
+        self._queued = 0
+        self._turn = 0
+        self._reviewed_at = -math.inf
+        self._rate = ServiceRate()
+
+    @property
+    def queued(self) -> int:
+        """Return the number of waiting jobs."""
+        return self._queued
+
+    def enter(self, job: types.Job, now: float) -> None:
+        """Queue a job; raise `OverloadedError` if it has no chance."""
+        if not self._queued:
+            self._rate.restart(now)
+        flow = self._find_flow(job)
+        self._check_bounds(flow)
+        wait_s = self._estimate(job, flow.tokens + job.tokens)
+        _check_wait(job, wait_s, now)
+        start = max(self._virtual[job.priority], flow.last_finish)
+        flow.last_finish = start + job.tokens
+        flow.tokens += job.tokens
+        flow.waiting.append(Waiting(start, job))
+        self._queued += 1
+
+    def take(self, rooms: Mapping[types.Priority, float]) -> types.Job | None:
+        """Return the next job that may start, given the free places."""
+        for priority in self._order_priorities():
+            if rooms[priority] <= 0:
+                continue
+            name = self._pick_flow(priority)
+            if name is not None:
+                self._turn += 1
+                return self._pop(priority, name)
+        return None
+
+    def note_done(self, job: types.Job, now: float) -> None:
+        """Count a job that left, for the rate of service."""
+        self._rate.note_done(job.tokens, now)
+
+    def remove(self, job: types.Job) -> None:
+        """Drop a waiting job, since its caller went away."""
+        flow = self._find_flow(job)
+        kept = collections.deque(
+            row for row in flow.waiting if row.job.request != job.request
+        )
+        dropped = len(flow.waiting) - len(kept)
+        tokens = flow.tokens - job.tokens * dropped
+        self._replace(job.priority, job.workspace, kept, tokens)
+
+    def review(self, now: float) -> list[Refused]:
+        """Return the jobs whose turn can't come in time any more."""
+        if now - self._reviewed_at < REVIEW_INTERVAL_S:
+            return []
+        self._reviewed_at = now
+        return [
+            refused
+            for priority, flows in self._flows.items()
+            for name in list(flows)
+            for refused in self._review_flow(priority, name, now)
+        ]
+
+    def _review_flow(
+        self, priority: types.Priority, name: str, now: float
+    ) -> list[Refused]:
+        flow = self._flows[priority][name]
+        kept: collections.deque[Waiting] = collections.deque()
+        refused: list[Refused] = []
+        ahead = 0
+        for row in flow.waiting:
+            tokens = ahead + row.job.tokens
+            try:
+                _check_wait(row.job, self._estimate(row.job, tokens), now)
+            except errors.OverloadedError as err:
+                refused.append(Refused(row.job, err))
+            else:
+                kept.append(row)
+                ahead = tokens
+        self._replace(priority, name, kept, ahead)
+        return refused
+
+    def _replace(
+        self,
+        priority: types.Priority,
+        name: str,
+        kept: collections.deque[Waiting],
+        tokens: int,
+    ) -> None:
+        flow = self._flows[priority][name]
+        self._queued += len(kept) - len(flow.waiting)
+        flow.waiting = kept
+        flow.tokens = tokens
+        self._end_busy_period(priority)
+
+    def _check_bounds(self, flow: Flow) -> None:
+        if (
+            self._queued >= MAX_QUEUED
+            or len(flow.waiting) >= MAX_QUEUED_BY_WORKSPACE
+        ):
+            raise errors.OverloadedError.from_wait(
+                "queue is full", max(MIN_RETRY_AFTER_S, self._drain_s())
+            )
+
+    def _drain_s(self) -> float:
+        # A tenth of the queue gone is room enough to come back.
+        rate = self._rate.tokens_per_s
+        tokens = sum(
+            flow.tokens
+            for flows in self._flows.values()
+            for flow in flows.values()
+        )
+        return tokens / rate / 10 if rate else MIN_RETRY_AFTER_S
+
+    def _estimate(self, job: types.Job, tokens: int) -> float:
+        """Return the seconds until a flow's first `tokens` have run."""
+        rate = self._rate.tokens_per_s
+        if not rate:
+            return 0.0
+        ahead = sum(
+            min(flow.tokens, tokens)
+            for name, flow in self._flows[job.priority].items()
+            if name != job.workspace
+        )
+        if job.priority == "batch":
+            ahead += sum(
+                flow.tokens for flow in self._flows["interactive"].values()
+            )
+        return (ahead + tokens - job.tokens) / rate
+
+    def _order_priorities(self) -> tuple[types.Priority, ...]:
+        if self._turn % BATCH_TURN == BATCH_TURN - 1:
+            return types.PRIORITIES[::-1]
+        return types.PRIORITIES
+
+    def _pick_flow(self, priority: types.Priority) -> str | None:
+        flows = self._flows[priority]
+        return min(
+            (name for name, flow in flows.items() if flow.waiting),
+            key=lambda name: flows[name].waiting[0].start,
+            default=None,
+        )
+
+    def _pop(self, priority: types.Priority, name: str) -> types.Job:
+        flow = self._flows[priority][name]
+        row = flow.waiting.popleft()
+        flow.tokens -= row.job.tokens
+        self._queued -= 1
+        self._virtual[priority] = max(self._virtual[priority], row.start)
+        self._end_busy_period(priority)
+        return row.job
+
+    def _find_flow(self, job: types.Job) -> Flow:
+        return self._flows[job.priority].setdefault(job.workspace, Flow())
+
+    def _end_busy_period(self, priority: types.Priority) -> None:
+        flows = self._flows[priority]
+        if not any(flow.waiting for flow in flows.values()):
+            flows.clear()
+            self._virtual[priority] = 0.0
+
+
+def _check_wait(job: types.Job, wait_s: float, now: float) -> None:
+    allowed_s = (job.deadline - now) * WAIT_SHARE
+    if wait_s <= allowed_s:
+        return
+    raise errors.OverloadedError.from_wait(
+        f"turn would come in {wait_s:.0f} s, too late",
+        max(MIN_RETRY_AFTER_S, wait_s - max(0.0, allowed_s)),
+    )
+
+
+__all__ = (
+    "FairQueue",
+    "Refused",
+    "ServiceRate",
+)
--- /dev/null
+++ b/src/cyclamenwing/routing/reports.py
@@ -0,0 +1,126 @@
+"""Summary of an endpoint's load and cache events for heartbeats."""
+
+from __future__ import annotations
+
+import collections
+from collections.abc import Iterable
+from typing import Literal
+from typing import TypedDict
+
+from cyclamenwing.routing import prefix
+from cyclamenwing.routing import types
+
+MAX_KNOWN = 8192
+MAX_PENDING = 64
+MAX_STORED_TOLD = 8
+MAX_REMOVED_TOLD = 4
+ANCHORS_PER_EVENT = 3
+
+
+class CacheEvent(TypedDict):
+    """Tell of cache blocks stored or removed, as an engine does."""
+
+    seq: int
+    kind: Literal["stored", "removed"]
+    start: int
+    blocks: list[int]
+
+
+class EngineLoad(TypedDict):
+    """Tell of an engine's load."""
+
+    running: int
+    waiting: int
+
+
+class ReportBoard:
+    """Hold what is known of one endpoint and what is still to be told."""
+
+    def __init__(self) -> None:
+        self.up = True
+        self.load = EngineLoad(running=0, waiting=0)
+        self.epoch = 0
+        self.last_seq = 0
+        self.known: collections.OrderedDict[int, None] = (
+            collections.OrderedDict()
+        )
+        self.stored: collections.deque[int] = collections.deque(
+            maxlen=MAX_PENDING
+        )
+        self.removed: collections.deque[int] = collections.deque(
+            maxlen=MAX_PENDING
+        )
+
+
+class ReportController:
+    """Fold an endpoint's events and tell a bounded summary."""
+
+    def take_events(
+        self, board: ReportBoard, events: Iterable[CacheEvent]
+    ) -> None:
+        """Fold cache events in; events missing between are not noticed."""
+        for event in events:
+            board.last_seq = max(board.last_seq, event["seq"])
+            _TAKERS[event["kind"]](board, event)
+
+    def lose_cache(self, board: ReportBoard) -> None:
+        """Start a new epoch, since the endpoint lost its cache."""
+        board.up = False
+        board.epoch += 1
+        board.last_seq = 0
+        board.known.clear()
+        board.stored.clear()
+        board.removed.clear()
+
+    def tell(self, board: ReportBoard) -> types.EndpointNews:
+        """Return the report and count its digests as told."""
+        # The newest first: they are the likeliest to be asked for.
+        stored = [
+            board.stored.pop()
+            for _ in range(min(MAX_STORED_TOLD, len(board.stored)))
+        ]
+        removed = [
+            board.removed.popleft()
+            for _ in range(min(MAX_REMOVED_TOLD, len(board.removed)))
+        ]
+        return {
+            "up": board.up,
+            "running": board.load["running"],
+            "waiting": board.load["waiting"],
+            "epoch": board.epoch,
+            "stored": stored,
+            "removed": removed,
+        }
+
+
+def _take_stored(board: ReportBoard, event: CacheEvent) -> None:
+    places = enumerate(event["blocks"], event["start"] + 1)
+    anchors = [digest for place, digest in places if place in _ANCHORS]
+    for digest in anchors[-ANCHORS_PER_EVENT:]:
+        if digest not in board.known:
+            board.stored.append(digest)
+        board.known[digest] = None
+        board.known.move_to_end(digest)
+    while len(board.known) > MAX_KNOWN:
+        board.known.popitem(last=False)
+
+
+def _take_removed(board: ReportBoard, event: CacheEvent) -> None:
+    for digest in event["blocks"]:
+        if digest in board.known:
+            del board.known[digest]
+            board.removed.append(digest)
+
+
+_ANCHORS = frozenset(prefix.ANCHORS)
+_TAKERS = {
+    "stored": _take_stored,
+    "removed": _take_removed,
+}
+
+__all__ = (
+    "CacheEvent",
+    "EngineLoad",
+    "ReportBoard",
+    "ReportController",
+)
--- /dev/null
+++ b/src/cyclamenwing/routing/subset.py
@@ -0,0 +1,30 @@
+"""Subset of sidecars that an entry routes to."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+from cyclamenwing.membership import rank
+from cyclamenwing.routing import types
+
+MAX_CANDIDATES = 64
+
+
+def pick_subset(
+    entry: str,
+    candidates: Sequence[types.Candidate],
+    size: int = MAX_CANDIDATES,
+) -> list[types.Candidate]:
+    """Return an entry's candidates by rendezvous; all of them when few."""
+    if len(candidates) <= size:
+        return list(candidates)
+    ranked = sorted(
+        candidates, key=lambda item: rank.score_member(entry, item.host)
+    )
+    return ranked[:size]
+
+
+__all__ = (
+    "MAX_CANDIDATES",
+    "pick_subset",
+)
--- a/src/cyclamenwing/routing/types.py
+++ b/src/cyclamenwing/routing/types.py
@@ -2,21 +2,29 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 from typing import Literal
 from typing import NamedTuple
 from typing import Protocol
+from typing import TypedDict
 
 Priority = Literal["interactive", "batch"]
+PRIORITIES: tuple[Priority, ...] = ("interactive", "batch")
 
 
 class Candidate(NamedTuple):
-    """Describe a sidecar that may run a request."""
+    """Describe a sidecar that may run a request.
+
+    `load` is its runs in progress as reported at `heard_at`, in seconds
+    of the local clock.
+    """
 
     host: str
     address: str
     zone: str
     incarnation: str
     load: int
+    heard_at: float
 
 
 class Job(NamedTuple):
@@ -38,8 +46,23 @@
     tokens: int
 
 
+class EndpointNews(TypedDict):
+    """Report an endpoint on its sidecar's heartbeats.
+
+    `epoch` changes when the cache was lost; `stored` and `removed` hold
+    prefix digests since the last heartbeat, as many as its bound allows.
+    """
+
+    up: bool
+    running: int
+    waiting: int
+    epoch: int
+    stored: list[int]
+    removed: list[int]
+
+
 class Policy(Protocol):
-    """Order candidates for a job."""
+    """Order candidates for a job and learn from what became of it."""
 
     def order(
         self, job: Job, candidates: list[Candidate], now: float
@@ -49,12 +72,30 @@
     def note_start(self, job: Job, host: str, now: float) -> None:
         """Take note that a job was sent to a host."""
 
-    def note_end(self, job: Job, host: str, now: float) -> None:
+    def note_first(self, job: Job, host: str, now: float) -> None:
+        """Take note of the first bytes of a job's answer."""
+
+    def note_end(
+        self, job: Job, host: str, completed: bool, now: float
+    ) -> None:
         """Take note that a job left a host."""
 
+    def note_failure(self, host: str, now: float) -> None:
+        """Take note that a host failed or refused a job."""
+
+    def hear(self, host: str, news: EndpointNews, now: float) -> None:
+        """Take over an endpoint's report."""
+
+    def count_room(
+        self, candidates: Sequence[Candidate], priority: Priority, now: float
+    ) -> int:
+        """Return how many more jobs of a priority the candidates take."""
+
 
 __all__ = (
+    "PRIORITIES",
     "Candidate",
+    "EndpointNews",
     "Job",
     "Policy",
     "Priority",
--- a/src/cyclamenwing/sidecar/app.py
+++ b/src/cyclamenwing/sidecar/app.py
@@ -11,6 +11,8 @@
 from cyclamenwing.sidecar import executor
 from cyclamenwing.sidecar import handlers
 from cyclamenwing.sidecar import membership
+from cyclamenwing.sidecar import observation
+from cyclamenwing.sidecar import quarantine
 from cyclamenwing.transport import client
 from cyclamenwing.transport import part
 from cyclamenwing.transport import server
@@ -36,7 +38,13 @@
         self.execution = executor.Executor(
             self.board, self._client, settings["endpoint"], self.accounts
         )
-        sources: list[news.Source] = []
+        observed = observation.Observation(
+            self.board, self._client, settings["endpoint"]
+        )
+        sources: list[news.Source] = [
+            observed,
+            quarantine.QuarantineRelay(settings["host"]),
+        ]
         self._membership = membership.Membership(
             self.board,
             self._client,
@@ -46,6 +54,7 @@
         )
         self._parts: list[part.Part] = [
             handlers.RunService(self.board, self.execution),
+            observed,
             self._membership,
         ]
         self._listener = server.Listener(
--- /dev/null
+++ b/tests/routing/test_queueing.py
@@ -0,0 +1,109 @@
+from __future__ import annotations
+
+import collections
+
+import pytest
+from tests.routing import samples
+
+from cyclamenwing.routing import errors
+from cyclamenwing.routing import queueing
+from cyclamenwing.routing import types
+
+FREE: dict[types.Priority, float] = {"interactive": 1, "batch": 1}
+
+
+def take_names(queue: queueing.FairQueue, count: int) -> list[str]:
+    taken = [queue.take(FREE) for _ in range(count)]
+    return [job.request for job in taken if job is not None]
+
+
+def test_workspaces_share_by_tokens() -> None:
+    queue = queueing.FairQueue()
+    for number in range(40):
+        queue.enter(samples.make_job(f"a{number}", "a"), 0.0)
+    for number in range(40):
+        queue.enter(samples.make_job(f"b{number}", "b", tokens=300), 0.0)
+    queue.enter(samples.make_job("c0", "c"), 0.0)
+    names = take_names(queue, 41)
+    shares = collections.Counter(name[0] for name in names)
+    assert 29 <= shares["a"] <= 31
+    assert names.index("c0") <= 2
+
+
+def test_interactive_goes_first_and_batch_is_not_starved() -> None:
+    queue = queueing.FairQueue()
+    for number in range(50):
+        queue.enter(samples.make_job(f"b{number}", "a", "batch"), 0.0)
+        queue.enter(samples.make_job(f"i{number}", "b"), 0.0)
+    names = take_names(queue, 40)
+    assert names[:7] == [f"i{number}" for number in range(7)]
+    shares = collections.Counter(name[0] for name in names)
+    assert shares["b"] == 40 // queueing.BATCH_TURN
+    assert queue.take({"interactive": 0, "batch": 0}) is None
+
+
+def run_busy(queue: queueing.FairQueue, jobs: int) -> None:
+    """Measure a rate of 100 tokens a second."""
+    for number in range(jobs):
+        queue.enter(samples.make_job(f"q{number}"), 0.0)
+    for second in range(1, 4):
+        job = queue.take(FREE)
+        assert job is not None
+        queue.note_done(job, float(second))
+
+
+@pytest.mark.parametrize(
+    ("workspace", "priority", "deadline", "retry_after"),
+    [
+        ("w", "interactive", 1_000.0, None),
+        ("w", "interactive", 103.0, 17),
+        ("new", "interactive", 13.0, None),
+        ("new", "batch", 103.0, 17),
+    ],
+)
+def test_no_chance_is_refused_early(
+    workspace: str,
+    priority: types.Priority,
+    deadline: float,
+    retry_after: int | None,
+) -> None:
+    queue = queueing.FairQueue()
+    run_busy(queue, 100)
+    job = samples.make_job("late", workspace, priority, deadline=deadline)
+    if retry_after is None:
+        queue.enter(job, 3.0)
+        return
+    with pytest.raises(errors.OverloadedError) as caught:
+        queue.enter(job, 3.0)
+    assert caught.value.retry_after_s == retry_after
+    assert caught.value.run == "not_run"
+
+
+def test_waiting_job_is_refused_once_its_turn_comes_too_late() -> None:
+    queue = queueing.FairQueue()
+    run_busy(queue, 10)
+    queue.enter(samples.make_job("last", deadline=20.0), 3.0)
+    assert queue.review(3.0) == []
+    for second in range(13, 43, 10):
+        job = queue.take(FREE)
+        assert job is not None
+        queue.note_done(job, float(second))
+    refused = queue.review(43.0)
+    assert [item.job.request for item in refused] == ["last"]
+    assert take_names(queue, 9) == [f"q{number}" for number in range(6, 10)]
+
+
+def test_bounds_and_removal() -> None:
+    queue = queueing.FairQueue()
+    jobs = [
+        samples.make_job(str(number))
+        for number in range(queueing.MAX_QUEUED_BY_WORKSPACE)
+    ]
+    for job in jobs:
+        queue.enter(job, 0.0)
+    with pytest.raises(errors.OverloadedError):
+        queue.enter(samples.make_job("over"), 0.0)
+    queue.enter(samples.make_job("other", "other"), 0.0)
+    queue.remove(jobs[0])
+    assert queue.queued == len(jobs)
+    assert sorted(take_names(queue, 2)) == ["1", "other"]
--- /dev/null
+++ b/tests/routing/test_scoring.py
@@ -0,0 +1,170 @@
+from __future__ import annotations
+
+from tests.routing import samples
+
+from cyclamenwing.routing import health
+from cyclamenwing.routing import load
+from cyclamenwing.routing import reports
+from cyclamenwing.routing import scoring
+from cyclamenwing.routing import subset
+from cyclamenwing.routing import types
+
+PREFIX = tuple(range(100, 116))
+OLD = 100.0
+
+
+def make_policy(
+    candidates: list[types.Candidate],
+) -> scoring.ScoringPolicy:
+    policy = scoring.ScoringPolicy("z1")
+    policy.order(samples.make_job("greeting"), candidates, 0.0)
+    return policy
+
+
+def pick(
+    policy: scoring.ScoringPolicy,
+    candidates: list[types.Candidate],
+    now: float = OLD,
+    prefix: tuple[int, ...] = PREFIX,
+) -> str:
+    job = samples.make_job("r", prefix=prefix)
+    return policy.order(job, candidates, now)[0].host
+
+
+def run_job(
+    policy: scoring.ScoringPolicy,
+    host: str,
+    first_s: float,
+    now: float = OLD,
+) -> None:
+    job = samples.make_job(f"{host}/{now}")
+    policy.note_start(job, host, now)
+    policy.note_first(job, host, now + first_s)
+    policy.note_end(job, host, True, now + first_s)
+
+
+def test_own_choices_and_cache_events_attract() -> None:
+    hosts = [samples.make_candidate(name) for name in "abc"]
+    policy = make_policy(hosts)
+    policy.hear("b", samples.make_news(stored=PREFIX[:8]), OLD)
+    assert pick(policy, hosts) == "b"
+    policy.note_start(samples.make_job("x", prefix=PREFIX), "c", OLD)
+    policy.note_end(samples.make_job("x", prefix=PREFIX), "c", True, OLD)
+    assert pick(policy, hosts) == "c"
+    policy.hear("c", samples.make_news(removed=PREFIX), OLD)
+    assert pick(policy, hosts) == "b"
+    policy.hear("b", samples.make_news(epoch=1), OLD)
+    policy.hear("a", samples.make_news(stored=PREFIX[:4]), OLD)
+    assert pick(policy, hosts) == "a"
+
+
+def test_late_load_is_corrected_by_own_jobs() -> None:
+    late = [
+        samples.make_candidate(name, load=5, heard_at=OLD) for name in "ab"
+    ]
+    policy = make_policy(late)
+    for number in range(3):
+        policy.note_start(samples.make_job(str(number)), "a", OLD - 0.5)
+    room = load.UNREPORTED_LIMIT * 2 - 5 - 8
+    assert policy.count_room(late, "interactive", OLD) == room
+    assert pick(policy, late, prefix=()) == "b"
+
+
+def test_limit_is_learnt_and_leaves_places_to_interactive() -> None:
+    host = [samples.make_candidate("a", heard_at=OLD)]
+    policy = make_policy(host)
+    for _ in range(20):
+        policy.hear("a", samples.make_news(running=40), OLD)
+    grown = policy.count_room(host, "interactive", OLD)
+    assert grown > load.FIRST_LIMIT
+    policy.hear("a", samples.make_news(running=32, waiting=1), OLD)
+    assert policy.count_room(host, "interactive", OLD) == 32
+    assert policy.count_room(host, "batch", OLD) == 28
+
+
+def test_zone_decides_between_equals_only() -> None:
+    hosts = [
+        samples.make_candidate("far", "z2"),
+        samples.make_candidate("near"),
+    ]
+    policy = make_policy(hosts)
+    picks = [
+        policy.order(samples.make_job(str(number)), hosts, OLD)[0].host
+        for number in range(100)
+    ]
+    assert picks.count("near") > 80
+    busy = [hosts[0], samples.make_candidate("near", load=10, heard_at=OLD)]
+    assert pick(policy, busy) == "far"
+
+
+def test_slow_host_is_avoided_and_tried_again() -> None:
+    hosts = [samples.make_candidate(name) for name in "ab"]
+    policy = make_policy(hosts)
+    for number in range(10):
+        run_job(policy, "a", 0.4, OLD + number)
+        run_job(policy, "b", 0.02, OLD + number)
+    assert pick(policy, hosts, OLD + 11) == "b"
+    loaded = [hosts[0], samples.make_candidate("b", load=4, heard_at=OLD)]
+    assert pick(policy, loaded, OLD + 11) == "b"
+    assert pick(policy, loaded, OLD + 300) == "a"
+
+
+def test_failing_hosts_are_ejected_up_to_a_share() -> None:
+    hosts = [samples.make_candidate(name) for name in "abcdef"]
+    policy = make_policy(hosts)
+    for name in "abcd":
+        policy.note_failure(name, OLD)
+    kept = policy.order(samples.make_job("r"), hosts, OLD)
+    bound = int(len(hosts) * health.MAX_EJECTED_SHARE)
+    assert len(kept) == len(hosts) - bound
+    again = policy.order(samples.make_job("r"), hosts, OLD + 2.0)
+    assert len(again) == len(hosts)
+    policy.hear("e", samples.make_news(up=False), OLD)
+    ordered = policy.order(samples.make_job("r"), hosts, OLD + 2.0)
+    assert ordered[-1].host == "e"
+
+
+def test_new_host_starts_slowly() -> None:
+    old = [samples.make_candidate(name) for name in "ab"]
+    policy = make_policy(old)
+    restarted = [old[0], samples.make_candidate("b", incarnation="i2")]
+    assert pick(policy, restarted, prefix=()) == "a"
+
+
+def test_subset_is_stable_and_covers_all() -> None:
+    hosts = [samples.make_candidate(f"h{number}") for number in range(100)]
+    assert subset.pick_subset("e", hosts[:64]) == hosts[:64]
+    picked = subset.pick_subset("e", hosts)
+    assert len(picked) == subset.MAX_CANDIDATES
+    fewer = subset.pick_subset("e", hosts[:99])
+    assert len(set(picked) - set(fewer)) <= 1
+    covered = {
+        item.host
+        for number in range(20)
+        for item in subset.pick_subset(f"e{number}", hosts)
+    }
+    assert len(covered) == len(hosts)
+
+
+def test_reports_are_bounded_and_tell_the_longest_prefixes() -> None:
+    board, controller = reports.ReportBoard(), reports.ReportController()
+    chain = list(range(96))
+    event: reports.CacheEvent = {
+        "seq": 1,
+        "kind": "stored",
+        "start": 0,
+        "blocks": chain,
+    }
+    controller.take_events(board, [event])
+    assert controller.tell(board)["stored"] == [95, 63, 47]
+    gone: reports.CacheEvent = {
+        "seq": 3,
+        "kind": "removed",
+        "start": 0,
+        "blocks": [95, 94],
+    }
+    controller.take_events(board, [gone])
+    assert controller.tell(board)["removed"] == [95]
+    assert board.last_seq == 3
+    controller.lose_cache(board)
+    assert (board.epoch, board.last_seq, board.up) == (1, 0, False)
