--- a/src/cyclamenwing/entry/app.py
+++ b/src/cyclamenwing/entry/app.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 import time
 import uuid
 
@@ -15,12 +16,14 @@
 from cyclamenwing.entry import callers
 from cyclamenwing.entry import catalog
 from cyclamenwing.entry import claims
+from cyclamenwing.entry import departures
 from cyclamenwing.entry import dispatch
 from cyclamenwing.entry import exchange
 from cyclamenwing.entry import funding
 from cyclamenwing.entry import inquiry
 from cyclamenwing.entry import membership
 from cyclamenwing.entry import metrics
+from cyclamenwing.entry import quarantine
 from cyclamenwing.entry import serving
 from cyclamenwing.entry import sessions
 from cyclamenwing.entry import transfers
@@ -57,14 +60,22 @@
         self._store = store_client.StoreClient(self._client, settings["store"])
         self._transfers = transfers.Transfers(self.board, self._client)
         self._money = self._make_funding()
+        held = quarantine.Quarantine(
+            self.board, self._client, quarantine.log_lift
+        )
+        leaving = departures.Departures(self.board)
         choice = dispatch.Dispatch(
-            self.board, scoring.ScoringPolicy(settings["zone"])
+            self.board,
+            scoring.ScoringPolicy(settings["zone"]),
+            held,
+            leaving,
+            random.Random(),
         )
         self._claims = claims.Claims(self._store)
         self._service = serving.Serving(
             self.board, self._money, choice, self._client, self._claims
         )
-        sources: list[news.Source] = []
+        sources: list[news.Source] = [choice, held, leaving]
         self._parts: list[part.Part] = [
             membership.Membership(
                 self.board,
@@ -76,6 +87,8 @@
             catalog.CatalogWatch(self.board, self._store),
             inquiry.Inquiry(self.board),
             self._claims,
+            choice,
+            held,
             sessions.Sessions(self.board, self._store),
             self._transfers,
             self._money,
