Find faults across the files of services and the revision in force

Cause: `check` saw each file alone, so a route to a workspace that another service had taken away, two routes of one model or two rules of one call came into force. Comments shifted the reported lines, since the library that strips them drops their line ends. Conclusion: a fault is seen before it is published; publication can use the same checks.

--- /dev/null
+++ b/src/cyclamenwing/catalog/findings.py
@@ -0,0 +1,236 @@
+"""Faults across the files of services and the revision in force."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from collections.abc import Iterable
+from collections.abc import Iterator
+from collections.abc import Mapping
+from collections.abc import Sequence
+
+from cyclamenwing.catalog import collection
+from cyclamenwing.catalog import index
+from cyclamenwing.catalog import merge
+from cyclamenwing.catalog import types
+from cyclamenwing.settings import documents
+
+Findings = Iterator[documents.Finding]
+Items = Sequence[merge.Item]
+
+_FOREIGN_FIELDS = {
+    "chat": ("calls",),
+    "plain": ("model", "max_tokens"),
+}
+
+
+def find_faults(
+    collected: Sequence[collection.Collected],
+    in_force: Mapping[str, types.ServiceFile],
+) -> list[documents.Finding]:
+    """Return the faults that the files bring with them.
+
+    `in_force` holds the services that stay beside the files. A fault
+    between two of those is not reported.
+    """
+    found = list(_find_duplicate_services(collected))
+    items = merge.list_items(collected, in_force)
+    for check in _CHECKS:
+        found.extend(check(items))
+    return sorted(set(found))
+
+
+def find_removal_faults(
+    in_force: Mapping[str, types.ServiceFile],
+) -> list[documents.Finding]:
+    """Return the references that dangle once services are taken away."""
+    items = merge.list_items([], in_force)
+    return sorted(_find_dangling(items))
+
+
+def _find_duplicate_services(
+    collected: Sequence[collection.Collected],
+) -> Findings:
+    first: dict[str, documents.Document] = {}
+    for made in collected:
+        service = made.file["service"]
+        if service not in first:
+            first[service] = made.document
+            continue
+        line = made.document.find_line(["service"])
+        yield documents.Finding(
+            made.document.file,
+            line,
+            "duplicate_service",
+            f"{service!r} is also in {first[service].file}",
+        )
+
+
+def _find_duplicates(items: Items) -> Findings:
+    first: dict[tuple[str, str], merge.Item] = {}
+    for item in _order_new_last(items):
+        known = first.setdefault((item.section, item.name), item)
+        if known is item:
+            continue
+        kind = item.section.removesuffix("s")
+        yield item.make_finding(
+            f"duplicate_{kind}",
+            f"{item.name!r} is also in {known.describe()}",
+        )
+
+
+def _find_duplicate_keys(items: Items) -> Findings:
+    first: dict[str, merge.Item] = {}
+    for item in _order_new_last(_select(items, "workspaces")):
+        for number, key in enumerate(item.data["keys"]):
+            known = first.setdefault(key, item)
+            if known is item and item.data["keys"].index(key) == number:
+                continue
+            yield item.make_finding(
+                "duplicate_key",
+                f"a key of {item.name!r} is also one of"
+                f" {known.name!r} in {known.describe()}",
+                "keys",
+                number,
+            )
+
+
+def _find_dangling(items: Items) -> Findings:
+    budgets = {item.name for item in _select(items, "budgets")}
+    workspaces = {item.name for item in _select(items, "workspaces")}
+    for item in _select(items, "workspaces"):
+        for number, name in enumerate(item.data["budgets"]):
+            if name not in budgets:
+                yield item.make_finding(
+                    "dangling_budget",
+                    f"workspace {item.name!r} draws on {name!r},"
+                    " which no service defines",
+                    "budgets",
+                    number,
+                )
+    known = workspaces | {index.ANY_WORKSPACE}
+    for item in _select(items, "routes"):
+        for number, name in enumerate(item.data["workspaces"]):
+            if name not in known:
+                yield item.make_finding(
+                    "dangling_workspace",
+                    f"route {item.name!r} admits {name!r},"
+                    " which no service defines",
+                    "workspaces",
+                    number,
+                )
+
+
+def _find_shadowed_routes(items: Items) -> Findings:
+    known: dict[str, list[merge.Item]] = {}
+    for item in _order_new_last(_select(items, "routes")):
+        model = item.data.get("model")
+        if item.data["protocol"] != "chat" or model is None:
+            continue
+        for other in known.get(model, []):
+            shared = _share_workspaces(other.data, item.data)
+            if shared:
+                yield item.make_finding(
+                    "shadowed_route",
+                    f"model {model!r} has two routes for {shared}:"
+                    f" also {other.name!r} in {other.describe()}",
+                    "model",
+                )
+        known.setdefault(model, []).append(item)
+
+
+def _find_shadowed_workspaces(items: Items) -> Findings:
+    for item in _select(items, "routes"):
+        names = item.data["workspaces"]
+        if index.ANY_WORKSPACE not in names:
+            continue
+        for number, name in enumerate(names):
+            if name != index.ANY_WORKSPACE:
+                yield item.make_finding(
+                    "shadowed_workspace",
+                    f"route {item.name!r} admits '*', so {name!r} has"
+                    " no effect",
+                    "workspaces",
+                    number,
+                )
+
+
+def _find_contradictory_routes(items: Items) -> Findings:
+    for item in _select(items, "routes"):
+        protocol = item.data["protocol"]
+        for field in _FOREIGN_FIELDS[protocol]:
+            if field in item.data:
+                yield item.make_finding(
+                    "contradictory_route",
+                    f"a {protocol} route has no {field!r}",
+                    field,
+                )
+        if protocol == "chat" and "model" not in item.data:
+            yield item.make_finding(
+                "contradictory_route",
+                f"chat route {item.name!r} names no model",
+            )
+
+
+def _find_contradictory_calls(items: Items) -> Findings:
+    for item in _select(items, "routes"):
+        first: dict[tuple[str, str], types.CallRule] = {}
+        for number, rule in enumerate(item.data.get("calls", [])):
+            call = (rule["method"], rule["path"])
+            known = first.setdefault(call, rule)
+            if known is rule:
+                continue
+            same = known == rule
+            code = "duplicate_call" if same else "contradictory_call"
+            yield item.make_finding(
+                code,
+                f"route {item.name!r} has two rules for"
+                f" {rule['method']} {rule['path']}",
+                "calls",
+                number,
+            )
+
+
+def _find_contradictory_budgets(items: Items) -> Findings:
+    for item in _select(items, "workspaces"):
+        names = item.data["budgets"]
+        for number, name in enumerate(names):
+            if name in names[:number]:
+                yield item.make_finding(
+                    "contradictory_budgets",
+                    f"workspace {item.name!r} would draw on {name!r} twice",
+                    "budgets",
+                    number,
+                )
+
+
+def _select(items: Items, section: str) -> list[merge.Item]:
+    return [item for item in items if item.section == section]
+
+
+def _order_new_last(items: Items) -> Iterable[merge.Item]:
+    # A finding belongs to the file that can be mended now.
+    return sorted(items, key=lambda item: item.document is not None)
+
+
+def _share_workspaces(one: types.Route, other: types.Route) -> str:
+    first, second = set(one["workspaces"]), set(other["workspaces"])
+    if index.ANY_WORKSPACE in first | second:
+        return "any workspace"
+    return ", ".join(sorted(first & second))
+
+
+_CHECKS: tuple[Callable[[Items], Findings], ...] = (
+    _find_duplicates,
+    _find_duplicate_keys,
+    _find_dangling,
+    _find_shadowed_routes,
+    _find_shadowed_workspaces,
+    _find_contradictory_routes,
+    _find_contradictory_calls,
+    _find_contradictory_budgets,
+)
+
+__all__ = (
+    "find_faults",
+    "find_removal_faults",
+)
--- a/src/cyclamenwing/catalog/schema.py
+++ b/src/cyclamenwing/catalog/schema.py
@@ -29,7 +29,14 @@
 
 _WORKSPACE = _make_object(
     ["name", "keys", "budgets"],
-    {"name": NAME, "keys": _make_list(_KEY), "budgets": _make_list(NAME)},
+    {
+        "name": NAME,
+        "keys": _make_list(_KEY),
+        "budgets": _make_list(NAME),
+        "weight": _POSITIVE,
+        "max_running": _POSITIVE,
+        "max_queued": _POSITIVE,
+    },
 )
 _BUDGET = _make_object(
     ["name", "unit"],
--- a/src/cyclamenwing/catalog/types.py
+++ b/src/cyclamenwing/catalog/types.py
@@ -12,11 +12,18 @@
 
 
 class Workspace(TypedDict):
-    """Describe a workspace; `keys` are SHA-256 digests in hex."""
+    """Describe a workspace; `keys` are SHA-256 digests in hex.
+
+    `weight` is its share in fair queues, 1 when absent; `max_running` and
+    `max_queued` bound its requests at one entry.
+    """
 
     name: str
     keys: list[str]
     budgets: list[str]
+    weight: NotRequired[int]
+    max_running: NotRequired[int]
+    max_queued: NotRequired[int]
 
 
 class BudgetRule(TypedDict):
--- a/src/cyclamenwing/cli/check.py
+++ b/src/cyclamenwing/cli/check.py
@@ -5,9 +5,27 @@
 import argparse
 import json
 import pathlib
+from typing import NamedTuple
 
 from cyclamenwing.catalog import collection
+from cyclamenwing.catalog import difference
+from cyclamenwing.catalog import findings
+from cyclamenwing.catalog import publication
+from cyclamenwing.catalog import types
 from cyclamenwing.cli import protocol
+from cyclamenwing.cli import remote
+from cyclamenwing.settings import documents
+
+NO_REVISION: types.Revision = {"revision": 0, "services": {}}
+
+
+class Report(NamedTuple):
+    """Hold what a check found; `revision` is the one in force."""
+
+    revision: int
+    files: int
+    findings: list[documents.Finding]
+    differences: list[difference.Difference]
 
 
 class CheckCommand:
@@ -20,23 +38,78 @@
         """Add the subcommand's arguments."""
         parser.add_argument("paths", nargs="+", type=pathlib.Path)
         parser.add_argument("--json", action="store_true")
+        parser.add_argument(
+            "--diff",
+            action="store_true",
+            help="show what would change; needs --store",
+        )
+        parser.add_argument(
+            "--store",
+            help="ip:port of the key-value service, to check against the"
+            " revision in force",
+        )
 
     def run(self, args: argparse.Namespace) -> int:
         """Print each fault with its file and line."""
-        collected = collection.collect_files(args.paths)
-        if args.json:
-            found = [finding._asdict() for finding in collected.findings]
-            print(json.dumps(found))
-        else:
-            for finding in collected.findings:
-                print(finding)
-            print(
-                f"{len(collected.files)} files,"
-                f" {len(collected.findings)} faults"
-            )
-        if collected.findings or not collected.files:
+        if args.diff and not args.store:
+            print("check: --diff needs --store")
+            return protocol.EXIT_USAGE
+        in_force = NO_REVISION
+        if args.store:
+            in_force = remote.run_async(read_in_force(args.store))
+        report = make_report(args.paths, in_force)
+        write = _write_json if args.json else _write_text
+        write(report, args.diff)
+        if report.findings or not report.files:
             return protocol.EXIT_INVALID
         return protocol.EXIT_OK
 
 
-__all__ = ("CheckCommand",)
+def make_report(paths: list[pathlib.Path], in_force: types.Revision) -> Report:
+    """Check files alone, against each other and against a revision."""
+    collected = collection.collect_files(paths)
+    services = in_force["services"]
+    found = findings.find_faults(collected.files, services)
+    changed = {made.file["service"]: made.file for made in collected.files}
+    return Report(
+        in_force["revision"],
+        len(collected.files),
+        sorted([*collected.findings, *found]),
+        difference.compare(services, {**services, **changed}),
+    )
+
+
+async def read_in_force(address: str) -> types.Revision:
+    """Read the revision in force from the store."""
+    async with remote.open_store(address) as store:
+        head = await publication.read_head(store)
+        return await publication.read_revision(store, head)
+
+
+def _write_json(report: Report, with_differences: bool) -> None:
+    data = report._asdict()
+    data["findings"] = [finding._asdict() for finding in report.findings]
+    if not with_differences:
+        del data["differences"]
+    print(json.dumps(data))
+
+
+def _write_text(report: Report, with_differences: bool) -> None:
+    for finding in report.findings:
+        print(finding)
+    if with_differences:
+        for changed in report.differences:
+            print(difference.describe(changed))
+    print(
+        f"{report.files} files, {len(report.findings)} faults,"
+        f" revision {report.revision} in force"
+    )
+
+
+__all__ = (
+    "NO_REVISION",
+    "CheckCommand",
+    "Report",
+    "make_report",
+    "read_in_force",
+)
--- a/src/cyclamenwing/settings/documents.py
+++ b/src/cyclamenwing/settings/documents.py
@@ -4,6 +4,7 @@
 
 import json
 import pathlib
+import re
 from typing import Any
 from typing import NamedTuple
 
@@ -13,6 +14,10 @@
 
 from cyclamenwing.settings import errors
 
+_STRING_OR_COMMENT = re.compile(
+    r'"(?:\\.|[^"\\\n])*"|//[^\n]*|/\*.*?\*/', re.DOTALL
+)
+
 
 class Finding(NamedTuple):
     """Describe one fault of a document."""
@@ -53,7 +58,7 @@
 
 def parse_document(file: str, text: str) -> Document:
     """Parse a text; raise `SettingsSyntaxError` with its line."""
-    plain = jstyleson.dispose(text)
+    plain = jstyleson.dispose(_STRING_OR_COMMENT.sub(_blank_comment, text))
     try:
         data = json.loads(plain, object_pairs_hook=_reject_duplicates)
     except json.JSONDecodeError as err:
@@ -87,6 +92,12 @@
     return sorted(found)
 
 
+def _blank_comment(match: re.Match[str]) -> str:
+    # The library drops a comment's line ends, which would shift all lines.
+    found = match.group()
+    return found if found.startswith('"') else "\n" * found.count("\n")
+
+
 def _reject_duplicates(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
     made = dict(pairs)
     if len(made) != len(pairs):
--- /dev/null
+++ b/tests/catalog/test_findings.py
@@ -0,0 +1,205 @@
+from __future__ import annotations
+
+import copy
+import json
+import pathlib
+from typing import Any
+
+import pytest
+
+from cyclamenwing.catalog import difference
+from cyclamenwing.cli import check
+from cyclamenwing.cli import main
+from cyclamenwing.cli import protocol
+
+KEY_A, KEY_B = "a" * 64, "b" * 64
+PANELS: dict[str, Any] = {
+    "service": "panels",
+    "workspaces": [{"name": "p", "keys": [KEY_A], "budgets": ["pt"]}],
+    "budgets": [{"name": "pt", "unit": "tokens"}],
+    "routes": [
+        {
+            "name": "chat",
+            "protocol": "chat",
+            "model": "m",
+            "workspaces": ["p"],
+        },
+    ],
+}
+GUIDES: dict[str, Any] = {
+    "service": "guides",
+    "workspaces": [{"name": "g", "keys": [KEY_B], "budgets": ["gt"]}],
+    "budgets": [{"name": "gt", "unit": "tokens"}],
+    "routes": [
+        {
+            "name": "records",
+            "protocol": "plain",
+            "workspaces": ["g"],
+            "calls": [{"method": "GET", "path": "/", "idempotent": True}],
+        },
+    ],
+}
+# Each row: where in the guides' file, the value, code and the pointed line.
+FAULTS = (
+    (("service",), "panels", "duplicate_service", "service"),
+    (("workspaces", 0, "name"), "p", "duplicate_workspace", "workspaces/0"),
+    (("budgets", 0, "name"), "pt", "duplicate_budget", "budgets/0"),
+    (("routes", 0, "name"), "chat", "duplicate_route", "routes/0"),
+    (
+        ("workspaces", 0, "keys", 0),
+        KEY_A,
+        "duplicate_key",
+        "workspaces/0/keys/0",
+    ),
+    (
+        ("workspaces", 0, "budgets"),
+        ["gt", "none"],
+        "dangling_budget",
+        "workspaces/0/budgets/1",
+    ),
+    (
+        ("workspaces", 0, "budgets"),
+        ["gt", "gt"],
+        "contradictory_budgets",
+        "workspaces/0/budgets/1",
+    ),
+    (
+        ("routes", 0, "workspaces"),
+        ["g", "none"],
+        "dangling_workspace",
+        "routes/0/workspaces/1",
+    ),
+    (
+        ("routes", 0, "workspaces"),
+        ["*", "g"],
+        "shadowed_workspace",
+        "routes/0/workspaces/1",
+    ),
+    (
+        ("routes", 0),
+        {"name": "x", "protocol": "chat", "model": "m", "workspaces": ["*"]},
+        "shadowed_route",
+        "routes/0/model",
+    ),
+    (
+        ("routes", 0),
+        {"name": "x", "protocol": "chat", "workspaces": ["g"]},
+        "contradictory_route",
+        "routes/0",
+    ),
+    (("routes", 0, "model"), "m", "contradictory_route", "routes/0/model"),
+    (
+        ("routes", 0, "calls"),
+        [{"method": "GET", "path": "/"}, {"method": "GET", "path": "/"}],
+        "duplicate_call",
+        "routes/0/calls/1",
+    ),
+    (
+        ("routes", 0, "calls"),
+        [
+            {"method": "POST", "path": "/"},
+            {"method": "POST", "path": "/", "idempotent": True},
+        ],
+        "contradictory_call",
+        "routes/0/calls/1",
+    ),
+    (("workspaces", 0, "weight"), 0, "schema", "workspaces/0/weight"),
+)
+
+
+def change(path: tuple[str | int, ...], value: Any) -> dict[str, Any]:
+    made = copy.deepcopy(GUIDES)
+    place: Any = made
+    for part in path[:-1]:
+        place = place[part]
+    place[path[-1]] = value
+    return made
+
+
+def write(folder: pathlib.Path, *files: Any) -> list[pathlib.Path]:
+    for number, file in enumerate(files):
+        text = "// operators' file\n" + json.dumps(file, indent=1)
+        path = folder / f"{number}.cyclamenwing.json"
+        path.write_text(text)
+    return [folder]
+
+
+def find_line(path: str, file: Any) -> int:
+    """Number the lines as the writer does, one comment before."""
+    text = json.dumps(mark(file, path.split("/")), indent=1)
+    return text[: text.index("MARK")].count("\n") + 2
+
+
+def mark(data: Any, parts: list[str]) -> Any:
+    if not parts:
+        return "MARK"
+    if isinstance(data, list):
+        number = int(parts[0])
+        return [*data[:number], mark(data[number], parts[1:])]
+    return {
+        name: mark(value, parts[1:]) if name == parts[0] else value
+        for name, value in data.items()
+    }
+
+
+@pytest.mark.parametrize(("path", "value", "code", "place"), FAULTS)
+@pytest.mark.parametrize("in_force", [False, True])
+def test_fault_has_code_file_and_line(
+    tmp_path: pathlib.Path,
+    path: tuple[str | int, ...],
+    value: Any,
+    code: str,
+    place: str,
+    in_force: bool,
+) -> None:
+    file = change(path, value)
+    files = [file] if in_force else [PANELS, file]
+    services = {"panels": PANELS} if in_force else {}
+    report = check.make_report(
+        write(tmp_path, *files),
+        {"revision": 4, "services": services},  # type: ignore[typeddict-item]
+    )
+    if in_force and code == "duplicate_service":
+        assert all("panels" not in str(item) for item in report.findings)
+        return
+    name = str(tmp_path / f"{len(files) - 1}.cyclamenwing.json")
+    line = find_line(place, file)
+    found = [(item.file, item.line, item.code) for item in report.findings]
+    assert (name, line, code) in found
+
+
+def test_entry_taken_away_from_another_service(tmp_path: pathlib.Path) -> None:
+    needy = change(("routes", 0, "workspaces"), ["p"])
+    bare = {"service": "panels"}
+    report = check.make_report(
+        write(tmp_path, bare),
+        {"revision": 4, "services": {"panels": PANELS, "guides": needy}},  # type: ignore[dict-item]
+    )
+    codes = [(item.file, item.code) for item in report.findings]
+    assert codes == [("service guides", "dangling_workspace")]
+
+
+def test_difference_names_each_entry(tmp_path: pathlib.Path) -> None:
+    changed = change(("budgets", 0, "unit"), "requests")
+    changed["workspaces"] = []
+    changed["routes"].append({**changed["routes"][0], "name": "more"})
+    report = check.make_report(
+        write(tmp_path, changed),
+        {"revision": 4, "services": {"guides": GUIDES}},  # type: ignore[dict-item]
+    )
+    assert [difference.describe(item) for item in report.differences] == [
+        'change guides/budgets/gt unit: "tokens" -> "requests"',
+        "add guides/routes/more",
+        "remove guides/workspaces/g",
+    ]
+
+
+def test_check_exit_codes(
+    tmp_path: pathlib.Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    folder = str(write(tmp_path, PANELS, GUIDES)[0])
+    assert main.run(["check", "--json", folder]) == protocol.EXIT_OK
+    assert json.loads(capsys.readouterr().out)["findings"] == []
+    assert main.run(["check", "--diff", folder]) == protocol.EXIT_USAGE
+    write(tmp_path, PANELS, PANELS)
+    assert main.run(["check", folder]) == protocol.EXIT_INVALID
