Publish against what the author saw, and walk every race

Cause: a publishing could bring references that another service's change had just taken away, an author's overwrite of a change not yet seen went in, and all audit records stayed in the head. `commit` takes a `prepare` step for reads and writes beside the document.

--- a/src/cyclamenwing/catalog/audit.py
+++ b/src/cyclamenwing/catalog/audit.py
@@ -11,6 +11,7 @@
 from cyclamenwing.catalog import types
 
 CHAIN_START = "0" * 64
+MAX_COMMIT_IDS = 64
 
 
 class Change(NamedTuple):
@@ -26,17 +27,20 @@
     after: Any
 
 
-def append_record(head: types.Head, change: Change) -> types.AuditRecord:
+def append_record(
+    chain: types.Chain, change: Change, commit_id: str
+) -> types.AuditRecord:
     """Add a change to the chain and return its record."""
-    last = head["audit"][-1] if head["audit"] else None
+    last = chain["audit"][-1] if chain["audit"] else None
     record: types.AuditRecord = {
         "number": last["number"] + 1 if last else 1,
         **change._asdict(),  # type: ignore[typeddict-item]
+        "commit": commit_id,
         "previous": last["digest"] if last else CHAIN_START,
         "digest": "",
     }
     record["digest"] = digest_record(record)
-    head["audit"].append(record)
+    chain["audit"].append(record)
     return record
 
 
@@ -48,21 +52,32 @@
 
 
 def find_break(records: list[types.AuditRecord]) -> int | None:
-    """Return the number of the first record that breaks the chain."""
-    previous: types.AuditRecord | None = None
-    for record in records:
-        if record["digest"] != digest_record(record):
-            return record["number"]
-        if previous and record["previous"] != previous["digest"]:
-            return record["number"]
-        previous = record
+    """Return the number of the first record missing or changed."""
+    previous = CHAIN_START
+    for number, record in enumerate(records, 1):
+        whole = (
+            record["number"] == number
+            and record["digest"] == digest_record(record)
+            and record["previous"] == previous
+        )
+        if not whole:
+            return number
+        previous = record["digest"]
     return None
 
 
+def record_commit(chain: types.Chain, commit_id: str) -> None:
+    """Remember a commit's id."""
+    chain["commits"].append(commit_id)
+    del chain["commits"][:-MAX_COMMIT_IDS]
+
+
 __all__ = (
     "CHAIN_START",
+    "MAX_COMMIT_IDS",
     "Change",
     "append_record",
     "digest_record",
     "find_break",
+    "record_commit",
 )
--- a/src/cyclamenwing/catalog/errors.py
+++ b/src/cyclamenwing/catalog/errors.py
@@ -25,6 +25,13 @@
     status = 409
 
 
+class AuditBrokenError(CatalogError):
+    """Report an audit record that is missing or was changed."""
+
+    code = "audit_broken"
+    status = 500
+
+
 class MalformedCatalogError(CatalogError):
     """Report a stored revision that can't be read."""
 
@@ -33,6 +40,7 @@
 
 
 __all__ = (
+    "AuditBrokenError",
     "CatalogError",
     "CatalogInvalidError",
     "MalformedCatalogError",
--- a/src/cyclamenwing/catalog/findings.py
+++ b/src/cyclamenwing/catalog/findings.py
@@ -8,11 +8,14 @@
 from collections.abc import Mapping
 from collections.abc import Sequence
 
+import msgspec
+
 from cyclamenwing.catalog import collection
 from cyclamenwing.catalog import index
 from cyclamenwing.catalog import merge
 from cyclamenwing.catalog import types
 from cyclamenwing.settings import documents
+from cyclamenwing.store import protocol as store_protocol
 
 Findings = Iterator[documents.Finding]
 Items = Sequence[merge.Item]
@@ -29,22 +32,37 @@
 ) -> list[documents.Finding]:
     """Return the faults that the files bring with them.
 
-    `in_force` holds the services that stay beside the files. A fault
-    between two of those is not reported.
+    A fault that the revision in force has already is not reported.
     """
-    found = list(_find_duplicate_services(collected))
-    items = merge.list_items(collected, in_force)
-    for check in _CHECKS:
-        found.extend(check(items))
-    return sorted(set(found))
+    found = set(_find_duplicate_services(collected))
+    found.update(_find_too_large(collected))
+    found.update(_check_items(merge.list_items(collected, in_force)))
+    return sorted(found - _check_items(merge.list_items([], in_force)))
 
 
-def find_removal_faults(
-    in_force: Mapping[str, types.ServiceFile],
+def find_new_faults(
+    before: Mapping[str, types.ServiceFile],
+    after: Mapping[str, types.ServiceFile],
 ) -> list[documents.Finding]:
-    """Return the references that dangle once services are taken away."""
-    items = merge.list_items([], in_force)
-    return sorted(_find_dangling(items))
+    """Return the faults that a step from one revision to another brings."""
+    found = _check_items(merge.list_items([], after))
+    return sorted(found - _check_items(merge.list_items([], before)))
+
+
+def _check_items(items: Items) -> set[documents.Finding]:
+    return {finding for check in _CHECKS for finding in check(items)}
+
+
+def _find_too_large(collected: Sequence[collection.Collected]) -> Findings:
+    for made in collected:
+        size = len(msgspec.json.encode(made.file))
+        if size > store_protocol.MAX_VALUE_BYTES:
+            yield documents.Finding(
+                made.document.file,
+                1,
+                "too_large",
+                f"{size} bytes, at most {store_protocol.MAX_VALUE_BYTES}",
+            )
 
 
 def _find_duplicate_services(
@@ -232,5 +250,5 @@
 
 __all__ = (
     "find_faults",
-    "find_removal_faults",
+    "find_new_faults",
 )
--- a/src/cyclamenwing/catalog/publication.py
+++ b/src/cyclamenwing/catalog/publication.py
@@ -3,19 +3,24 @@
 from __future__ import annotations
 
 import hashlib
+from collections.abc import Collection
 from collections.abc import Iterable
+from collections.abc import Mapping
 
 import msgspec
 
 from cyclamenwing.catalog import audit
 from cyclamenwing.catalog import errors
+from cyclamenwing.catalog import findings
+from cyclamenwing.catalog import segments
 from cyclamenwing.catalog import types
 from cyclamenwing.store import commits
-from cyclamenwing.store import errors as store_errors
 from cyclamenwing.store import keys
 from cyclamenwing.store import protocol
 
-MAX_COMMIT_IDS = 64
+CHAIN = "catalog"
+MAX_ATTEMPTS = 32
+MAX_REMOVED = 256
 
 
 class HeadCodec:
@@ -27,6 +32,7 @@
             return {
                 "revision": 0,
                 "services": {},
+                "removed": {},
                 "commits": [],
                 "audit": [],
                 "audit_segments": 0,
@@ -45,49 +51,166 @@
         return commit_id in document["commits"]
 
 
+class UnchangedError(Exception):
+    """Carry the head that a publishing would not change.
+
+    :param head: the head as it stands
+    """
+
+    def __init__(self, head: types.Head) -> None:
+        super().__init__("unchanged")
+        self.head = head
+
+
+class Publisher:
+    """Publish files and removals as one revision.
+
+    :param store: the platform's key-value service
+    :param files: files to publish
+    :param removals: services to take away
+    :param change: who publishes, from where and when
+    :param commit_id: the same for each repetition of this publishing
+    :param base_revision: the revision that the author saw
+    """
+
+    def __init__(
+        self,
+        store: protocol.Store,
+        files: Iterable[types.ServiceFile],
+        removals: Collection[str],
+        change: audit.Change,
+        commit_id: str,
+        base_revision: int | None,
+    ) -> None:
+        self._store = store
+        self._files = {file["service"]: file for file in files}
+        self._chunks = {
+            service: msgspec.json.encode(file)
+            for service, file in self._files.items()
+        }
+        self._digests = {
+            service: hashlib.sha256(chunk).hexdigest()
+            for service, chunk in self._chunks.items()
+        }
+        self._removals = removals
+        self._change = change
+        self._commit_id = commit_id
+        self._base_revision = base_revision
+        self._known = {
+            self._digests[service]: file
+            for service, file in self._files.items()
+        }
+
+    async def publish(self) -> types.Head:
+        """Commit the revision once and return the head after it."""
+        for service, chunk in self._chunks.items():
+            key = keys.name_chunk(self._digests[service])
+            await segments.write_once(self._store, key, chunk)
+        try:
+            done = await commits.commit(
+                self._store,
+                keys.CATALOG_HEAD,
+                HeadCodec(),
+                self._commit_id,
+                self._apply,
+                MAX_ATTEMPTS,
+                self._prepare,
+            )
+        except UnchangedError as err:
+            return err.head
+        return done.document
+
+    async def _prepare(self, head: types.Head) -> None:
+        changed = self._list_changed(head)
+        if not changed:
+            raise UnchangedError(head)
+        self._check_base(head, changed)
+        before = await self._read_services(head)
+        after = {**before, **self._files}
+        for service in self._removals:
+            after.pop(service, None)
+        found = findings.find_new_faults(before, after)
+        if found:
+            lines = "\n".join(str(finding) for finding in found)
+            raise errors.CatalogInvalidError(
+                f"with revision {head['revision']} in force:\n{lines}"
+            )
+        await segments.store_segments(self._store, CHAIN, head)
+
+    def _apply(self, head: types.Head) -> None:
+        changed = self._list_changed(head)
+        segments.drop_stored(head)
+        head["revision"] += 1
+        for service in changed:
+            self._apply_service(head, service)
+        audit.record_commit(head, self._commit_id)
+
+    def _apply_service(self, head: types.Head, service: str) -> None:
+        before = head["services"].pop(service, None)
+        ref: types.ServiceRef = {
+            "digest": self._digests.get(service, ""),
+            "revision": head["revision"],
+            "author": self._change.author,
+        }
+        place = head["services"] if ref["digest"] else head["removed"]
+        place[service] = ref
+        if ref["digest"]:
+            head["removed"].pop(service, None)
+        while len(head["removed"]) > MAX_REMOVED:
+            del head["removed"][next(iter(head["removed"]))]
+        made = self._change._replace(subject=service, before=before, after=ref)
+        audit.append_record(head, made, self._commit_id)
+
+    def _list_changed(self, head: types.Head) -> list[str]:
+        refs = head["services"]
+        changed = [
+            service
+            for service, digest in self._digests.items()
+            if service not in refs or refs[service]["digest"] != digest
+        ]
+        gone = [service for service in self._removals if service in refs]
+        return [*changed, *gone]
+
+    def _check_base(self, head: types.Head, changed: list[str]) -> None:
+        if self._base_revision is None:
+            return
+        for service in changed:
+            ref = head["services"].get(service)
+            ref = ref or head["removed"].get(service)
+            if ref is not None and ref["revision"] > self._base_revision:
+                raise errors.PublishConflictError(
+                    _describe_conflict(head, service, ref)
+                )
+
+    async def _read_services(
+        self, head: types.Head
+    ) -> dict[str, types.ServiceFile]:
+        await read_chunks(self._store, head["services"], self._known)
+        return {
+            service: self._known[ref["digest"]]
+            for service, ref in head["services"].items()
+        }
+
+
 async def publish_files(
     store: protocol.Store,
     files: Iterable[types.ServiceFile],
     change: audit.Change,
     commit_id: str,
     base_revision: int | None = None,
+    removals: Collection[str] = (),
 ) -> types.Head:
     """Publish files as one revision with one audit record a service.
 
-    Raise `PublishConflictError` when a service that is published changed
-    after `base_revision`.
+    Files that are in force already change nothing. Raise
+    `PublishConflictError` when a service that is published changed after
+    `base_revision`, and `CatalogInvalidError` when the files don't fit the
+    revision in force.
     """
-    chunks = {file["service"]: msgspec.json.encode(file) for file in files}
-    digests = {
-        service: hashlib.sha256(chunk).hexdigest()
-        for service, chunk in chunks.items()
-    }
-    for service, chunk in chunks.items():
-        await _write_chunk(store, digests[service], chunk)
-
-    def apply(head: types.Head) -> None:
-        _check_base(head, digests, base_revision)
-        head["revision"] += 1
-        for service, digest in digests.items():
-            before = head["services"].get(service)
-            head["services"][service] = {
-                "digest": digest,
-                "revision": head["revision"],
-                "author": change.author,
-            }
-            made = change._replace(
-                subject=service,
-                before=before["digest"] if before else None,
-                after=digest,
-            )
-            audit.append_record(head, made)
-        head["commits"].append(commit_id)
-        del head["commits"][:-MAX_COMMIT_IDS]
-
-    done = await commits.commit(
-        store, keys.CATALOG_HEAD, HeadCodec(), commit_id, apply
+    publisher = Publisher(
+        store, files, removals, change, commit_id, base_revision
     )
-    return done.document
+    return await publisher.publish()
 
 
 async def read_head(store: protocol.Store) -> types.Head:
@@ -97,47 +220,80 @@
 
 
 async def read_revision(
-    store: protocol.Store, head: types.Head
+    store: protocol.Store,
+    head: types.Head,
+    known: types.Revision | None = None,
 ) -> types.Revision:
-    """Read the whole revision that a head names."""
-    services: dict[str, types.ServiceFile] = {}
-    for service, ref in head["services"].items():
+    """Read the whole revision that a head names.
+
+    Files that are `known` from an earlier revision are not read again.
+    """
+    chunks: dict[str, types.ServiceFile] = {}
+    if known is not None:
+        chunks = {
+            ref["digest"]: known["services"][service]
+            for service, ref in known.get("refs", {}).items()
+        }
+    await read_chunks(store, head["services"], chunks)
+    return {
+        "revision": head["revision"],
+        "services": {
+            service: chunks[ref["digest"]]
+            for service, ref in head["services"].items()
+        },
+        "refs": head["services"],
+    }
+
+
+async def read_chunks(
+    store: protocol.Store,
+    refs: Mapping[str, types.ServiceRef],
+    known: dict[str, types.ServiceFile],
+) -> None:
+    """Read the files that refs name and `known` lacks, by digest."""
+    for service, ref in refs.items():
+        if ref["digest"] in known:
+            continue
         found = await store.get(keys.name_chunk(ref["digest"]))
         if found is None:
             raise errors.MalformedCatalogError(f"no chunk of {service!r}")
-        services[service] = msgspec.json.decode(
-            found.value, type=types.ServiceFile
-        )
-    return {"revision": head["revision"], "services": services}
+        known[ref["digest"]] = decode_chunk(found.value, ref["digest"])
 
 
-async def _write_chunk(
-    store: protocol.Store, digest: str, chunk: bytes
-) -> None:
+def decode_chunk(value: bytes, digest: str) -> types.ServiceFile:
+    """Read a service's file and check its digest."""
+    if hashlib.sha256(value).hexdigest() != digest:
+        raise errors.MalformedCatalogError(f"chunk {digest} is damaged")
     try:
-        await store.swap(keys.name_chunk(digest), 0, chunk)
-    except store_errors.StoreAnswerLostError:
-        # The key is the content's digest, so writing again is harmless.
-        await store.swap(keys.name_chunk(digest), 0, chunk)
+        return msgspec.json.decode(value, type=types.ServiceFile)
+    except (msgspec.ValidationError, msgspec.DecodeError) as err:
+        raise errors.MalformedCatalogError(str(err)) from err
 
 
-def _check_base(
-    head: types.Head, digests: dict[str, str], base_revision: int | None
-) -> None:
-    if base_revision is None:
-        return
-    for service in digests:
-        ref = head["services"].get(service)
-        if ref is not None and ref["revision"] > base_revision:
-            raise errors.PublishConflictError(
-                f"{service!r} was published by {ref['author']!r}"
-                f" in revision {ref['revision']}"
-            )
+def _describe_conflict(
+    head: types.Head, service: str, ref: types.ServiceRef
+) -> str:
+    what = "changed" if ref["digest"] else "removed"
+    made = [
+        record
+        for record in head["audit"]
+        if record["subject"] == service and record["after"] == ref
+    ]
+    where = f" from {made[-1]['origin']!r}" if made else ""
+    return (
+        f"{service!r} was {what} by {ref['author']!r}{where} in revision"
+        f" {ref['revision']}; look with"
+        f" `audit --service {service} --diff {ref['revision']}`"
+    )
 
 
 __all__ = (
+    "CHAIN",
     "HeadCodec",
+    "Publisher",
+    "decode_chunk",
     "publish_files",
+    "read_chunks",
     "read_head",
     "read_revision",
 )
--- a/src/cyclamenwing/catalog/types.py
+++ b/src/cyclamenwing/catalog/types.py
@@ -70,7 +70,10 @@
 
 
 class AuditRecord(TypedDict):
-    """Record who changed what; `previous` chains the records."""
+    """Record who changed what; `previous` chains the records.
+
+    `commit` is the id of the commit that brought the record.
+    """
 
     number: int
     at: float
@@ -81,39 +84,59 @@
     workspace: str
     before: Any
     after: Any
+    commit: str
     previous: str
     digest: str
 
 
+class Chain(TypedDict):
+    """Hold the youngest audit records of a chain.
+
+    `commits` are the ids of the last commits, `audit_segments` counts the
+    closed runs of records under keys of their own.
+    """
+
+    commits: list[str]
+    audit: list[AuditRecord]
+    audit_segments: int
+
+
 class ServiceRef(TypedDict):
-    """Point to the published file of one service."""
+    """Point to the published file of one service; no digest: removed."""
 
     digest: str
     revision: int
     author: str
 
 
-class Head(TypedDict):
-    """Name the revision in force, the value of one key."""
+class Head(Chain):
+    """Name the revision in force, the value of one key.
+
+    `removed` remembers who took a service away, for later publishers.
+    """
 
     revision: int
     services: dict[str, ServiceRef]
-    commits: list[str]
-    audit: list[AuditRecord]
-    audit_segments: int
+    removed: dict[str, ServiceRef]
 
 
 class Revision(TypedDict):
-    """Hold a whole revision as processes pass it on."""
+    """Hold a whole revision as processes pass it on.
+
+    `refs` name each service's file by digest and the revision that
+    brought it.
+    """
 
     revision: int
     services: dict[str, ServiceFile]
+    refs: NotRequired[dict[str, ServiceRef]]
 
 
 __all__ = (
     "AuditRecord",
     "BudgetRule",
     "CallRule",
+    "Chain",
     "Head",
     "Revision",
     "Route",
--- a/src/cyclamenwing/store/commits.py
+++ b/src/cyclamenwing/store/commits.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Awaitable
 from collections.abc import Callable
 from typing import Generic
 from typing import NamedTuple
@@ -43,10 +44,12 @@
     commit_id: str,
     change: Callable[[T], None],
     max_attempts: int = MAX_ATTEMPTS,
+    prepare: Callable[[T], Awaitable[None]] | None = None,
 ) -> Committed[T]:
     """Apply a change once, under any number of lost answers.
 
-    `change` records `commit_id` in the document. Raise
+    `change` records `commit_id` in the document; `prepare` reads or writes
+    other keys that it needs, before each attempt. Raise
     `CommitConflictError` after `max_attempts` conflicts, and
     `StoreAnswerLostError` when a write may have taken effect and the
     store can't be asked.
@@ -54,7 +57,9 @@
     lost = False
     for _ in range(max_attempts):
         try:
-            done = await _attempt(store, key, codec, commit_id, change)
+            done = await _attempt(
+                store, key, codec, commit_id, change, prepare
+            )
         except errors.StoreAnswerLostError:
             lost = True
             continue
@@ -75,12 +80,15 @@
     codec: Codec[T],
     commit_id: str,
     change: Callable[[T], None],
+    prepare: Callable[[T], Awaitable[None]] | None,
 ) -> Committed[T] | None:
     found = await store.get(key)
     document = codec.decode(found.value if found else None)
     revision = found.revision if found else 0
     if codec.contains(document, commit_id):
         return Committed(document, revision)
+    if prepare is not None:
+        await prepare(document)
     change(document)
     written = await store.swap(key, revision, codec.encode(document))
     if written is None:
--- a/src/cyclamenwing/store/keys.py
+++ b/src/cyclamenwing/store/keys.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 CATALOG_HEAD = "catalog/head"
+OPERATIONS_HEAD = "operations/head"
+ORDERS_HEAD = "orders/head"
 
 
 def name_ledger(shard: int) -> str:
@@ -30,13 +32,15 @@
     return f"catalog/chunk/{digest}"
 
 
-def name_audit(number: int) -> str:
-    """Return the key of a closed run of audit records."""
-    return f"audit/{number:08d}"
+def name_audit(chain: str, number: int) -> str:
+    """Return the key of a closed run of a chain's audit records."""
+    return f"audit/{chain}/{number:08d}"
 
 
 __all__ = (
     "CATALOG_HEAD",
+    "OPERATIONS_HEAD",
+    "ORDERS_HEAD",
     "name_audit",
     "name_bill_segment",
     "name_chunk",
