Name settings faults by file, line and code

Cause: the comment library dropped the line ends of comments, so that every line after a comment was named wrongly; a bind error had no line at all. Change: comments and trailing commas are blanked in place; unknown keys come with the nearest known one; addresses are checked as a whole and a failed bind names the line of its key; duplicate keys, NaN and documents nested too deeply are faults with a line. The comment library goes. Conclusion: an operator finds the fault without reading code.

--- a/src/cyclamenwing/cli/entry.py
+++ b/src/cyclamenwing/cli/entry.py
@@ -22,10 +22,13 @@
 
     def run(self, args: argparse.Namespace) -> int:
         """Run an entry until it is told to stop."""
-        settings = loader.load_entry(args.settings)
+        file = loader.load_entry(args.settings)
         return process.run_app(
-            lambda: app.EntryApp.from_config(settings),
-            settings.get("log_file"),
+            lambda: loader.bind_role(
+                file.document,
+                lambda: app.EntryApp.from_config(file.settings),
+            ),
+            file.settings.get("log_file"),
         )
 
 
--- a/src/cyclamenwing/cli/main.py
+++ b/src/cyclamenwing/cli/main.py
@@ -38,6 +38,7 @@
 
 _EXIT_CODES: tuple[tuple[type[errors.CodedError], int], ...] = (
     (settings_errors.SettingsError, protocol.EXIT_INVALID),
+    (transport_errors.BindFailedError, protocol.EXIT_INVALID),
     (store_errors.StoreError, protocol.EXIT_UNAVAILABLE),
     (transport_errors.TransportError, protocol.EXIT_UNAVAILABLE),
 )
@@ -67,6 +68,10 @@
     args = make_parser().parse_args(arguments)
     try:
         return int(args.run(args))
+    except settings_errors.SettingsError as err:
+        # The message names file, line and code already.
+        print(err.message, file=sys.stderr)
+        return find_exit_code(err)
     except errors.CodedError as err:
         print(f"{err.code}: {err.message}", file=sys.stderr)
         return find_exit_code(err)
--- a/src/cyclamenwing/cli/replay.py
+++ b/src/cyclamenwing/cli/replay.py
@@ -41,11 +41,13 @@
             path.read_bytes(), type=replay_protocol.Trace
         )
     except (OSError, msgspec.ValidationError, msgspec.DecodeError) as err:
-        raise errors.SettingsSyntaxError(f"{path}: {err}") from err
+        raise errors.SettingsSyntaxError(str(err), str(path)) from err
     for replayer in REPLAYERS:
         if trace["kind"] == replayer.KIND:
             return replayer.replay(trace)
-    raise errors.SettingsSchemaError(f"{path}: kind {trace['kind']!r}")
+    raise errors.SettingsSchemaError(
+        f"unknown kind {trace['kind']!r}", str(path)
+    )
 
 
 __all__ = (
--- a/src/cyclamenwing/cli/sidecar.py
+++ b/src/cyclamenwing/cli/sidecar.py
@@ -22,10 +22,13 @@
 
     def run(self, args: argparse.Namespace) -> int:
         """Run a sidecar until it is told to stop."""
-        settings = loader.load_sidecar(args.settings)
+        file = loader.load_sidecar(args.settings)
         return process.run_app(
-            lambda: app.SidecarApp.from_config(settings),
-            settings.get("log_file"),
+            lambda: loader.bind_role(
+                file.document,
+                lambda: app.SidecarApp.from_config(file.settings),
+            ),
+            file.settings.get("log_file"),
         )
 
 
--- a/src/cyclamenwing/settings/documents.py
+++ b/src/cyclamenwing/settings/documents.py
@@ -2,15 +2,20 @@
 
 from __future__ import annotations
 
+import collections
+import difflib
 import json
 import pathlib
+from collections.abc import Iterable
+from collections.abc import Iterator
 from typing import Any
 from typing import NamedTuple
+from typing import cast
 
 import json_source_map
 import jsonschema
-import jstyleson
 
+from cyclamenwing.settings import comments
 from cyclamenwing.settings import errors
 
 
@@ -36,38 +41,44 @@
     def find_line(self, path: list[str | int]) -> int:
         """Return the line of the deepest known part of a path."""
         for end in range(len(path), -1, -1):
-            pointer = "".join(f"/{part}" for part in path[:end])
+            pointer = "".join(f"/{_escape(part)}" for part in path[:end])
             if pointer in self.lines:
                 return self.lines[pointer]
         return 1
 
 
+def _escape(part: str | int) -> str:
+    return str(part).replace("~", "~0").replace("/", "~1")
+
+
 def read_document(path: pathlib.Path) -> Document:
     """Read a file; raise `SettingsSyntaxError` with its line."""
     try:
         text = path.read_text(encoding="utf-8")
     except (OSError, UnicodeDecodeError) as err:
-        raise errors.SettingsSyntaxError(f"{path}:1: {err}") from err
+        raise errors.SettingsSyntaxError(str(err), str(path)) from err
     return parse_document(str(path), text)
 
 
 def parse_document(file: str, text: str) -> Document:
     """Parse a text; raise `SettingsSyntaxError` with its line."""
-    plain = jstyleson.dispose(text)
+    plain = comments.blank_comments(text)
     try:
-        data = json.loads(plain, object_pairs_hook=_reject_duplicates)
+        data = json.loads(
+            plain,
+            object_pairs_hook=_Mapping.from_pairs,
+            parse_constant=_reject_constant,
+        )
+        lines = _find_lines(plain)
     except json.JSONDecodeError as err:
-        raise errors.SettingsSyntaxError(
-            f"{file}:{err.lineno}: {err.msg}"
-        ) from err
+        raise errors.SettingsSyntaxError(err.msg, file, err.lineno) from err
     except ValueError as err:
-        raise errors.SettingsSyntaxError(f"{file}:1: {err}") from err
-    marks = json_source_map.calculate(plain)
-    lines = {
-        pointer: (mark.key_start or mark.value_start).line + 1
-        for pointer, mark in marks.items()
-    }
-    return Document(file, data, lines)
+        raise errors.SettingsSyntaxError(str(err), file) from err
+    except RecursionError as err:
+        raise errors.SettingsSyntaxError("nested too deeply", file) from err
+    document = Document(file, data, lines)
+    _reject_duplicates(document, data, [])
+    return document
 
 
 def check_document(
@@ -75,25 +86,81 @@
 ) -> list[Finding]:
     """Return where a document breaks a schema, in order of lines."""
     validator = jsonschema.Draft202012Validator(schema)
-    found = [
-        Finding(
-            document.file,
-            document.find_line(list(error.absolute_path)),
-            code,
-            f"{error.json_path}: {error.message}",
-        )
+    return sorted(
+        finding
         for error in validator.iter_errors(document.data)
-    ]
-    return sorted(found)
+        for finding in _describe_error(document, error, code)
+    )
+
+
+def _describe_error(
+    document: Document, error: jsonschema.ValidationError, code: str
+) -> Iterator[Finding]:
+    path = list(error.absolute_path)
+    if error.validator != "additionalProperties":
+        line = document.find_line(path)
+        text = f"{error.json_path}: {error.message}"
+        yield Finding(document.file, line, code, text)
+        return
+    # The validator named here checks objects by an object of a schema.
+    known: dict[str, Any] = cast(Any, error.schema)["properties"]
+    given: dict[str, Any] = cast(Any, error.instance)
+    for name in given.keys() - known.keys():
+        line = document.find_line([*path, name])
+        text = (
+            f"{error.json_path}: unknown key {name!r}{_suggest(name, known)}"
+        )
+        yield Finding(document.file, line, code, text)
+
+
+def _suggest(name: str, known: Iterable[str]) -> str:
+    near = difflib.get_close_matches(name, known, 1)
+    return f", did you mean {near[0]!r}?" if near else ""
+
+
+def _find_lines(plain: str) -> dict[str, int]:
+    marks = json_source_map.calculate(plain)
+    return {
+        pointer: (mark.key_start or mark.value_start).line + 1
+        for pointer, mark in marks.items()
+    }
+
+
+class _Mapping(dict[str, Any]):
+    """Hold an object and the keys that it names twice."""
+
+    twice: tuple[str, ...] = ()
+
+    @classmethod
+    def from_pairs(cls, pairs: list[tuple[str, Any]]) -> dict[str, Any]:
+        made = cls(pairs)
+        if len(made) == len(pairs):
+            return dict(made)
+        counts = collections.Counter(name for name, _ in pairs)
+        made.twice = tuple(n for n, count in counts.items() if count > 1)
+        return made
+
+
+def _reject_duplicates(
+    document: Document, data: object, path: list[str | int]
+) -> None:
+    if isinstance(data, _Mapping):
+        name = data.twice[0]
+        line = document.find_line([*path, name])
+        raise errors.SettingsSyntaxError(
+            f"duplicate key {name!r}", document.file, line
+        )
+    inner: Iterable[tuple[str | int, object]] = ()
+    if isinstance(data, dict):
+        inner = data.items()
+    elif isinstance(data, list):
+        inner = enumerate(data)
+    for part, value in inner:
+        _reject_duplicates(document, value, [*path, part])
 
 
-def _reject_duplicates(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
-    made = dict(pairs)
-    if len(made) != len(pairs):
-        names = [name for name, _ in pairs]
-        twice = sorted({name for name in names if names.count(name) > 1})
-        raise ValueError(f"duplicate keys {twice}")
-    return made
+def _reject_constant(name: str) -> None:
+    raise ValueError(f"{name} is not JSON")
 
 
 __all__ = (
--- a/src/cyclamenwing/settings/errors.py
+++ b/src/cyclamenwing/settings/errors.py
@@ -6,10 +6,22 @@
 
 
 class SettingsError(errors.CodedError):
-    """Report a settings file that can't be used."""
+    """Report a settings file that can't be used.
+
+    :param reason: what is wrong
+    :param file: file that holds it, if one is to blame
+    :param line: line in the file, from 1
+    """
 
     code = "settings_error"
 
+    def __init__(self, reason: str, file: str = "", line: int = 1) -> None:
+        place = f"{file}:{line}: {self.code}: " if file else ""
+        super().__init__(place + reason)
+        self.reason = reason
+        self.file = file
+        self.line = line
+
 
 class SettingsSyntaxError(SettingsError):
     """Report a file that is not JSON with comments."""
--- a/src/cyclamenwing/settings/types.py
+++ b/src/cyclamenwing/settings/types.py
@@ -6,6 +6,8 @@
 from typing import NotRequired
 from typing import TypedDict
 
+MAX_BODY_BYTES = 64 * 1024 * 1024
+
 
 class CommonSettings(TypedDict):
     """Settings that every role has; addresses are ``ip:port``."""
@@ -28,6 +30,8 @@
     ledger_shards: NotRequired[int]
     commit_interval_ms: NotRequired[int]
     grant_chunk: NotRequired[int]
+    max_body_bytes: NotRequired[int]
+    body_timeout_s: NotRequired[float]
 
 
 class SidecarSettings(CommonSettings):
@@ -53,8 +57,9 @@
         "type": "array",
         "items": {"type": "string", "minLength": 16},
         "minItems": 1,
+        "uniqueItems": True,
     },
-    "entries": {"type": "array", "items": _ADDRESS},
+    "entries": {"type": "array", "items": _ADDRESS, "uniqueItems": True},
     "log_file": {"type": "string"},
 }
 _COMMON_REQUIRED = [
@@ -76,6 +81,12 @@
         "ledger_shards": {"type": "integer", "minimum": 1, "maximum": 4096},
         "commit_interval_ms": {"type": "integer", "minimum": 1},
         "grant_chunk": {"type": "integer", "minimum": 0},
+        "max_body_bytes": {
+            "type": "integer",
+            "minimum": 1024,
+            "maximum": MAX_BODY_BYTES,
+        },
+        "body_timeout_s": {"type": "number", "exclusiveMinimum": 0},
     },
 }
 SIDECAR_SCHEMA: dict[str, Any] = {
@@ -92,6 +103,7 @@
 
 __all__ = (
     "ENTRY_SCHEMA",
+    "MAX_BODY_BYTES",
     "SIDECAR_SCHEMA",
     "CommonSettings",
     "EntrySettings",
--- a/src/cyclamenwing/transport/errors.py
+++ b/src/cyclamenwing/transport/errors.py
@@ -45,6 +45,47 @@
     status = 403
 
 
+class BodyTooLargeError(TransportError):
+    """Report a body beyond the limit of its route."""
+
+    code = "too_large"
+    status = 413
+
+
+class BodyTimeoutError(TransportError):
+    """Report a body that did not arrive in time."""
+
+    code = "body_timeout"
+    status = 408
+
+
+class UnsupportedEncodingError(TransportError):
+    """Report a compressed body, which is not accepted."""
+
+    code = "unsupported_encoding"
+    status = 415
+
+
+class AnswerTooLargeError(TransportError):
+    """Report an answer beyond the limit."""
+
+    code = "answer_too_large"
+
+
+class BindFailedError(TransportError):
+    """Report an address that can't be bound.
+
+    :param address: ``ip:port`` as it was given
+    :param reason: why the system refused
+    """
+
+    code = "bind_failed"
+
+    def __init__(self, address: str, reason: str) -> None:
+        super().__init__(f"can't bind {address}: {reason}")
+        self.address = address
+
+
 class PeerRefusedError(TransportError):
     """Report a coded refusal by the other process.
 
@@ -61,6 +102,10 @@
 
 
 __all__ = (
+    "AnswerTooLargeError",
+    "BindFailedError",
+    "BodyTimeoutError",
+    "BodyTooLargeError",
     "ConnectFailedError",
     "ConnectionLostError",
     "ConnectionSilentError",
@@ -68,4 +113,5 @@
     "MalformedMessageError",
     "PeerRefusedError",
     "TransportError",
+    "UnsupportedEncodingError",
 )
--- a/src/cyclamenwing/transport/server.py
+++ b/src/cyclamenwing/transport/server.py
@@ -97,9 +97,12 @@
     def __init__(self, application: web.Application, address: str) -> None:
         ip, _, port = address.rpartition(":")
         self._ip = ip
-        self._sockets = netutil.bind_sockets(
-            int(port), ip, family=socket.AF_INET
-        )
+        try:
+            self._sockets = netutil.bind_sockets(
+                int(port), ip, family=socket.AF_INET
+            )
+        except (OSError, ValueError) as err:
+            raise errors.BindFailedError(address, str(err)) from err
         self.server = httpserver.HTTPServer(
             application,
             max_body_size=MAX_BODY_BYTES,
