Refuse requests by their headers, with a code, before the body is read

Cause: a body beyond the library's bound cut the connection without an answer, a slow sender held one for ever, a process without a key could send 8 MB before it was refused, and an endpoint's answer or a slow reader could fill the memory. Change: an intake ahead of the handlers asks a gate (fleet key, caller's key, limit of the route) and answers too_large, body_timeout, unsupported_encoding, unauthorized, forbidden_peer and not_ready; the curl client bounds whole answers and pauses streams that are not read. Conclusion: the bounds stand in one place, for every port.

--- a/src/cyclamenwing/entry/app.py
+++ b/src/cyclamenwing/entry/app.py
@@ -14,6 +14,7 @@
 from cyclamenwing.entry import dispatch
 from cyclamenwing.entry import funding
 from cyclamenwing.entry import inquiry
+from cyclamenwing.entry import limits
 from cyclamenwing.entry import membership
 from cyclamenwing.entry import metrics
 from cyclamenwing.entry import serving
@@ -23,6 +24,8 @@
 from cyclamenwing.settings import types as settings_types
 from cyclamenwing.store import client as store_client
 from cyclamenwing.transport import client
+from cyclamenwing.transport import gate
+from cyclamenwing.transport import intake
 from cyclamenwing.transport import part
 from cyclamenwing.transport import server
 
@@ -141,6 +144,11 @@
                 (r"/services/([^/]+)(/.*)", callers.PlainHandler, options),
             ]),
             self._settings["listen"],
+            limits.CallerGate(
+                self.board,
+                self._settings.get("max_body_bytes", gate.MAX_BODY_BYTES),
+            ),
+            self._settings.get("body_timeout_s", intake.BODY_TIMEOUT_S),
         )
 
     def _listen_peers(self) -> server.Listener:
--- /dev/null
+++ b/src/cyclamenwing/entry/limits.py
@@ -0,0 +1,56 @@
+"""Admission of callers by their headers, before a body is read."""
+
+from __future__ import annotations
+
+from tornado import httputil
+
+from cyclamenwing import errors as base_errors
+from cyclamenwing.entry import admission
+from cyclamenwing.entry import blackboard
+from cyclamenwing.entry import metrics
+from cyclamenwing.transport import errors
+from cyclamenwing.transport import gate
+
+SERVICES = "/services/"
+
+
+class CallerGate:
+    """Admit callers with a valid key, up to the limit of their route.
+
+    :param board: the entry's state
+    :param limit_bytes: largest body where the route says nothing
+    """
+
+    def __init__(
+        self,
+        board: blackboard.EntryBoard,
+        limit_bytes: int = gate.MAX_BODY_BYTES,
+    ) -> None:
+        self._board = board
+        self._limit_bytes = limit_bytes
+
+    def admit(self, path: str, headers: httputil.HTTPHeaders) -> int:
+        """Return the route's limit; raise a coded error."""
+        try:
+            return self._find_limit(path, headers)
+        except base_errors.CodedError as err:
+            self._board.recorder.count(metrics.REFUSALS, err.code, err.run)
+            raise
+
+    def _find_limit(self, path: str, headers: httputil.HTTPHeaders) -> int:
+        catalog = self._board.catalog
+        if catalog.revision == 0:
+            raise errors.NotReadyError("no configuration is known yet")
+        given = {"Authorization": headers.get("Authorization", "")}
+        caller = admission.Caller("", path, given, b"")
+        workspace = admission.authenticate(catalog, caller)
+        if not path.startswith(SERVICES):
+            return self._limit_bytes
+        name = path.removeprefix(SERVICES).partition("/")[0]
+        match = catalog.find_plain_route(name, "", "", workspace["name"])
+        if match is None:
+            return self._limit_bytes
+        return match.route.get("max_body_bytes", self._limit_bytes)
+
+
+__all__ = ("CallerGate",)
--- a/src/cyclamenwing/transport/client.py
+++ b/src/cyclamenwing/transport/client.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import math
 from collections.abc import AsyncIterator
 from collections.abc import Callable
@@ -20,6 +21,8 @@
 
 MAX_CONNECTIONS = 2_000
 CONNECT_TIMEOUT_S = 1.0
+MAX_ANSWER_BYTES = 16 * 1024 * 1024
+MAX_WAITING_BYTES = 1024 * 1024
 STREAM_TIMEOUT_S = 3_600.0
 CLOSE_TIMEOUT_S = 5.0
 JSON_TYPE = "application/json"
@@ -32,16 +35,29 @@
     pycurl.E_URL_MALFORMAT,
     pycurl.E_UNSUPPORTED_PROTOCOL,
 ))
+_TOO_LARGE = frozenset((pycurl.E_WRITE_ERROR, pycurl.E_FILESIZE_EXCEEDED))
+MALFORMED = (
+    msgspec.ValidationError,
+    msgspec.DecodeError,
+    UnicodeDecodeError,
+    RecursionError,
+)
 
 
 class CurlStream:
-    """Read a streamed answer of a curl transfer."""
+    """Read a streamed answer of a curl transfer.
+
+    The transfer pauses while `MAX_WAITING_BYTES` wait to be read.
+    """
 
     def __init__(self) -> None:
         self._head: asyncio.Future[protocol.Head] = (
             asyncio.get_running_loop().create_future()
         )
         self._chunks: asyncio.Queue[bytes | None] = asyncio.Queue()
+        self._curl: pycurl.Curl | None = None
+        self._waiting_bytes = 0
+        self._paused = False
         self._closed = False
         self._error: errors.TransportError | None = None
         self._status = 0
@@ -57,6 +73,8 @@
             chunk = await self._chunks.get()
             if chunk is None:
                 break
+            self._waiting_bytes -= len(chunk)
+            self._resume()
             yield chunk
         if self._error is not None:
             raise self._error
@@ -64,9 +82,11 @@
     def close(self) -> None:
         """Abandon the answer; the connection is not reused."""
         self._closed = True
+        self._resume()
 
     def prepare(self, curl: pycurl.Curl) -> None:
         """Attach this stream to a transfer."""
+        self._curl = curl
         curl.setopt(pycurl.WRITEFUNCTION, self._write)
         curl.setopt(pycurl.NOPROGRESS, 0)
         curl.setopt(pycurl.XFERINFOFUNCTION, self._check_closed)
@@ -85,6 +105,8 @@
 
     def finish(self, error: errors.TransportError | None) -> None:
         """End the stream, with an error if it broke."""
+        # The handle serves another transfer from now on.
+        self._curl = None
         self._error = error
         if not self._head.done():
             self._head.set_exception(
@@ -97,9 +119,21 @@
     def _write(self, chunk: bytes) -> int:
         if self._closed:
             return 0
+        if self._waiting_bytes >= MAX_WAITING_BYTES:
+            self._paused = True
+            return int(pycurl.WRITEFUNC_PAUSE)
+        self._waiting_bytes += len(chunk)
         self._chunks.put_nowait(chunk)
         return len(chunk)
 
+    def _resume(self) -> None:
+        if not self._paused or self._curl is None:
+            return
+        self._paused = False
+        # The transfer may break here; its end then reports the error.
+        with contextlib.suppress(pycurl.error):
+            self._curl.pause(pycurl.PAUSE_CONT)
+
     def _check_closed(self, *_totals: float) -> int:
         return 1 if self._closed else 0
 
@@ -113,7 +147,9 @@
     def __init__(self, fleet_key: str) -> None:
         self._fleet_key = fleet_key
         self._client = curl_httpclient.CurlAsyncHTTPClient(
-            force_instance=True, max_clients=MAX_CONNECTIONS
+            force_instance=True,
+            max_clients=MAX_CONNECTIONS,
+            max_body_size=MAX_ANSWER_BYTES,
         )
         self._tasks: set[asyncio.Task[None]] = set()
         self._pending: set[asyncio.Future[httpclient.HTTPResponse]] = set()
@@ -129,7 +165,7 @@
             raise parse_refusal(answer)
         try:
             return msgspec.json.decode(answer.body, type=reply)
-        except (msgspec.ValidationError, msgspec.DecodeError) as err:
+        except MALFORMED as err:
             raise errors.MalformedMessageError(str(err), "unknown") from err
 
     async def fetch(
@@ -261,6 +297,8 @@
     message = str(error)
     if errno in _NOT_SENT:
         return errors.ConnectFailedError(message)
+    if errno in _TOO_LARGE:
+        return errors.AnswerTooLargeError(message, "unknown")
     if errno == pycurl.E_OPERATION_TIMEDOUT:
         if "Connection timed out" in message:
             return errors.ConnectFailedError(message)
@@ -272,7 +310,7 @@
     """Read the coded refusal of another process."""
     try:
         body = msgspec.json.decode(answer.body, type=base_errors.ErrorBody)
-    except (msgspec.ValidationError, msgspec.DecodeError):
+    except MALFORMED:
         return errors.PeerRefusedError(
             "malformed_refusal", f"status {answer.status}"
         )
@@ -280,6 +318,9 @@
 
 
 __all__ = (
+    "MALFORMED",
+    "MAX_ANSWER_BYTES",
+    "MAX_WAITING_BYTES",
     "CurlClient",
     "CurlStream",
     "classify_failure",
--- a/src/cyclamenwing/transport/errors.py
+++ b/src/cyclamenwing/transport/errors.py
@@ -86,6 +86,14 @@
         self.address = address
 
 
+class NotReadyError(TransportError):
+    """Report a process that can't serve yet."""
+
+    code = "not_ready"
+    status = 503
+    retry_after_s = 1.0
+
+
 class PeerRefusedError(TransportError):
     """Report a coded refusal by the other process.
 
@@ -111,6 +119,7 @@
     "ConnectionSilentError",
     "ForbiddenPeerError",
     "MalformedMessageError",
+    "NotReadyError",
     "PeerRefusedError",
     "TransportError",
     "UnsupportedEncodingError",
--- a/src/cyclamenwing/transport/server.py
+++ b/src/cyclamenwing/transport/server.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import hmac
 import socket
 from collections.abc import Sequence
 from typing import Any
@@ -15,9 +14,13 @@
 
 from cyclamenwing import errors as base_errors
 from cyclamenwing.transport import errors
+from cyclamenwing.transport import gate
+from cyclamenwing.transport import intake
 
-MAX_BODY_BYTES = 8 * 1024 * 1024
 IDLE_TIMEOUT_S = 300.0
+# The gate bounds bodies; the library's own bound would cut connections
+# without an answer.
+LIBRARY_BODY_BYTES = 2**40
 
 T = TypeVar("T")
 
@@ -56,6 +59,7 @@
             msgspec.ValidationError,
             msgspec.DecodeError,
             UnicodeDecodeError,
+            RecursionError,
         ) as err:
             raise errors.MalformedMessageError(str(err)) from err
 
@@ -69,14 +73,9 @@
     """Serve only processes that hold a valid fleet key."""
 
     def prepare(self) -> None:
-        """Refuse a caller without a valid key."""
-        given = self.request.headers.get("Authorization", "")
-        valid = [
-            hmac.compare_digest(given.encode(), f"Bearer {key}".encode())
-            for key in self.settings["fleet_keys"]
-        ]
-        if not any(valid):
-            raise errors.ForbiddenPeerError("no valid fleet key")
+        """Refuse a caller without a valid key, whatever let it through."""
+        peers = gate.PeerGate(self.settings["fleet_keys"])
+        peers.admit(self.request.path, self.request.headers)
 
 
 class MissingHandler(CodedHandler):
@@ -92,9 +91,17 @@
 
     :param application: handlers by path
     :param address: ``ip:port``; port 0 takes a free one
+    :param admission: decides on requests before their body is read
+    :param body_timeout_s: time for a whole body to arrive
     """
 
-    def __init__(self, application: web.Application, address: str) -> None:
+    def __init__(
+        self,
+        application: web.Application,
+        address: str,
+        admission: gate.Gate | None = None,
+        body_timeout_s: float = intake.BODY_TIMEOUT_S,
+    ) -> None:
         ip, _, port = address.rpartition(":")
         self._ip = ip
         try:
@@ -104,8 +111,12 @@
         except (OSError, ValueError) as err:
             raise errors.BindFailedError(address, str(err)) from err
         self.server = httpserver.HTTPServer(
-            application,
-            max_body_size=MAX_BODY_BYTES,
+            intake.Intake(
+                application,
+                admission or _choose_gate(application),
+                body_timeout_s,
+            ),
+            max_body_size=LIBRARY_BODY_BYTES,
             idle_connection_timeout=IDLE_TIMEOUT_S,
         )
         self.server.add_sockets(self._sockets)
@@ -133,6 +144,11 @@
     )
 
 
+def _choose_gate(application: web.Application) -> gate.Gate:
+    fleet_keys = application.settings["fleet_keys"]
+    return gate.PeerGate(fleet_keys) if fleet_keys else gate.OpenGate()
+
+
 def _skip_log(_handler: web.RequestHandler) -> None:
     # The roles log each request themselves.
     return None
@@ -142,7 +158,6 @@
     400: "malformed_request",
     404: "not_found",
     405: "method_not_allowed",
-    413: "too_large",
 }
 
 __all__ = (
