--- a/src/cyclamenwing/demo/fleet.py
+++ b/src/cyclamenwing/demo/fleet.py
@@ -5,6 +5,9 @@
 import asyncio
 import time
 import uuid
+from typing import Any
+from typing import TypedDict
+from typing import cast
 
 from cyclamenwing.budget import payment
 from cyclamenwing.catalog import audit
@@ -71,10 +74,21 @@
 ]
 
 
+class EntryOptions(TypedDict, total=False):
+    """Hold settings of the demo's entries that a test may choose."""
+
+    max_body_bytes: int
+    body_timeout_s: float
+
+
 class Fleet:
-    """Hold the processes of the demo."""
+    """Hold the processes of the demo.
+
+    :param extra: further settings of the entries
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, extra: EntryOptions) -> None:
+        self._extra = extra
         self.store = store.StoreStandin(LOOPBACK)
         self.engines = [
             engine.EngineStandin(
@@ -91,9 +105,9 @@
         self.sidecars: list[sidecar_app.SidecarApp] = []
 
     @classmethod
-    async def start(cls) -> Fleet:
+    async def start(cls, extra: EntryOptions | None = None) -> Fleet:
         """Start all processes and wait until they serve."""
-        made = cls()
+        made = cls(extra or {})
         await made._publish()
         made._start_entries()
         made._start_sidecars()
@@ -153,7 +167,9 @@
                 "store": self.store.address,
                 "fleet_keys": [FLEET_KEY],
                 "entries": peers,
+                "operators": LOOPBACK,
             }
+            settings.update(cast(Any, self._extra))
             made = entry_app.EntryApp.from_config(settings)
             # Both entries share the list, so each learns of the other.
             peers.append(made.peer_address)
@@ -193,5 +209,6 @@
     "MODEL",
     "SMALL_PAID",
     "TOKENS_PAID",
+    "EntryOptions",
     "Fleet",
 )
--- a/src/cyclamenwing/entry/admission.py
+++ b/src/cyclamenwing/entry/admission.py
@@ -81,6 +81,7 @@
         msgspec.ValidationError,
         msgspec.DecodeError,
         UnicodeDecodeError,
+        RecursionError,
     ) as err:
         raise errors.MalformedRequestError(str(err)) from err
     model = body.get("model")
