--- a/tests/contract/test_caller.py
+++ b/tests/contract/test_caller.py
@@ -3,9 +3,10 @@
 import asyncio
 from typing import Any
 
+from tests.contract import support
+
 from cyclamenwing.demo import fleet as demo_fleet
 from cyclamenwing.demo import tour
-from tests.contract import support
 
 CHAT = "/v1/chat/completions"
 KEY = {"Authorization": f"Bearer {demo_fleet.CALLER_KEY}"}
