--- a/src/cyclamenwing/transport/errors.py
+++ b/src/cyclamenwing/transport/errors.py
@@ -45,6 +45,55 @@
     status = 403
 
 
+class BodyTooLargeError(TransportError):
+    """Report a body beyond the limit of its route."""
+
+    code = "too_large"
+    status = 413
+
+
+class BodyTimeoutError(TransportError):
+    """Report a body that did not arrive in time."""
+
+    code = "body_timeout"
+    status = 408
+
+
+class UnsupportedEncodingError(TransportError):
+    """Report a compressed body, which is not accepted."""
+
+    code = "unsupported_encoding"
+    status = 415
+
+
+class AnswerTooLargeError(TransportError):
+    """Report an answer beyond the limit."""
+
+    code = "answer_too_large"
+
+
+class BindFailedError(TransportError):
+    """Report an address that can't be bound.
+
+    :param address: ``ip:port`` as it was given
+    :param reason: why the system refused
+    """
+
+    code = "bind_failed"
+
+    def __init__(self, address: str, reason: str) -> None:
+        super().__init__(f"can't bind {address}: {reason}")
+        self.address = address
+
+
+class NotReadyError(TransportError):
+    """Report a process that can't serve yet."""
+
+    code = "not_ready"
+    status = 503
+    retry_after_s = 1.0
+
+
 class PeerRefusedError(TransportError):
     """Report a coded refusal by the other process.
 
@@ -61,11 +110,17 @@
 
 
 __all__ = (
+    "AnswerTooLargeError",
+    "BindFailedError",
+    "BodyTimeoutError",
+    "BodyTooLargeError",
     "ConnectFailedError",
     "ConnectionLostError",
     "ConnectionSilentError",
     "ForbiddenPeerError",
     "MalformedMessageError",
+    "NotReadyError",
     "PeerRefusedError",
     "TransportError",
+    "UnsupportedEncodingError",
 )
