Return what a dead entry left, as its sidecars tell

Cause: a killed entry's grant stayed charged for good; a run of unknown fate kept its reservation for good; a paused entry went on with a closed session. Change: the first entry by rank marks a session that is gone, has its sidecars refuse it and tell what ran, asks entries for transfers, bills the runs and returns the rest; what is unknown stays charged with its reason. An entry asks its sidecars about unknown runs and tells them what the ledger holds. An entry whose session is refused takes a new one. Conclusion: holds with all sidecars answering; with one silent the rest stays in doubt.

--- a/src/cyclamenwing/budget/account.py
+++ b/src/cyclamenwing/budget/account.py
@@ -95,7 +95,8 @@
     `asks` holds the transfers made for peers by the id of the ask, so
     that a repeated one is answered alike; `barred` the sessions whose
     transfers are no longer taken; `waiting` the budgets that requests
-    wait for; `stale` is set once the ledger refuses the session.
+    wait for; `opened` is set once the session's record is in the
+    store, `stale` once the ledger refuses the session.
 
     :param session: id of the entry's incarnation
     """
@@ -114,6 +115,7 @@
     barred: set[str] = dataclasses.field(default_factory=set)
     waiting: set[str] = dataclasses.field(default_factory=set)
     unsettled: int = 0
+    opened: bool = False
     stale: bool = False
 
     def get_account(self, budget: str) -> Account:
--- a/src/cyclamenwing/budget/billing.py
+++ b/src/cyclamenwing/budget/billing.py
@@ -99,6 +99,11 @@
     ]
 
 
+def find_key(key: str, request: str) -> str:
+    """Return a request's key, empty if the caller gave none."""
+    return "" if key.endswith(f"/{request}") else key
+
+
 def digest_key(budget: str, key: str) -> str:
     """Return a short digest of a request's key within a budget."""
     return xxhash.xxh64_hexdigest(f"{budget}\0{key}".encode())
@@ -141,6 +146,7 @@
     "count_new",
     "digest_key",
     "expire_keys",
+    "find_key",
     "fold_bills",
     "is_folded",
 )
--- a/src/cyclamenwing/budget/messages.py
+++ b/src/cyclamenwing/budget/messages.py
@@ -182,6 +182,18 @@
     reservations: list[tuple[str, int]]
 
 
+class SettledNote(TypedDict):
+    """Tell a sidecar what the ledger holds of a session, by budget.
+
+    Records of sequences below the number and not listed may be dropped,
+    all of them once the session is `gone`.
+    """
+
+    session: str
+    gone: bool
+    settled: dict[str, tuple[int, list[int]]]
+
+
 __all__ = (
     "BarQuestion",
     "Closing",
@@ -194,6 +206,7 @@
     "OpResult",
     "Recovery",
     "SessionQuestion",
+    "SettledNote",
     "Settlement",
     "SidecarAnswer",
     "TopUp",
--- a/src/cyclamenwing/entry/app.py
+++ b/src/cyclamenwing/entry/app.py
@@ -14,14 +14,18 @@
 from cyclamenwing.entry import blackboard
 from cyclamenwing.entry import callers
 from cyclamenwing.entry import catalog
+from cyclamenwing.entry import closing
 from cyclamenwing.entry import dispatch
 from cyclamenwing.entry import exchange
 from cyclamenwing.entry import funding
 from cyclamenwing.entry import inquiry
 from cyclamenwing.entry import membership
+from cyclamenwing.entry import recovery
+from cyclamenwing.entry import reports
 from cyclamenwing.entry import serving
 from cyclamenwing.entry import sessions
 from cyclamenwing.entry import transfers
+from cyclamenwing.entry import witnesses
 from cyclamenwing.membership import news
 from cyclamenwing.routing import scoring
 from cyclamenwing.settings import types as settings_types
@@ -73,6 +77,8 @@
             sessions.Sessions(self.board, self._store),
             self._transfers,
             self._money,
+            reports.Reports(self.board, self._client),
+            self._make_recovery(),
         ]
         self._callers = self._listen_callers()
         self._peers = self._listen_peers()
@@ -105,7 +111,7 @@
         size = sizing.Sizing.from_weight(
             settings.get("budget_weight", sizing.DEFAULT_WEIGHT)
         )
-        ledger = exchange.Exchange(
+        self._ledger = exchange.Exchange(
             self.board,
             budget_exchange.ExchangeController(size),
             coordinator.Coordinator(
@@ -115,7 +121,12 @@
             self._store,
             settings.get("ledger_shards", layout.DEFAULT_SHARDS),
         )
-        return funding.Funding(self.board, ledger, self._transfers, size)
+        return funding.Funding(self.board, self._ledger, self._transfers, size)
+
+    def _make_recovery(self) -> recovery.Recovery:
+        asked = witnesses.Witnesses(self.board, self._client, self._transfers)
+        steps = closing.Closing(self._ledger, self._store, asked)
+        return recovery.Recovery(self.board, self._store, asked, steps)
 
     def _listen_callers(self) -> server.Listener:
         options = {"board": self.board, "service": self._service}
--- a/src/cyclamenwing/entry/exchange.py
+++ b/src/cyclamenwing/entry/exchange.py
@@ -72,6 +72,9 @@
         Requests that ask while an exchange runs share the next one. False
         means that no coordinator could commit.
         """
+        # A grant without a session record could not be recovered.
+        if not self._board.holder.opened:
+            return False
         try:
             shard = rank.pick_shard(budget, await self.find_shards())
         except base_errors.CodedError:
--- a/src/cyclamenwing/entry/funding.py
+++ b/src/cyclamenwing/entry/funding.py
@@ -10,6 +10,7 @@
 import eliot
 
 from cyclamenwing import errors as base_errors
+from cyclamenwing.budget import billing
 from cyclamenwing.budget import coordinator
 from cyclamenwing.budget import errors
 from cyclamenwing.budget import holder
@@ -228,7 +229,7 @@
 ) -> types.Bill:
     return {
         "request": accepted.request,
-        "key": accepted.key,
+        "key": billing.find_key(accepted.key, accepted.request),
         "workspace": accepted.workspace["name"],
         "budget": reservation.budget,
         "session": reservation.session,
--- a/src/cyclamenwing/entry/sessions.py
+++ b/src/cyclamenwing/entry/sessions.py
@@ -63,12 +63,16 @@
             )
             if beat["incarnation"] not in self._board.served
         ]
-        if not missing:
+        if not missing and self._board.holder.opened:
             return
         own = self._board.session
+        created = self._board.holder.opened
         commit_id = uuid.uuid4().hex
 
         def change(record: session.SessionRecord) -> None:
+            # A record that was removed may not come back.
+            if created and not record["commits"]:
+                record["state"] = "closed"
             session.extend_session(record, missing, commit_id)
 
         made = await commits.commit(
@@ -79,7 +83,9 @@
             change,
         )
         named = {item["incarnation"] for item in made.document["sidecars"]}
-        self._board.served = named
+        if self._board.session == own:
+            self._board.holder.opened = True
+            self._board.served = named
 
     def renew(self) -> None:
         """Take a new session; what the old one held is recovered."""
@@ -93,6 +99,8 @@
 
     async def _run(self) -> None:
         while True:
+            if self._board.holder.stale:
+                self.renew()
             try:
                 await self.extend(time.monotonic())
             except errors.StaleSessionError:
--- a/src/cyclamenwing/sidecar/accounts.py
+++ b/src/cyclamenwing/sidecar/accounts.py
@@ -4,6 +4,8 @@
 
 import dataclasses
 
+from cyclamenwing.budget import billing
+from cyclamenwing.budget import messages
 from cyclamenwing.budget import types as budget_types
 from cyclamenwing.request import runs
 from cyclamenwing.request import types
@@ -78,6 +80,45 @@
             record["running"] = False
             record["at"] = now
 
+    def close_session(self, session: str) -> messages.SidecarAnswer:
+        """Refuse a session's orders from now on; tell what it ran."""
+        self._board.closed.add(session)
+        account = self._board.sessions.get(session)
+        records = list(account.records.values()) if account else []
+        return {"incarnation": self._board.incarnation, "records": records}
+
+    def bar(self, asked: messages.BarQuestion) -> messages.SidecarAnswer:
+        """Tell what became of reservations; refuse those not known."""
+        account = self._find(asked["session"])
+        found: list[budget_types.RunRecord] = []
+        for budget, sequence in asked["reservations"]:
+            record = account.records.get((budget, sequence))
+            if record is None:
+                account.barred.add((budget, sequence))
+            else:
+                found.append(record)
+        return {"incarnation": self._board.incarnation, "records": found}
+
+    def drop_settled(self, note: messages.SettledNote) -> None:
+        """Drop the records that the ledger holds."""
+        account = self._board.sessions.get(note["session"])
+        if account is None:
+            return
+        dropped = [
+            name
+            for name, record in account.records.items()
+            if note["gone"]
+            or (not record["running"] and _is_settled(note, name))
+        ]
+        for name in dropped:
+            del account.records[name]
+        self._board.held -= len(dropped)
+        account.barred = {
+            name for name in account.barred if not _is_settled(note, name)
+        }
+        if note["gone"]:
+            del self._board.sessions[note["session"]]
+
     def _check(self, charge: types.Charge) -> None:
         if charge["session"] in self._board.closed:
             raise runs.FencedError(f"session {charge['session']!r} is closed")
@@ -89,12 +130,18 @@
         return self._board.sessions.setdefault(session, SessionAccount())
 
 
+def _is_settled(note: messages.SettledNote, name: tuple[str, int]) -> bool:
+    budget, sequence = name
+    ends, still_open = note["settled"].get(budget, (0, []))
+    return sequence < ends and sequence not in still_open
+
+
 def _make_record(
     order: types.RunOrder, charge: types.Charge, now: float
 ) -> budget_types.RunRecord:
     return {
         "request": order["request"],
-        "key": order["key"],
+        "key": billing.find_key(order["key"], order["request"]),
         "workspace": order["workspace"],
         "budget": charge["budget"],
         "sequence": charge["sequence"],
--- a/src/cyclamenwing/sidecar/app.py
+++ b/src/cyclamenwing/sidecar/app.py
@@ -8,6 +8,7 @@
 from cyclamenwing.settings import types as settings_types
 from cyclamenwing.sidecar import accounts
 from cyclamenwing.sidecar import blackboard
+from cyclamenwing.sidecar import closing
 from cyclamenwing.sidecar import executor
 from cyclamenwing.sidecar import handlers
 from cyclamenwing.sidecar import membership
@@ -46,6 +47,7 @@
         )
         self._parts: list[part.Part] = [
             handlers.RunService(self.board, self.execution),
+            closing.Closing(self.accounts),
             self._membership,
         ]
         self._listener = server.Listener(
