--- a/src/cyclamenwing/sidecar/app.py
+++ b/src/cyclamenwing/sidecar/app.py
@@ -5,6 +5,7 @@
 import uuid
 
 from cyclamenwing.membership import news
+from cyclamenwing.metrics import operators
 from cyclamenwing.settings import types as settings_types
 from cyclamenwing.sidecar import accounts
 from cyclamenwing.sidecar import blackboard
@@ -12,6 +13,8 @@
 from cyclamenwing.sidecar import executor
 from cyclamenwing.sidecar import handlers
 from cyclamenwing.sidecar import membership
+from cyclamenwing.sidecar import observation
+from cyclamenwing.sidecar import quarantine
 from cyclamenwing.transport import client
 from cyclamenwing.transport import part
 from cyclamenwing.transport import server
@@ -37,7 +40,13 @@
         self.execution = executor.Executor(
             self.board, self._client, settings["endpoint"], self.accounts
         )
-        sources: list[news.Source] = []
+        observed = observation.Observation(
+            self.board, self._client, settings["endpoint"]
+        )
+        sources: list[news.Source] = [
+            observed,
+            quarantine.QuarantineRelay(settings["host"]),
+        ]
         self._membership = membership.Membership(
             self.board,
             self._client,
@@ -48,7 +57,13 @@
         self._parts: list[part.Part] = [
             handlers.RunService(self.board, self.execution),
             closing.Closing(self.accounts),
+            observed,
             self._membership,
+            operators.OperatorsPort(
+                settings.get("operators"),
+                self.board.recorder,
+                self._read_health,
+            ),
         ]
         self._listener = server.Listener(
             server.make_application(
@@ -72,6 +87,18 @@
         """Start a sidecar from its settings."""
         return cls(settings)
 
+    def _read_health(self) -> operators.Health:
+        board = self.board
+        return {
+            "ready": not board.runs.leaving,
+            "role": "sidecar",
+            "host": board.host,
+            "zone": board.zone,
+            "revision": board.revision,
+            "leaving": board.runs.leaving,
+            "in_progress": board.running,
+        }
+
     async def close(self) -> None:
         """Announce leaving, end the runs and stop."""
         self.board.runs.leaving = True
--- a/tests/entry/test_recovery.py
+++ b/tests/entry/test_recovery.py
@@ -159,6 +159,7 @@
     return {
         "request": "r",
         "key": "panels/r",
+        "submission": "r",
         "fingerprint": "f",
         "sidecar": incarnation,
         "attempt": 1,
