--- a/src/cyclamenwing/sidecar/app.py
+++ b/src/cyclamenwing/sidecar/app.py
@@ -9,6 +9,7 @@
 from cyclamenwing.settings import types as settings_types
 from cyclamenwing.sidecar import accounts
 from cyclamenwing.sidecar import blackboard
+from cyclamenwing.sidecar import closing
 from cyclamenwing.sidecar import executor
 from cyclamenwing.sidecar import handlers
 from cyclamenwing.sidecar import membership
@@ -55,6 +56,7 @@
         )
         self._parts: list[part.Part] = [
             handlers.RunService(self.board, self.execution),
+            closing.Closing(self.accounts),
             observed,
             self._membership,
             operators.OperatorsPort(
