Bound silence by a timer, and answer claimed keys from their claims

Cause: on real processes a silent connection was given up after 9 to 10 s in place of 3 s, since the HTTP library's bound is an average, and a repeated key was refused as not run when its route had no live endpoint. Change: streams bound each wait for bytes by a timer; a resumed connection that is silent again ends the attempt; a refusal of a claimed key looks for an earlier claim first; a key's search tells when a sidecar did not answer. Conclusion: silence costs what it states.

--- a/src/cyclamenwing/entry/attempts.py
+++ b/src/cyclamenwing/entry/attempts.py
@@ -107,6 +107,8 @@
             try:
                 return await task.answer.follow(stream)
             except base_errors.CodedError as err:
+                if task.answer.offset > offset:
+                    self._controller.advance(progress)
                 failure = classify_failure(err)
                 step = self._controller.decide(
                     progress, failure, time.monotonic()
@@ -165,9 +167,12 @@
     ) -> types.Outcome | None:
         """Send and resume; None means to try elsewhere."""
         while True:
+            before = task.answer.offset
             try:
                 return await self._send(task, candidate, permit)
             except base_errors.CodedError as err:
+                if task.answer.offset > before:
+                    self._controller.advance(task.progress)
                 step = self._decide(task, candidate, err)
             if step.error is not None:
                 raise step.error
@@ -304,6 +309,7 @@
     (follower.RunRefusedError, _classify_refusal),
     (transport_errors.PeerRefusedError, _classify_peer),
     (transport_errors.ConnectFailedError, lambda _error: "unsent"),
+    (transport_errors.ConnectionSilentError, lambda _error: "silent"),
     (transport_errors.TransportError, lambda _error: "lost"),
     (errors.AnswerGapError, lambda _error: "lost"),
 )
--- a/src/cyclamenwing/entry/claims.py
+++ b/src/cyclamenwing/entry/claims.py
@@ -80,6 +80,13 @@
         except TimeoutError as err:
             raise store_errors.StoreAnswerLostError("claim timed out") from err
 
+    async def find(self, key: str) -> claims.Claim | None:
+        """Read a key's claim; raise a coded error of the store."""
+        shard = rank.pick_shard(key, claims.CLAIM_SHARDS)
+        found = await self._store.get(keys.name_claims(shard))
+        document = self._codec.decode(found.value if found else None)
+        return document["claims"].get(key)
+
     def record(self, op: claims.End) -> None:
         """Commit an outcome behind the answer, while the store is down too.
 
--- a/src/cyclamenwing/entry/serving.py
+++ b/src/cyclamenwing/entry/serving.py
@@ -88,25 +88,33 @@
         self, accepted: admission.Accepted, sink: sinks.Sink
     ) -> None:
         task = self._make_task(accepted, sink)
-        address = await self._finder.find(accepted)
-        if address is not None:
-            self._note(accepted, "found", sidecar=address)
-            if await self._attach(task, address):
-                return
-            task.answer.restart()
-        await self._run(task, tickets.PaidTicket(accepted, self._money))
+        search = await self._finder.find(accepted)
+        if await self._attach(task, search):
+            return
+        try:
+            await self._run(task, tickets.PaidTicket(accepted, self._money))
+        except base_errors.CodedError as err:
+            if err.run != "not_run" or search.whole:
+                raise
+            # An endpoint out of reach may have run the key before.
+            made = errors.OutcomeUnknownError(err.message, "unknown")
+            raise made from err
 
-    async def _attach(self, task: attempts.Task, address: str) -> bool:
+    async def _attach(self, task: attempts.Task, search: finder.Search) -> bool:
         """Follow a run that was found; False means to run it anew."""
+        if search.address is None:
+            return False
         query = attempts.make_query(task.accepted, "", 0)
+        self._note(task.accepted, "found", sidecar=search.address)
         try:
-            await self._attempts.attach(task, address, query)
+            await self._attempts.attach(task, search.address, query)
         except base_errors.CodedError as err:
             failure = attempts.classify_failure(err)
             if failure.kind == "final" and err.code != "run_not_found":
                 raise
+            task.answer.restart()
             return False
-        self._note(task.accepted, "attached", sidecar=address)
+        self._note(task.accepted, "attached", sidecar=search.address)
         return True
 
     async def _serve_claimed(
@@ -122,17 +130,37 @@
             try:
                 await self._run(task, ticket)
             except tickets.ClaimedError as err:
-                self._note(accepted, "claimed_before", claim=err.claim)
-                replaces = await self._claimed.answer(task, err.claim, copy)
-                if replaces:
-                    continue
-                if err.claim["phase"] == "claimed":
-                    self._record(accepted, err.claim["attempt"], copy)
+                claim = err.claim
+            except base_errors.CodedError as err:
+                if err.run != "not_run":
+                    raise
+                found = await self._find_earlier(task, replaces)
+                if found is None:
+                    raise
+                claim = found
+            else:
+                self._record(accepted, ticket.attempt, copy)
+                return
+            self._note(accepted, "claimed_before", claim=claim)
+            replaces = await self._claimed.answer(task, claim, copy)
+            if not replaces:
+                if claim["phase"] == "claimed":
+                    self._record(accepted, claim["attempt"], copy)
                 return
-            self._record(accepted, ticket.attempt, copy)
-            return
         raise errors.OutcomeUnknownError("the claim keeps moving", "unknown")
 
+    async def _find_earlier(
+        self, task: attempts.Task, replaces: int
+    ) -> claims.Claim | None:
+        """Return a claim that makes "not run" untrue, if there is one."""
+        try:
+            claim = await self._claims.find(task.accepted.key)
+        except base_errors.CodedError:
+            return None
+        if claim is None or claim["phase"] == "not_run":
+            return None
+        return None if claim["attempt"] == replaces else claim
+
     def _record(
         self,
         accepted: admission.Accepted,
@@ -159,29 +187,24 @@
             self._note(accepted, "failed", **err.describe())
             self._settle_failed(task, ticket, err)
             if err.run == "not_run":
-                await self._withdraw(task, ticket, err)
+                await self._withdraw(ticket, err)
             raise
         finally:
             self._dispatch.leave(task.job)
         self._settle(task, ticket, outcome)
 
     async def _withdraw(
-        self,
-        task: attempts.Task,
-        ticket: tickets.PaidTicket,
-        error: base_errors.CodedError,
+        self, ticket: tickets.PaidTicket, error: base_errors.CodedError
     ) -> None:
         """Give the claim back, so that "not run" stays true."""
         if isinstance(error, tickets.ClaimedError):
             return
         try:
-            kept = await ticket.withdraw()
+            await ticket.withdraw()
+        except tickets.ClaimedError:
+            raise
         except base_errors.CodedError as err:
             raise errors.OutcomeUnknownError(err.message, "unknown") from error
-        if not kept:
-            raise errors.OutcomeUnknownError(
-                "another attempt took the request over", "unknown"
-            ) from error
 
     def _settle(
         self,
--- a/src/cyclamenwing/entry/tickets.py
+++ b/src/cyclamenwing/entry/tickets.py
@@ -61,9 +61,8 @@
         if self.made is None:
             self.made = await self._money.reserve(self._accepted)
 
-    async def withdraw(self) -> bool:
-        """Tell that nothing ran; True as there is no claim to lose."""
-        return True
+    async def withdraw(self) -> None:
+        """Do nothing; there is no claim to give back."""
 
 
 class ClaimTicket(PaidTicket):
@@ -115,16 +114,17 @@
         await self.reserve()
         return attempts.Permit(self.attempt, self.charges)
 
-    async def withdraw(self) -> bool:
-        """Record that nothing ran; False if another attempt took over."""
+    async def withdraw(self) -> None:
+        """Record that nothing ran; raise `ClaimedError` if taken over."""
         if not self.attempt:
-            return True
+            return
         result = await self._claims.submit({
             "op": "drop",
             "key": self._accepted.key,
             "attempt": self.attempt,
         })
-        return result.applied
+        if not result.applied and result.claim is not None:
+            raise ClaimedError(result.claim)
 
 
 def _make_charge(reservation: budget_types.Reservation) -> types.Charge:
--- a/src/cyclamenwing/request/attempts.py
+++ b/src/cyclamenwing/request/attempts.py
@@ -12,10 +12,11 @@
 
 MAX_ATTEMPTS = 4
 MAX_RESUMES = 3
+MAX_SILENT_RESUMES = 1
 RESUME_DELAY_S = 0.05
 
 FailureKind = Literal[
-    "unsent", "lost", "refused", "replaced", "crashed", "final"
+    "unsent", "lost", "silent", "refused", "replaced", "crashed", "final"
 ]
 StepKind = Literal["resume", "elsewhere", "fail"]
 
@@ -23,8 +24,8 @@
 class Failure(NamedTuple):
     """Describe how an attempt failed.
 
-    `unsent`: nothing reached the sidecar; `lost`: the connection broke,
-    went silent or lost parts; `refused`: the sidecar has not run it and
+    `unsent`: nothing reached the sidecar; `lost`: the connection broke
+    or lost parts; `silent`: nothing came within the bound; `refused`: the sidecar has not run it and
     won't; `replaced`: another incarnation answered; `crashed`: the
     endpoint failed during the run; `final`: no attempt can mend it.
     """
@@ -80,6 +81,10 @@
         """Return the next step after a failure."""
         return _DECIDERS[failure.kind](self, progress, failure.error, now)
 
+    def advance(self, progress: Progress) -> None:
+        """Take note that an attempt brought new bytes of the answer."""
+        progress.resumes = 0
+
     def conclude(
         self, progress: Progress, error: base_errors.CodedError
     ) -> base_errors.CodedError:
@@ -112,6 +117,17 @@
             return Step("resume", delay_s)
         return self._decide_doubtful(progress, error, now)
 
+    def _decide_silent(
+        self,
+        progress: Progress,
+        error: base_errors.CodedError,
+        now: float,
+    ) -> Step:
+        if progress.resumes < MAX_SILENT_RESUMES:
+            return self._decide_lost(progress, error, now)
+        # New connections are silent too: the process itself is.
+        return self._decide_doubtful(progress, error, now)
+
     def _decide_refused(
         self,
         progress: Progress,
@@ -169,6 +185,7 @@
 ] = {
     "unsent": AttemptController._decide_unsent,
     "lost": AttemptController._decide_lost,
+    "silent": AttemptController._decide_silent,
     "refused": AttemptController._decide_refused,
     "replaced": AttemptController._decide_replaced,
     "crashed": AttemptController._decide_doubtful,
@@ -178,6 +195,7 @@
 __all__ = (
     "MAX_ATTEMPTS",
     "MAX_RESUMES",
+    "MAX_SILENT_RESUMES",
     "AttemptController",
     "Failure",
     "Progress",
--- a/src/cyclamenwing/transport/client.py
+++ b/src/cyclamenwing/transport/client.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import math
 from collections.abc import AsyncIterator
 from collections.abc import Callable
@@ -35,9 +36,13 @@
 
 
 class CurlStream:
-    """Read a streamed answer of a curl transfer."""
+    """Read a streamed answer of a curl transfer.
 
-    def __init__(self) -> None:
+    :param silence_s: longest time without a byte
+    """
+
+    def __init__(self, silence_s: float) -> None:
+        self._silence_s = silence_s
         self._head: asyncio.Future[protocol.Head] = (
             asyncio.get_running_loop().create_future()
         )
@@ -49,12 +54,14 @@
 
     async def read_head(self) -> protocol.Head:
         """Wait for the status line and headers."""
-        return await self._head
+        async with self._bound_silence():
+            return await asyncio.shield(self._head)
 
     async def read_chunks(self) -> AsyncIterator[bytes]:
         """Yield chunks as they arrive."""
         while True:
-            chunk = await self._chunks.get()
+            async with self._bound_silence():
+                chunk = await self._chunks.get()
             if chunk is None:
                 break
             yield chunk
@@ -94,6 +101,18 @@
             self._head.exception()
         self._chunks.put_nowait(None)
 
+    @contextlib.asynccontextmanager
+    async def _bound_silence(self) -> AsyncIterator[None]:
+        # The library's own bound is an average and takes three times as long.
+        try:
+            async with asyncio.timeout(self._silence_s):
+                yield
+        except TimeoutError as err:
+            self.close()
+            raise errors.ConnectionSilentError(
+                f"nothing within {self._silence_s} s", "unknown"
+            ) from err
+
     def _write(self, chunk: bytes) -> int:
         if self._closed:
             return 0
@@ -172,7 +191,7 @@
 
         A `fresh` one gets a new connection and is sent at most once.
         """
-        stream = CurlStream()
+        stream = CurlStream(silence_s)
         request = self._make_request(
             method, url, headers, body, STREAM_TIMEOUT_S
         )
--- /dev/null
+++ b/tests/process/test_pause.py
@@ -0,0 +1,80 @@
+from __future__ import annotations
+
+import asyncio
+import signal
+import time
+
+import msgspec
+
+from cyclamenwing.entry import admission
+from cyclamenwing.membership import view
+from tests.process import conftest
+from tests.process import endpoint
+from tests.process import fleet as process_fleet
+
+LAPSE_S = view.SUSPECT_AFTER_S + 0.5
+
+
+async def start_decision(
+    fleet: process_fleet.Fleet, key: str
+) -> asyncio.Task[process_fleet.protocol.Answer]:
+    request = admission.identify_request(f"panels/{key}")
+    sent = asyncio.create_task(
+        fleet.send(0, process_fleet.DECISIONS, {"a": 1}, key)
+    )
+
+    async def has_run() -> bool:
+        return fleet.count_runs(request) == 1
+
+    await process_fleet.wait_until(has_run, "run")
+    return sent
+
+
+async def check_paused_entry(fleet: process_fleet.Fleet) -> None:
+    await fleet.allow(0)
+    first = await start_decision(fleet, "k1")
+    fleet.signal("entry-0", signal.SIGSTOP)
+    paused_at = time.monotonic()
+    second = asyncio.create_task(
+        fleet.send(1, process_fleet.DECISIONS, {"a": 1}, "k1")
+    )
+    await asyncio.sleep(LAPSE_S - (time.monotonic() - paused_at))
+    await fleet.allow(100)
+    answers = [await second]
+    fleet.signal("entry-0", signal.SIGCONT)
+    answers.append(await first)
+    for answer in answers:
+        assert (answer.status, answer.body) == (201, endpoint.PLAIN_BODY)
+        assert answer.headers["Content-Encoding"] == "gzip"
+        assert "X-Internal" not in answer.headers
+    request = admission.identify_request("panels/k1")
+    assert fleet.count_runs(request) == 1
+
+
+async def check_paused_sidecar(fleet: process_fleet.Fleet) -> None:
+    await fleet.allow(0)
+    first = await start_decision(fleet, "k2")
+    fleet.signal("endpoint-0", signal.SIGSTOP)
+    answer = await first
+    refusal = msgspec.json.decode(answer.body)
+    assert refusal["run"] == "unknown", refusal
+    fleet.signal("endpoint-0", signal.SIGCONT)
+    await fleet.allow(100)
+
+    async def has_answer() -> bool:
+        again = await fleet.send(1, process_fleet.DECISIONS, {"a": 1}, "k2")
+        return (again.status, again.body) == (201, endpoint.PLAIN_BODY)
+
+    await process_fleet.wait_until(has_answer, "answer after the pause")
+    request = admission.identify_request("panels/k2")
+    assert fleet.count_runs(request) == 1
+
+
+def test_paused_processes_run_decisions_once(
+    run_fleet: conftest.RunFleet,
+) -> None:
+    async def scenario(fleet: process_fleet.Fleet) -> None:
+        await check_paused_entry(fleet)
+        await check_paused_sidecar(fleet)
+
+    run_fleet(scenario, 0, 1)
