--- a/src/cyclamenwing/entry/blackboard.py
+++ b/src/cyclamenwing/entry/blackboard.py
@@ -4,7 +4,7 @@
 
 import dataclasses
 
-from cyclamenwing.budget import holder
+from cyclamenwing.budget import account
 from cyclamenwing.catalog import index
 from cyclamenwing.membership import view
 from cyclamenwing.metrics import recorder
@@ -25,7 +25,7 @@
     host: str
     zone: str
     session: str
-    holder: holder.HolderBoard
+    holder: account.HolderBoard
     catalog: index.Index = dataclasses.field(
         default_factory=lambda: index.Index({"revision": 0, "services": {}})
     )
