Send runs on new connections, so that "not run" is true

Cause: the HTTP library repeats a request by itself when a kept connection breaks. A sidecar killed during a decision looked like one that was never reached, and the decision was refused as not run although it ran. Change: runs, attachments and calls of endpoints use a new connection each; a job of the queue is a submission, since two of one key may wait at once; a draining refusal is told to dispatch. Conclusion: a failed connect proves that nothing was sent.

--- a/src/cyclamenwing/entry/attempts.py
+++ b/src/cyclamenwing/entry/attempts.py
@@ -102,7 +102,7 @@
                 {},
                 body,
                 SILENCE_S,
-                progress.resumes > 0,
+                True,
             )
             try:
                 return await task.answer.follow(stream)
@@ -205,7 +205,9 @@
             {},
             msgspec.json.encode(order),
             SILENCE_S,
-            resumed,
+            # On a kept connection the library may send twice, and a failed
+            # connect would not show that nothing was sent.
+            True,
         )
         outcome = await task.answer.follow(stream)
         task.progress.sending = False
@@ -222,6 +224,8 @@
         step = self._controller.decide(
             task.progress, failure, time.monotonic()
         )
+        if error.code == "draining":
+            self._dispatch.note_draining(candidate.host, candidate.incarnation)
         if error.code == "endpoint_crashed":
             self._dispatch.note_crash(task.job, candidate.host)
         self._note(
--- a/src/cyclamenwing/entry/serving.py
+++ b/src/cyclamenwing/entry/serving.py
@@ -26,6 +26,7 @@
 from cyclamenwing.request import types
 from cyclamenwing.routing import prefix
 from cyclamenwing.routing import types as routing_types
+from cyclamenwing.store import errors as store_errors
 from cyclamenwing.transport import protocol as transport
 
 MAX_CLAIM_ROUNDS = 5
@@ -100,7 +101,9 @@
             made = errors.OutcomeUnknownError(err.message, "unknown")
             raise made from err
 
-    async def _attach(self, task: attempts.Task, search: finder.Search) -> bool:
+    async def _attach(
+        self, task: attempts.Task, search: finder.Search
+    ) -> bool:
         """Follow a run that was found; False means to run it anew."""
         if search.address is None:
             return False
@@ -127,28 +130,47 @@
             ticket = tickets.ClaimTicket(
                 accepted, self._money, self._claims, self._board, replaces
             )
-            try:
-                await self._run(task, ticket)
-            except tickets.ClaimedError as err:
-                claim = err.claim
-            except base_errors.CodedError as err:
-                if err.run != "not_run":
-                    raise
-                found = await self._find_earlier(task, replaces)
-                if found is None:
-                    raise
-                claim = found
-            else:
+            claim = await self._run_claimed(task, ticket, replaces)
+            if claim is None:
                 self._record(accepted, ticket.attempt, copy)
                 return
             self._note(accepted, "claimed_before", claim=claim)
             replaces = await self._claimed.answer(task, claim, copy)
             if not replaces:
-                if claim["phase"] == "claimed":
-                    self._record(accepted, claim["attempt"], copy)
+                self._record(accepted, claim["attempt"], copy)
                 return
         raise errors.OutcomeUnknownError("the claim keeps moving", "unknown")
 
+    async def _run_claimed(
+        self,
+        task: attempts.Task,
+        ticket: tickets.ClaimTicket,
+        replaces: int,
+    ) -> claims.Claim | None:
+        """Run under a claim; return an earlier one that hinders it."""
+        try:
+            await self._run(task, ticket)
+        except tickets.ClaimedError as err:
+            return err.claim
+        except base_errors.CodedError as err:
+            if err.run != "not_run":
+                raise
+            if await self._attach_without_store(task, err):
+                return None
+            found = await self._find_earlier(task, replaces)
+            if found is None:
+                raise
+            return found
+        return None
+
+    async def _attach_without_store(
+        self, task: attempts.Task, error: base_errors.CodedError
+    ) -> bool:
+        """Answer a repeated key from its sidecar while the store is down."""
+        if not isinstance(error, store_errors.StoreError):
+            return False
+        return await self._attach(task, await self._finder.find(task.accepted))
+
     async def _find_earlier(
         self, task: attempts.Task, replaces: int
     ) -> claims.Claim | None:
@@ -167,6 +189,8 @@
         attempt: int,
         copy: sinks.RecordingSink,
     ) -> None:
+        if not attempt:
+            return
         self._claims.record({
             "op": "end",
             "key": accepted.key,
@@ -249,8 +273,9 @@
         return attempts.Task(accepted, job, answer, progress)
 
     def _make_job(self, accepted: admission.Accepted) -> routing_types.Job:
+        # Two submissions of one key are two jobs.
         return routing_types.Job(
-            accepted.request,
+            accepted.submission,
             accepted.workspace["name"],
             accepted.route["name"],
             accepted.route.get("priority", "interactive"),
--- a/src/cyclamenwing/request/attempts.py
+++ b/src/cyclamenwing/request/attempts.py
@@ -25,9 +25,10 @@
     """Describe how an attempt failed.
 
     `unsent`: nothing reached the sidecar; `lost`: the connection broke
-    or lost parts; `silent`: nothing came within the bound; `refused`: the sidecar has not run it and
-    won't; `replaced`: another incarnation answered; `crashed`: the
-    endpoint failed during the run; `final`: no attempt can mend it.
+    or lost parts; `silent`: nothing came within the bound; `refused`:
+    the sidecar has not run it and won't; `replaced`: another incarnation
+    answered; `crashed`: the endpoint failed during the run; `final`: no
+    attempt can mend it.
     """
 
     kind: FailureKind
--- a/src/cyclamenwing/sidecar/calls.py
+++ b/src/cyclamenwing/sidecar/calls.py
@@ -30,18 +30,13 @@
 
 
 class EndpointCall(NamedTuple):
-    """Hold a call of the endpoint.
-
-    `silence_s` bounds the time without a byte; a `fresh` call is sent
-    at most once.
-    """
+    """Hold a call of the endpoint; `silence_s` bounds a time without bytes."""
 
     method: str
     path: str
     headers: dict[str, str]
     body: bytes | None
     silence_s: float
-    fresh: bool
     metered: meter.Meter
 
 
@@ -88,7 +83,6 @@
         _make_headers(order),
         msgspec.json.encode(body),
         silence_s,
-        not order["idempotent"],
         metered,
     )
 
@@ -104,7 +98,6 @@
         _make_headers(order),
         body or None,
         remaining_s,
-        not order["idempotent"],
         meter.PlainMeter(),
     )
 
--- a/src/cyclamenwing/sidecar/executor.py
+++ b/src/cyclamenwing/sidecar/executor.py
@@ -189,7 +189,9 @@
             call.headers,
             call.body,
             call.silence_s,
-            call.fresh,
+            # On a kept connection the library may send twice, and a failed
+            # connect would not show that nothing was sent.
+            True,
         )
         try:
             await self._copy_answer(run, stream, call.metered)
--- a/tests/process/conftest.py
+++ b/tests/process/conftest.py
@@ -6,7 +6,6 @@
 from collections.abc import Callable
 
 import pytest
-
 from tests.process import fleet as process_fleet
 
 Scenario = Callable[[process_fleet.Fleet], Awaitable[None]]
--- a/tests/process/fleet.py
+++ b/tests/process/fleet.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import json
 import math
 import os
@@ -14,8 +15,10 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 from typing import Any
+from typing import Self
 
 import msgspec
+from tests.process import endpoint
 
 import cyclamenwing
 from cyclamenwing import errors
@@ -23,7 +26,6 @@
 from cyclamenwing.standin import store
 from cyclamenwing.transport import client
 from cyclamenwing.transport import protocol
-from tests.process import endpoint
 
 FLEET_KEY = "process-test-fleet-key"
 CALLER_KEY = "process-test-caller"
@@ -69,9 +71,7 @@
         return int(probe.getsockname()[1])
 
 
-async def wait_until(
-    check: Callable[[], Awaitable[bool]], what: str
-) -> None:
+async def wait_until(check: Callable[[], Awaitable[bool]], what: str) -> None:
     ends_at = time.monotonic() + WAIT_S
     while not await check():
         assert time.monotonic() < ends_at, f"timeout: {what}"
@@ -91,7 +91,7 @@
         self.processes: dict[str, asyncio.subprocess.Process] = {}
         self.client = client.CurlClient(FLEET_KEY)
 
-    async def __aenter__(self) -> Fleet:
+    async def __aenter__(self) -> Self:
         self.store = store.StoreStandin("127.0.0.1:0")
         self.endpoints = [endpoint.Endpoint() for _ in self._routes]
         await self._publish()
@@ -124,11 +124,13 @@
         return await self._start("sidecar", settings)
 
     async def wait_ready(self) -> None:
-        for number, peer in enumerate(self.peers):
-            await wait_until(lambda p=peer: self._is_known(p), "members")
+        for entry in range(len(self.entries)):
+            await wait_until(
+                functools.partial(self._knows_all, entry), "members"
+            )
             for route in sorted(set(self._routes)):
                 await wait_until(
-                    lambda n=number, r=route: self._serves(n, r), "service"
+                    functools.partial(self._serves, entry, route), route
                 )
 
     async def send(
@@ -210,9 +212,7 @@
         assert line.startswith(b"listening on "), line
         return line.decode().split()[-1]
 
-    async def _spawn(
-        self, arguments: list[str]
-    ) -> asyncio.subprocess.Process:
+    async def _spawn(self, arguments: list[str]) -> asyncio.subprocess.Process:
         source = pathlib.Path(cyclamenwing.__file__).parents[1]
         return await asyncio.create_subprocess_exec(
             sys.executable,
@@ -238,15 +238,13 @@
         headers = {"Authorization": f"Bearer {CALLER_KEY}"}
         return headers | ({"Idempotency-Key": key} if key else {})
 
-    async def _is_known(self, peer: str) -> bool:
+    async def _knows_all(self, entry: int) -> bool:
         try:
-            status = await self.ask(self.peers.index(peer), "/peer/status", {})
+            status = await self.ask(entry, "/peer/status", {})
         except errors.CodedError:
             return False
         known = {member["beat"]["host"] for member in status["members"]}
-        return status["revision"] > 0 and len(known) >= len(
-            self.processes
-        ) - 1
+        return status["revision"] > 0 and len(known) >= len(self.processes) - 1
 
     async def _serves(self, entry: int, route: str) -> bool:
         path, body = (CHAT, STREAM_BODY)
--- a/tests/process/relay.py
+++ b/tests/process/relay.py
@@ -17,9 +17,7 @@
         self.address = ""
 
     async def start(self) -> None:
-        self._server = await asyncio.start_server(
-            self._accept, "127.0.0.1", 0
-        )
+        self._server = await asyncio.start_server(self._accept, "127.0.0.1", 0)
         ip, port = self._server.sockets[0].getsockname()
         self.address = f"{ip}:{port}"
 
--- a/tests/process/test_callers.py
+++ b/tests/process/test_callers.py
@@ -1,12 +1,12 @@
 from __future__ import annotations
 
 import msgspec
-
-from cyclamenwing.entry import admission
 from tests.process import conftest
 from tests.process import endpoint
 from tests.process import fleet as process_fleet
 
+from cyclamenwing.entry import admission
+
 
 async def check_disconnect(fleet: process_fleet.Fleet) -> None:
     """A caller that leaves mid-stream changes nothing for its run."""
--- a/tests/process/test_entry_death.py
+++ b/tests/process/test_entry_death.py
@@ -3,11 +3,12 @@
 import signal
 import time
 
-from cyclamenwing.entry import admission
 from tests.process import conftest
 from tests.process import endpoint
 from tests.process import fleet as process_fleet
 
+from cyclamenwing.entry import admission
+
 RESUME_BOUND_S = 2.0
 
 
--- a/tests/process/test_pause.py
+++ b/tests/process/test_pause.py
@@ -5,19 +5,20 @@
 import time
 
 import msgspec
-
-from cyclamenwing.entry import admission
-from cyclamenwing.membership import view
 from tests.process import conftest
 from tests.process import endpoint
 from tests.process import fleet as process_fleet
 
+from cyclamenwing.entry import admission
+from cyclamenwing.membership import view
+from cyclamenwing.transport import protocol
+
 LAPSE_S = view.SUSPECT_AFTER_S + 0.5
 
 
 async def start_decision(
     fleet: process_fleet.Fleet, key: str
-) -> asyncio.Task[process_fleet.protocol.Answer]:
+) -> asyncio.Task[protocol.Answer]:
     request = admission.identify_request(f"panels/{key}")
     sent = asyncio.create_task(
         fleet.send(0, process_fleet.DECISIONS, {"a": 1}, key)
--- a/tests/process/test_sidecar_death.py
+++ b/tests/process/test_sidecar_death.py
@@ -4,12 +4,12 @@
 import signal
 
 import msgspec
-
-from cyclamenwing.entry import admission
 from tests.process import conftest
 from tests.process import endpoint
 from tests.process import fleet as process_fleet
 
+from cyclamenwing.entry import admission
+
 
 async def check_stream_moves(fleet: process_fleet.Fleet) -> None:
     request = admission.identify_request("panels/stream")
