--- a/tests/request/test_assembly.py
+++ b/tests/request/test_assembly.py
@@ -29,3 +29,28 @@
 def test_gap_is_refused() -> None:
     with pytest.raises(errors.AnswerBrokenError):
         assembly.Assembler().accept(make_frame(1, b"a"))
+
+
+@pytest.mark.parametrize(
+    ("again", "expected"),
+    [
+        ([(0, b"abc"), (3, b"def")], b"abcdef"),
+        ([(0, b"a"), (1, b"bcdef")], b"abcdef"),
+        ([(0, b"abX"), (3, b"def")], None),
+        ([(3, b"def")], None),
+    ],
+)
+def test_answers_of_two_runs_never_mix(
+    again: list[tuple[int, bytes]], expected: bytes | None
+) -> None:
+    assembler = assembly.Assembler()
+    passed = assembler.accept(make_frame(0, b"abc"))
+    assembler.rewind()
+    try:
+        for offset, data in again:
+            passed += assembler.accept(make_frame(offset, data))
+    except errors.AnswerBrokenError:
+        assert expected is None
+        assert passed == b"abc"
+        return
+    assert passed == expected
