Look for a key again after a wait in the queue

Cause: a key that waited for its turn may have been run through another entry meanwhile; a reservation that a deadline overtook stayed open. Change: a keyed idempotent request is looked for again after 50 ms in the queue; a reservation made after the deadline is given back.

--- a/src/cyclamenwing/entry/serving.py
+++ b/src/cyclamenwing/entry/serving.py
@@ -30,6 +30,7 @@
 from cyclamenwing.transport import protocol as transport
 
 MAX_CLAIM_ROUNDS = 5
+FIND_AGAIN_AFTER_S = 0.05
 
 
 class Serving:
@@ -101,6 +102,18 @@
             made = errors.OutcomeUnknownError(err.message, "unknown")
             raise made from err
 
+    async def _attach_after_wait(
+        self, task: attempts.Task, entered_at: float
+    ) -> bool:
+        """Look again for a key that another entry may have run meanwhile."""
+        accepted = task.accepted
+        waited_s = time.monotonic() - entered_at
+        if not accepted.keyed or waited_s < FIND_AGAIN_AFTER_S:
+            return False
+        if not accepted.idempotent:
+            return False
+        return await self._attach(task, await self._finder.find(accepted))
+
     async def _attach(
         self, task: attempts.Task, search: finder.Search
     ) -> bool:
@@ -204,8 +217,11 @@
         self, task: attempts.Task, ticket: tickets.PaidTicket
     ) -> None:
         accepted = task.accepted
+        entered_at = time.monotonic()
         await self._dispatch.enter(task.job)
         try:
+            if await self._attach_after_wait(task, entered_at):
+                return
             outcome = await self._attempts.run(task, ticket)
         except base_errors.CodedError as err:
             self._note(accepted, "failed", **err.describe())
--- a/src/cyclamenwing/entry/tickets.py
+++ b/src/cyclamenwing/entry/tickets.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+
 from cyclamenwing.budget import types as budget_types
 from cyclamenwing.entry import admission
 from cyclamenwing.entry import attempts
@@ -58,8 +60,21 @@
 
     async def reserve(self) -> None:
         """Reserve once; raise a coded error of the budget."""
-        if self.made is None:
-            self.made = await self._money.reserve(self._accepted)
+        if self.made is not None:
+            return
+        asked = asyncio.create_task(self._money.reserve(self._accepted))
+        try:
+            self.made = await asyncio.shield(asked)
+        except asyncio.CancelledError:
+            # What is reserved after the deadline has no request any more.
+            asked.add_done_callback(self._give_back)
+            raise
+
+    def _give_back(
+        self, asked: asyncio.Task[list[budget_types.Reservation]]
+    ) -> None:
+        if not asked.cancelled() and asked.exception() is None:
+            self._money.release(asked.result())
 
     async def withdraw(self) -> None:
         """Do nothing; there is no claim to give back."""
