Let a generation end that is read after its engine's crash

Cause: a handler that asked for the next token just after the crash found its queue gone and answered with an uncaught error on an open stream, which stayed open; seen once in the test of a marked request. Change: reading a generation that is gone tells of the crash.

--- a/src/cyclamenwing/standin/generation.py
+++ b/src/cyclamenwing/standin/generation.py
@@ -98,7 +98,8 @@
 
     async def read(self, name: str) -> batch.Emission | None:
         """Return the generation's next token; None after a crash."""
-        return await self._streams[name].get()
+        queue = self._streams.get(name)
+        return await queue.get() if queue else None
 
     def close(self, name: str) -> None:
         """Free a generation's place."""
