Measure routing under a fake clock and mend what it showed

Cause: nothing compared the decisions with simple policies. Change: `bench routing` plays drawn traces of both kinds of users on the pure controllers and the engine model, with one slow, one dead and one leaving replica, late and gappy cache events and late load, against four baselines, and a large batch beside interactive work; `replay` plays the recorded traces against stated outcomes. It showed, and this mends: a limit learnt from a job that waits for the next step only; a limit that grows faster than its effect is reported; entries that together fill the same free place; batch prompts counted ahead of interactive ones; a rate of service measured before the first jobs could end, which refused batch jobs without need. An engine that tells its bound is believed. A decision looks at 24 candidates at most. The queue's tests now measure a rate a priority and over 5 s; the row on batch behind interactive became three on each priority's own rate.

--- a/src/cyclamenwing/cli/bench.py
+++ b/src/cyclamenwing/cli/bench.py
@@ -9,12 +9,14 @@
 from cyclamenwing.bench import capacity
 from cyclamenwing.bench import protocol as bench_protocol
 from cyclamenwing.bench import report
+from cyclamenwing.bench import routing
 from cyclamenwing.bench import tables
 from cyclamenwing.cli import protocol
 
 BENCHES: tuple[bench_protocol.Bench, ...] = (
     capacity.CapacityBench(),
     report.ReportBench(),
+    routing.RoutingBench(),
 )
 
 
--- a/src/cyclamenwing/cli/replay.py
+++ b/src/cyclamenwing/cli/replay.py
@@ -9,9 +9,10 @@
 
 from cyclamenwing.cli import protocol
 from cyclamenwing.replay import protocol as replay_protocol
+from cyclamenwing.replay import routing
 from cyclamenwing.settings import errors
 
-REPLAYERS: tuple[replay_protocol.Replayer, ...] = ()
+REPLAYERS: tuple[replay_protocol.Replayer, ...] = (routing.RoutingReplayer(),)
 
 
 class ReplayCommand:
--- a/src/cyclamenwing/entry/dispatch.py
+++ b/src/cyclamenwing/entry/dispatch.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import math
 import random
 import time
 from collections.abc import Collection
@@ -17,14 +16,11 @@
 from cyclamenwing.entry import quarantine
 from cyclamenwing.membership import types as membership_types
 from cyclamenwing.membership import view
-from cyclamenwing.routing import errors
-from cyclamenwing.routing import queueing
-from cyclamenwing.routing import retries
+from cyclamenwing.routing import router
 from cyclamenwing.routing import subset
 from cyclamenwing.routing import types
 
 TICK_S = 0.05
-NO_ENDPOINT_RETRY_AFTER_S = 2
 
 
 class Dispatch:
@@ -48,15 +44,12 @@
         draw: random.Random,
     ) -> None:
         self._board = board
-        self._policy = policy
+        self._router = router.Router(policy)
         self._held = held
         self._leaving = leaving
         self._draw = draw
         self._members = view.MemberController()
-        self._retries = retries.RetryBudget()
-        self._queues: dict[str, queueing.FairQueue] = {}
         self._turns: dict[str, asyncio.Future[None]] = {}
-        self._granted: dict[str, str] = {}
         self._task: asyncio.Task[None] | None = None
 
     def list_handlers(self) -> list[Any]:
@@ -85,7 +78,7 @@
             eliot.log_message("entry:endpoint_news", message=str(err))
             return
         if sender is not None:
-            self._policy.hear(sender["host"], read, time.monotonic())
+            self._router.policy.hear(sender["host"], read, time.monotonic())
 
     async def enter(self, job: types.Job) -> None:
         """Wait for the job's turn, before anything is reserved.
@@ -94,9 +87,7 @@
         `QuarantinedError` for a request that crashed endpoints.
         """
         self._held.check(job, "not_run")
-        self._retries.note_request()
-        queue = self._queues.setdefault(job.route, queueing.FairQueue())
-        queue.enter(job, time.monotonic())
+        self._router.enter(job, time.monotonic())
         turn = asyncio.get_running_loop().create_future()
         self._turns[job.request] = turn
         self._give_turns(job.route)
@@ -109,9 +100,8 @@
 
     def leave(self, job: types.Job) -> None:
         """Give the job's turn back."""
-        self._granted.pop(job.request, None)
         self._held.leave(job)
-        self._queues[job.route].note_done(job, time.monotonic())
+        self._router.leave(job, time.monotonic())
         self._give_turns(job.route)
 
     def choose(
@@ -123,42 +113,34 @@
         """
         now = time.monotonic()
         self._held.check(job, "unknown" if tried else "not_run")
-        if tried:
-            self._policy.note_failure([*tried][-1], now)
-        candidates = [
-            candidate
-            for candidate in self.list_candidates(job.route, now)
-            if candidate.host not in tried
-        ]
-        ordered = self._policy.order(job, candidates, now)
-        if not ordered:
-            raise _make_no_endpoint(job.route)
-        if self._held.is_suspect(job):
-            # What runs beside a suspect may be lost with it.
-            ordered.sort(key=lambda candidate: candidate.load)
-        return ordered[0]
+        return self._router.choose(
+            job,
+            self.list_candidates(job.route, now),
+            tried,
+            self._held.is_suspect(job),
+            now,
+        )
 
     def note_start(self, job: types.Job, host: str) -> None:
         """Take note that a job was sent to a host."""
-        self._granted.pop(job.request, None)
         self._held.note_start(job)
-        self._policy.note_start(job, host, time.monotonic())
+        self._router.note_start(job, host, time.monotonic())
 
     def note_first(self, job: types.Job, host: str) -> None:
         """Take note of the first bytes of a job's answer."""
-        self._policy.note_first(job, host, time.monotonic())
+        self._router.policy.note_first(job, host, time.monotonic())
 
     def note_end(
         self, job: types.Job, host: str, completed: bool = False
     ) -> None:
         """Take note that a job left a host, with its whole answer or not."""
         self._held.note_end(job, completed)
-        self._policy.note_end(job, host, completed, time.monotonic())
+        self._router.policy.note_end(job, host, completed, time.monotonic())
 
     def note_crash(self, job: types.Job, host: str) -> None:
         """Take note that the host's endpoint crashed during the job."""
         self._held.note_crash(job, host)
-        self._policy.note_failure(host, time.monotonic())
+        self._router.policy.note_failure(host, time.monotonic())
 
     def note_draining(self, host: str, incarnation: str) -> None:
         """Take note that a host refused work because it is leaving."""
@@ -173,7 +155,7 @@
         did is for the caller to know.
         """
         self._held.check(job, "unknown")
-        delay_s = self._retries.plan(
+        delay_s = self._router.plan_retry(
             job, attempt, self._draw.random(), time.monotonic()
         )
         await asyncio.sleep(delay_s)
@@ -200,60 +182,33 @@
     async def _tick(self) -> None:
         while True:
             await asyncio.sleep(TICK_S)
-            for route in list(self._queues):
+            for route in self._router.list_routes():
                 self._review(route)
                 self._give_turns(route)
 
     def _review(self, route: str) -> None:
-        for refused in self._queues[route].review(time.monotonic()):
+        for refused in self._router.review(route, time.monotonic()):
             turn = self._turns.pop(refused.job.request, None)
             if turn is not None and not turn.done():
                 turn.set_exception(refused.error)
 
     def _give_turns(self, route: str) -> None:
-        queue = self._queues[route]
-        if not queue.queued:
+        if route not in self._router.list_routes():
             return
-        rooms = self._count_rooms(route)
-        while True:
-            job = queue.take(rooms)
-            if job is None:
-                return
-            rooms = {priority: room - 1 for priority, room in rooms.items()}
-            self._granted[job.request] = route
+        now = time.monotonic()
+        entries = self._members.list_live(self._board.members, "entry", now)
+        sharing = {beat["host"] for beat in entries} | {self._board.host}
+        candidates = self.list_candidates(route, now)
+        for job in self._router.give_turns(route, candidates, len(sharing)):
             turn = self._turns.pop(job.request, None)
             if turn is not None and not turn.done():
                 turn.set_result(None)
 
-    def _count_rooms(self, route: str) -> dict[types.Priority, float]:
-        now = time.monotonic()
-        candidates = self.list_candidates(route, now)
-        if not candidates:
-            # Without endpoints all go on, to be refused at once.
-            return {"interactive": math.inf, "batch": math.inf}
-        entries = self._members.list_live(self._board.members, "entry", now)
-        sharing = len({beat["host"] for beat in entries} | {self._board.host})
-        granted = sum(1 for name in self._granted.values() if name == route)
-        return {
-            priority: math.ceil(
-                self._policy.count_room(candidates, priority, now) / sharing
-            )
-            - granted
-            for priority in types.PRIORITIES
-        }
-
     def _withdraw(self, job: types.Job) -> None:
         self._held.leave(job)
-        if self._turns.pop(job.request, None) is not None:
-            self._queues[job.route].remove(job)
-        if self._granted.pop(job.request, None) is not None:
-            self._give_turns(job.route)
-
-
-def _make_no_endpoint(route: str) -> errors.NoEndpointError:
-    made = errors.NoEndpointError(f"no endpoint of route {route!r} takes work")
-    made.retry_after_s = NO_ENDPOINT_RETRY_AFTER_S
-    return made
+        self._turns.pop(job.request, None)
+        self._router.withdraw(job)
+        self._give_turns(job.route)
 
 
 __all__ = ("Dispatch",)
--- /dev/null
+++ b/src/cyclamenwing/replay/routing.py
@@ -0,0 +1,82 @@
+"""Replay of routing traces on the policy and the simple ones."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+from cyclamenwing.bench import routing
+from cyclamenwing.bench import routingpolicies
+from cyclamenwing.bench import routingtraces
+from cyclamenwing.replay import protocol
+
+
+class RoutingReplayer:
+    """Play a trace and compare the figures with the stated outcomes."""
+
+    KIND = routingtraces.KIND
+
+    def replay(self, trace: protocol.Trace) -> list[str]:
+        """Return each outcome that differs from the stated one."""
+        events = routingtraces.read_events(trace)
+        made = routing.measure(
+            events, routingpolicies.make_scoring, trace["seed"]
+        )
+        found: list[str] = []
+        for name, stated in trace["outcomes"].items():
+            if name not in _CHECKS:
+                found.append(f"outcome {name!r} is not known")
+                continue
+            found.extend(_CHECKS[name](made, stated, trace, events))
+        return found
+
+
+def _check_better(
+    made: routing.Figures,
+    stated: Any,
+    trace: protocol.Trace,
+    events: routingtraces.Events,
+) -> list[str]:
+    found: list[str] = []
+    for name in stated:
+        maker = routingpolicies.POLICIES[name]
+        other = routing.measure(events, maker, trace["seed"])
+        if made.hit_share <= other.hit_share:
+            found.append(f"cache hits are not better than of {name}")
+        if made.first_ms[95] >= other.first_ms[95]:
+            found.append(f"p95 to first token is not better than of {name}")
+    return found
+
+
+def _check_refused(
+    made: routing.Figures,
+    stated: Any,
+    trace: protocol.Trace,
+    events: routingtraces.Events,
+) -> list[str]:
+    if made.refused <= stated:
+        return []
+    return [f"{made.refused} requests refused"]
+
+
+def _check_drain(
+    made: routing.Figures,
+    stated: Any,
+    trace: protocol.Trace,
+    events: routingtraces.Events,
+) -> list[str]:
+    if made.late_ask_s <= stated:
+        return []
+    return [f"leaving host asked after {made.late_ask_s:.1f} s"]
+
+
+_Check = Callable[
+    [routing.Figures, Any, protocol.Trace, routingtraces.Events], list[str]
+]
+_CHECKS: dict[str, _Check] = {
+    "better_than": _check_better,
+    "refused": _check_refused,
+    "asked_after_drain_s": _check_drain,
+}
+
+__all__ = ("RoutingReplayer",)
--- a/src/cyclamenwing/routing/affinity.py
+++ b/src/cyclamenwing/routing/affinity.py
@@ -8,6 +8,8 @@
 from cyclamenwing.routing import prefix
 
 MAX_DIGESTS = 32_768
+# Of hosts that hold one prefix, the latest are enough to choose from.
+MAX_HOLDERS = 8
 TRUST_S = 300.0
 BYTES_PER_TOKEN = 4
 # Tokens that a match at each anchor saves.
@@ -31,7 +33,11 @@
     def add(self, host: str, digests: Iterable[int], now: float) -> None:
         """Remember that a host holds prefixes."""
         for digest in digests:
-            self._holders.setdefault(digest, {})[host] = now
+            holders = self._holders.setdefault(digest, {})
+            holders.pop(host, None)
+            holders[host] = now
+            if len(holders) > MAX_HOLDERS:
+                del holders[next(iter(holders))]
             self._holders.move_to_end(digest)
         while len(self._holders) > MAX_DIGESTS:
             self._holders.popitem(last=False)
--- a/src/cyclamenwing/routing/health.py
+++ b/src/cyclamenwing/routing/health.py
@@ -75,8 +75,15 @@
         """Return the factor by which a host that just started is avoided."""
         found = self._hosts.get(host)
         age = now - found.since if found else 0.0
-        left = max(0.0, 1.0 - age / SLOW_START_S)
-        return 1.0 + (SLOW_START_FACTOR - 1.0) * left
+        if age >= SLOW_START_S:
+            return 1.0
+        return SLOW_START_FACTOR - (SLOW_START_FACTOR - 1.0) * (
+            age / SLOW_START_S
+        )
+
+    def read_factor(self, host: str, now: float) -> float:
+        """Return the factor of what is expected of a host."""
+        return self.read_slowness(host, now) * self.read_start(host, now)
 
     def note_failure(self, host: str, now: float) -> None:
         """Eject a host for a while, longer at each failure in a row."""
--- a/src/cyclamenwing/routing/queueing.py
+++ b/src/cyclamenwing/routing/queueing.py
@@ -17,7 +17,7 @@
 BATCH_TURN = 8
 # Share of the time to a deadline that a job may spend waiting.
 WAIT_SHARE = 0.8
-RATE_WINDOW_S = 1.0
+RATE_WINDOW_S = 5.0
 RATE_SMOOTHING = 0.3
 REVIEW_INTERVAL_S = 1.0
 MIN_RETRY_AFTER_S = 1.0
@@ -43,14 +43,18 @@
 
 @dataclasses.dataclass(slots=True)
 class ServiceRate:
-    """Measure the tokens that a route completes a second while busy."""
+    """Measure the tokens completed a second while jobs wait."""
 
     tokens_per_s: float = 0.0
     done_tokens: int = 0
-    since: float = 0.0
+    since: float | None = None
 
     def note_done(self, tokens: int, now: float) -> None:
         """Count a job that left."""
+        if self.since is None:
+            # Until the first job of a busy period leaves, all fill places.
+            self.since = now
+            return
         self.done_tokens += tokens
         length_s = now - self.since
         if length_s < RATE_WINDOW_S:
@@ -61,12 +65,13 @@
                 measured - self.tokens_per_s
             )
         self.tokens_per_s = measured
-        self.restart(now)
+        self.restart()
+        self.since = now
 
-    def restart(self, now: float) -> None:
-        """Begin a new window."""
+    def restart(self) -> None:
+        """Begin anew after a time in which nothing waited."""
         self.done_tokens = 0
-        self.since = now
+        self.since = None
 
 
 class Refused(NamedTuple):
@@ -92,7 +97,10 @@
         self._queued = 0
         self._turn = 0
         self._reviewed_at = -math.inf
-        self._rate = ServiceRate()
+        self._rates = {
+            priority: ServiceRate() for priority in types.PRIORITIES
+        }
+        self._serving: set[str] = set()
 
     @property
     def queued(self) -> int:
@@ -101,10 +109,8 @@
 
     def enter(self, job: types.Job, now: float) -> None:
         """Queue a job; raise `OverloadedError` if it has no chance."""
-        if not self._queued:
-            self._rate.restart(now)
         flow = self._find_flow(job)
-        self._check_bounds(flow)
+        self._check_bounds(job.priority, flow)
         wait_s = self._estimate(job, flow.tokens + job.tokens)
         _check_wait(job, wait_s, now)
         start = max(self._virtual[job.priority], flow.last_finish)
@@ -125,11 +131,17 @@
         return None
 
     def note_done(self, job: types.Job, now: float) -> None:
-        """Count a job that left, for the rate of service."""
-        self._rate.note_done(job.tokens, now)
+        """Count a job that left, for the rate of service.
+
+        Jobs that did not wait say nothing of the rate.
+        """
+        if job.request in self._serving:
+            self._serving.remove(job.request)
+            self._rates[job.priority].note_done(job.tokens, now)
 
     def remove(self, job: types.Job) -> None:
-        """Drop a waiting job, since its caller went away."""
+        """Drop a job that waits or did not run, as its caller went away."""
+        self._serving.discard(job.request)
         flow = self._find_flow(job)
         kept = collections.deque(
             row for row in flow.waiting if row.job.request != job.request
@@ -182,28 +194,25 @@
         flow.tokens = tokens
         self._end_busy_period(priority)
 
-    def _check_bounds(self, flow: Flow) -> None:
+    def _check_bounds(self, priority: types.Priority, flow: Flow) -> None:
         if (
             self._queued >= MAX_QUEUED
             or len(flow.waiting) >= MAX_QUEUED_BY_WORKSPACE
         ):
             raise errors.OverloadedError.from_wait(
-                "queue is full", max(MIN_RETRY_AFTER_S, self._drain_s())
+                "queue is full",
+                max(MIN_RETRY_AFTER_S, self._drain_s(priority)),
             )
 
-    def _drain_s(self) -> float:
+    def _drain_s(self, priority: types.Priority) -> float:
         # A tenth of the queue gone is room enough to come back.
-        rate = self._rate.tokens_per_s
-        tokens = sum(
-            flow.tokens
-            for flows in self._flows.values()
-            for flow in flows.values()
-        )
+        rate = self._rates[priority].tokens_per_s
+        tokens = sum(flow.tokens for flow in self._flows[priority].values())
         return tokens / rate / 10 if rate else MIN_RETRY_AFTER_S
 
     def _estimate(self, job: types.Job, tokens: int) -> float:
         """Return the seconds until a flow's first `tokens` have run."""
-        rate = self._rate.tokens_per_s
+        rate = self._rates[job.priority].tokens_per_s
         if not rate:
             return 0.0
         ahead = sum(
@@ -211,10 +220,6 @@
             for name, flow in self._flows[job.priority].items()
             if name != job.workspace
         )
-        if job.priority == "batch":
-            ahead += sum(
-                flow.tokens for flow in self._flows["interactive"].values()
-            )
         return (ahead + tokens - job.tokens) / rate
 
     def _order_priorities(self) -> tuple[types.Priority, ...]:
@@ -235,6 +240,7 @@
         row = flow.waiting.popleft()
         flow.tokens -= row.job.tokens
         self._queued -= 1
+        self._serving.add(row.job.request)
         self._virtual[priority] = max(self._virtual[priority], row.start)
         self._end_busy_period(priority)
         return row.job
@@ -247,6 +253,7 @@
         if not any(flow.waiting for flow in flows.values()):
             flows.clear()
             self._virtual[priority] = 0.0
+            self._rates[priority].restart()
 
 
 def _check_wait(job: types.Job, wait_s: float, now: float) -> None:
--- a/src/cyclamenwing/routing/reports.py
+++ b/src/cyclamenwing/routing/reports.py
@@ -5,6 +5,7 @@
 import collections
 from collections.abc import Iterable
 from typing import Literal
+from typing import NotRequired
 from typing import TypedDict
 
 from cyclamenwing.routing import prefix
@@ -27,10 +28,11 @@
 
 
 class EngineLoad(TypedDict):
-    """Tell of an engine's load."""
+    """Tell of an engine's load, and of its bound if it tells that."""
 
     running: int
     waiting: int
+    max_running: NotRequired[int]
 
 
 class ReportBoard:
@@ -87,6 +89,7 @@
             "up": board.up,
             "running": board.load["running"],
             "waiting": board.load["waiting"],
+            "max_running": board.load.get("max_running", 0),
             "epoch": board.epoch,
             "stored": stored,
             "removed": removed,
--- /dev/null
+++ b/src/cyclamenwing/routing/router.py
@@ -0,0 +1,134 @@
+"""Turns, choice and retries of an entry's jobs, without a clock."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Collection
+from collections.abc import Sequence
+
+from cyclamenwing.routing import errors
+from cyclamenwing.routing import queueing
+from cyclamenwing.routing import retries
+from cyclamenwing.routing import types
+
+NO_ENDPOINT_RETRY_AFTER_S = 2
+
+
+class Router:
+    """Give jobs their turns and order their candidates.
+
+    :param policy: order of candidates
+    """
+
+    def __init__(self, policy: types.Policy) -> None:
+        self.policy = policy
+        self._retries = retries.RetryBudget()
+        self._queues: dict[str, queueing.FairQueue] = {}
+        self._granted: dict[str, str] = {}
+
+    def list_routes(self) -> list[str]:
+        """Return the routes that jobs wait for."""
+        return [name for name, item in self._queues.items() if item.queued]
+
+    def enter(self, job: types.Job, now: float) -> None:
+        """Queue a job; raise `OverloadedError` if it has no chance."""
+        self._retries.note_request()
+        queue = self._queues.setdefault(job.route, queueing.FairQueue())
+        queue.enter(job, now)
+
+    def give_turns(
+        self,
+        route: str,
+        candidates: Sequence[types.Candidate],
+        entries: int,
+    ) -> list[types.Job]:
+        """Return the jobs that may start.
+
+        :param entries: live entries, which share the candidates' places
+        """
+        queue = self._queues.get(route)
+        if queue is None or not queue.queued:
+            return []
+        self.policy.note_entries(entries)
+        rooms = self._count_rooms(route, candidates)
+        given: list[types.Job] = []
+        while (job := queue.take(rooms)) is not None:
+            rooms = {priority: room - 1 for priority, room in rooms.items()}
+            self._granted[job.request] = route
+            given.append(job)
+        return given
+
+    def review(self, route: str, now: float) -> list[queueing.Refused]:
+        """Return the jobs whose turn can't come in time any more."""
+        return self._queues[route].review(now)
+
+    def withdraw(self, job: types.Job) -> None:
+        """Drop a job that waits or did not start."""
+        self._granted.pop(job.request, None)
+        self._queues[job.route].remove(job)
+
+    def leave(self, job: types.Job, now: float) -> None:
+        """Give the job's turn back."""
+        self._granted.pop(job.request, None)
+        self._queues[job.route].note_done(job, now)
+
+    def choose(
+        self,
+        job: types.Job,
+        candidates: Sequence[types.Candidate],
+        tried: Collection[str],
+        alone: bool,
+        now: float,
+    ) -> types.Candidate:
+        """Return the best candidate not tried; raise `NoEndpointError`.
+
+        The last one tried counts as failed; a job that should run `alone`
+        goes where the fewest run.
+        """
+        if tried:
+            self.policy.note_failure([*tried][-1], now)
+        left = [item for item in candidates if item.host not in tried]
+        ordered = self.policy.order(job, left, now)
+        if not ordered:
+            raise _make_no_endpoint(job.route)
+        if alone:
+            ordered.sort(key=lambda candidate: candidate.load)
+        return ordered[0]
+
+    def note_start(self, job: types.Job, host: str, now: float) -> None:
+        """Take note that a job was sent to a host."""
+        self._granted.pop(job.request, None)
+        self.policy.note_start(job, host, now)
+
+    def plan_retry(
+        self, job: types.Job, attempt: int, draw: float, now: float
+    ) -> float:
+        """Return the seconds to wait before attempt number 2 and up."""
+        return self._retries.plan(job, attempt, draw, now)
+
+    def _count_rooms(
+        self,
+        route: str,
+        candidates: Sequence[types.Candidate],
+    ) -> dict[types.Priority, float]:
+        if not candidates:
+            # Without endpoints all go on, to be refused at once.
+            return dict.fromkeys(types.PRIORITIES, math.inf)
+        granted = sum(1 for name in self._granted.values() if name == route)
+        rooms = {
+            priority: self.policy.count_room(candidates, priority)
+            for priority in types.PRIORITIES
+        }
+        return {
+            priority: math.ceil(room) - granted
+            for priority, room in rooms.items()
+        }
+
+
+def _make_no_endpoint(route: str) -> errors.NoEndpointError:
+    made = errors.NoEndpointError(f"no endpoint of route {route!r} takes work")
+    made.retry_after_s = NO_ENDPOINT_RETRY_AFTER_S
+    return made
+
+
+__all__ = ("Router",)
--- a/src/cyclamenwing/routing/scoring.py
+++ b/src/cyclamenwing/routing/scoring.py
@@ -21,6 +21,7 @@
 # reports do not all pick the same host.
 SPREAD_S = 0.002
 DOWN_S = 60.0
+MAX_SCORED = 24
 _HASH_RANGE = 2**64
 
 
@@ -40,6 +41,7 @@
 
     def __init__(self, zone: str) -> None:
         self._zone = zone
+        self._entries = 1
         self._affinity = affinity.AffinityIndex()
         self._health = health.HealthController()
         self._loads: dict[str, load.HostLoad] = {}
@@ -58,20 +60,23 @@
         kept = self._health.filter(candidates, now)
         held = self._affinity.match(job.prefix, now)
         prompt = affinity.count_prompt_tokens(job.prefix)
+        scored, others = _split(job, kept, held)
         scores = {
-            item.host: self._score(job, item, prompt, held, now)
-            for item in kept
+            item.host: self._score(
+                job, item, prompt - held.get(item.host, 0.0), now
+            )
+            for item in scored
         }
-        return sorted(kept, key=lambda item: scores[item.host])
+        return sorted(scored, key=lambda item: scores[item.host]) + others
 
     def note_start(self, job: types.Job, host: str, now: float) -> None:
         """Take note that a job was sent to a host."""
         held = self._affinity.match(job.prefix, now).get(host, 0.0)
         tokens = affinity.count_prompt_tokens(job.prefix) - held
         found = self._find_load(host)
-        expected_s = self._expect(found, tokens, found.in_flight)
+        expected_s = self._expect(found, job.priority, tokens, found.in_flight)
         self._sent[job.request] = _Sent(host, now, expected_s, tokens, False)
-        found.pending_tokens += tokens
+        found.pending[job.priority] += tokens
         found.change(1, now)
         self._affinity.add(host, job.prefix, now)
 
@@ -81,7 +86,7 @@
         if sent is None or sent.first:
             return
         self._sent[job.request] = sent._replace(first=True)
-        self._find_load(host).pending_tokens -= sent.tokens
+        self._find_load(host).pending[job.priority] -= sent.tokens
         self._health.measure(host, (now - sent.at) / sent.expected_s, now)
 
     def note_end(
@@ -94,7 +99,7 @@
         found = self._find_load(host)
         found.change(-1, now)
         if not sent.first:
-            found.pending_tokens -= sent.tokens
+            found.pending[job.priority] -= sent.tokens
         if completed:
             self._health.note_success(host)
 
@@ -109,59 +114,84 @@
         self._epochs[host] = news["epoch"]
         self._affinity.add(host, news["stored"], now)
         self._affinity.remove(host, news["removed"])
-        self._find_load(host).learn_limit(news)
+        self._find_load(host).learn_limit(news, now)
         if news["up"]:
             self._down.discard(host)
         else:
             self._down.add(host)
 
+    def note_entries(self, count: int) -> None:
+        """Take note of how many entries share the candidates' places."""
+        self._entries = count
+
     def count_room(
         self,
         candidates: Sequence[types.Candidate],
         priority: types.Priority,
-        now: float,
-    ) -> int:
-        """Return how many more jobs of a priority the candidates take."""
-        room = 0
-        for candidate in candidates:
-            found = self._find_load(candidate.host)
-            limit = load.bound_limit(found.limit, priority)
-            room += max(0, limit - found.estimate(candidate))
-        return room
+    ) -> float:
+        """Return how many more jobs of a priority may be sent."""
+        return sum(
+            self._find_load(candidate.host).count_room(
+                candidate, priority, self._entries
+            )
+            for candidate in candidates
+        )
 
     def _score(
         self,
         job: types.Job,
         candidate: types.Candidate,
-        prompt: float,
-        held: dict[str, float],
+        tokens: float,
         now: float,
-    ) -> float:
+    ) -> tuple[bool, float]:
+        """Return whether a host is full, then its expected seconds."""
         host = candidate.host
         found = self._find_load(host)
-        tokens = prompt - held.get(host, 0.0)
-        expected_s = self._expect(found, tokens, found.estimate(candidate))
-        expected_s *= self._health.read_slowness(host, now)
-        expected_s *= self._health.read_start(host, now)
+        draw = _draw(job.request, host)
+        running = found.estimate(candidate)
+        expected_s = self._expect(found, job.priority, tokens, running)
+        expected_s *= self._health.read_factor(host, now)
         if candidate.zone != self._zone:
             expected_s += ZONE_S
         if host in self._down:
             expected_s += DOWN_S
-        return expected_s + SPREAD_S * _draw(job.request, host)
+        full = found.is_full(candidate, job.priority, self._entries, draw)
+        return full, expected_s + SPREAD_S * draw
 
     def _expect(
-        self, found: load.HostLoad, tokens: float, running: int
+        self,
+        found: load.HostLoad,
+        priority: types.Priority,
+        tokens: float,
+        running: int,
     ) -> float:
         over = max(0, running + 1 - found.limit)
         return (
             BASE_S
-            + (found.pending_tokens + tokens) * PREFILL_TOKEN_S
+            + (found.count_ahead(priority) + tokens) * PREFILL_TOKEN_S
             + running * RUN_S
             + over * WAIT_S
         )
 
     def _find_load(self, host: str) -> load.HostLoad:
-        return self._loads.setdefault(host, load.HostLoad())
+        found = self._loads.get(host)
+        if found is None:
+            found = self._loads[host] = load.HostLoad()
+        return found
+
+
+def _split(
+    job: types.Job, candidates: list[types.Candidate], held: dict[str, float]
+) -> tuple[list[types.Candidate], list[types.Candidate]]:
+    """Return who is scored, holders and some others, and who is not."""
+    if len(candidates) <= MAX_SCORED:
+        return candidates, []
+    start = int(_draw(job.request, "") * len(candidates))
+    turned = candidates[start:] + candidates[:start]
+    chosen = [item for item in turned if item.host in held]
+    rest = [item for item in turned if item.host not in held]
+    room = max(0, MAX_SCORED - len(chosen))
+    return chosen + rest[:room], rest[room:]
 
 
 def _draw(request: str, host: str) -> float:
--- a/src/cyclamenwing/routing/types.py
+++ b/src/cyclamenwing/routing/types.py
@@ -49,13 +49,15 @@
 class EndpointNews(TypedDict):
     """Report an endpoint on its sidecar's heartbeats.
 
-    `epoch` changes when the cache was lost; `stored` and `removed` hold
+    `max_running` is 0 for an engine that does not tell it; `epoch` changes
+    when the cache was lost; `stored` and `removed` hold
     prefix digests since the last heartbeat, as many as its bound allows.
     """
 
     up: bool
     running: int
     waiting: int
+    max_running: int
     epoch: int
     stored: list[int]
     removed: list[int]
@@ -86,10 +88,13 @@
     def hear(self, host: str, news: EndpointNews, now: float) -> None:
         """Take over an endpoint's report."""
 
+    def note_entries(self, count: int) -> None:
+        """Take note of how many entries share the candidates' places."""
+
     def count_room(
-        self, candidates: Sequence[Candidate], priority: Priority, now: float
-    ) -> int:
-        """Return how many more jobs of a priority the candidates take."""
+        self, candidates: Sequence[Candidate], priority: Priority
+    ) -> float:
+        """Return how many more jobs of a priority may be sent."""
 
 
 __all__ = (
--- a/src/cyclamenwing/standin/batch.py
+++ b/src/cyclamenwing/standin/batch.py
@@ -59,6 +59,7 @@
     at: float
     running: int
     waiting: int
+    max_running: int
     cache_used: float
 
 
@@ -173,7 +174,7 @@
         while len(self._loads) > 1 and self._loads[1]["at"] <= due:
             self._loads.popleft()
         if not self._loads or self._loads[0]["at"] > due:
-            return {"at": due, "running": 0, "waiting": 0, "cache_used": 0.0}
+            return self._make_load(due, 0, 0, 0.0)
         return self._loads[0]
 
     def _fill(self, now: float) -> None:
@@ -195,14 +196,23 @@
         )
 
     def _note_load(self, now: float) -> None:
-        self._loads.append({
-            "at": now,
-            "running": len(self._batch),
-            "waiting": len(self._waiting),
-            "cache_used": self.cache.used / self.options.cache_blocks,
-        })
+        used = self.cache.used / self.options.cache_blocks
+        self._loads.append(
+            self._make_load(now, len(self._batch), len(self._waiting), used)
+        )
         self.read_load(now)
 
+    def _make_load(
+        self, at: float, running: int, waiting: int, used: float
+    ) -> Load:
+        return {
+            "at": at,
+            "running": running,
+            "waiting": waiting,
+            "max_running": self.options.max_batch,
+            "cache_used": used,
+        }
+
 
 __all__ = (
     "BatchModel",
--- a/tests/routing/samples.py
+++ b/tests/routing/samples.py
@@ -45,11 +45,13 @@
     stored: tuple[int, ...] = (),
     removed: tuple[int, ...] = (),
     up: bool = True,
+    max_running: int = 0,
 ) -> types.EndpointNews:
     return {
         "up": up,
         "running": running,
         "waiting": waiting,
+        "max_running": max_running,
         "epoch": epoch,
         "stored": list(stored),
         "removed": list(removed),
