--- a/src/cyclamenwing/entry/blackboard.py
+++ b/src/cyclamenwing/entry/blackboard.py
@@ -4,10 +4,11 @@
 
 import dataclasses
 
-from cyclamenwing.budget import holder
+from cyclamenwing.budget import account
 from cyclamenwing.catalog import index
-from cyclamenwing.entry import journal
 from cyclamenwing.membership import view
+from cyclamenwing.metrics import recorder
+from cyclamenwing.request import journal
 
 
 @dataclasses.dataclass(slots=True)
@@ -24,7 +25,7 @@
     host: str
     zone: str
     session: str
-    holder: holder.HolderBoard
+    holder: account.HolderBoard
     catalog: index.Index = dataclasses.field(
         default_factory=lambda: index.Index({"revision": 0, "services": {}})
     )
@@ -35,6 +36,9 @@
         default_factory=journal.Journal
     )
     served: set[str] = dataclasses.field(default_factory=set)
+    recorder: recorder.Recorder = dataclasses.field(
+        default_factory=recorder.Recorder
+    )
     in_progress: int = 0
     leaving: bool = False
 
--- a/src/cyclamenwing/store/keys.py
+++ b/src/cyclamenwing/store/keys.py
@@ -3,6 +3,10 @@
 from __future__ import annotations
 
 CATALOG_HEAD = "catalog/head"
+LEDGER_LAYOUT = "ledger/layout"
+SESSION_PREFIX = "session/"
+OPERATIONS_HEAD = "operations/head"
+ORDERS_HEAD = "orders/head"
 
 
 def name_ledger(shard: int) -> str:
@@ -30,13 +34,17 @@
     return f"catalog/chunk/{digest}"
 
 
-def name_audit(number: int) -> str:
-    """Return the key of a closed run of audit records."""
-    return f"audit/{number:08d}"
+def name_audit(chain: str, number: int) -> str:
+    """Return the key of a closed run of a chain's audit records."""
+    return f"audit/{chain}/{number:08d}"
 
 
 __all__ = (
     "CATALOG_HEAD",
+    "LEDGER_LAYOUT",
+    "SESSION_PREFIX",
+    "OPERATIONS_HEAD",
+    "ORDERS_HEAD",
     "name_audit",
     "name_bill_segment",
     "name_chunk",
