Spread revisions and members without a full mesh

Cause: each entry watched the store and reported to all others, each sidecar to all entries; a restart with the store down found no configuration; an old incarnation's late heartbeat undid a new one's; a process cut off could not tell. Change: two watches a zone by rank, the others take deltas from peers by the revision on heartbeats, pushed at once after an adoption; a start takes the highest of store and peers before it admits work, else no_revision; confirmations travel as ages, and an entry that has none for 60 s takes no unsafe call as idempotent; sidecars hold their route's rules. Beyond 8 entries, heartbeats go along a ring with growing distances, sidecars report to two entries, and changed members travel as reports with sequence numbers and a bounded number of repetitions. The store stand-in ends a watch whose client has gone.

--- a/src/cyclamenwing/catalog/errors.py
+++ b/src/cyclamenwing/catalog/errors.py
@@ -32,6 +32,21 @@
     status = 500
 
 
+class NoRevisionError(CatalogError):
+    """Report a process that has found no revision yet."""
+
+    code = "no_revision"
+    status = 503
+    retry_after_s = 1.0
+
+
+class DeltaMismatchError(CatalogError):
+    """Report a delta that doesn't lead to the stated revision."""
+
+    code = "delta_mismatch"
+    status = 502
+
+
 class MalformedCatalogError(CatalogError):
     """Report a stored revision that can't be read."""
 
@@ -43,6 +58,8 @@
     "AuditBrokenError",
     "CatalogError",
     "CatalogInvalidError",
+    "DeltaMismatchError",
     "MalformedCatalogError",
+    "NoRevisionError",
     "PublishConflictError",
 )
--- a/src/cyclamenwing/catalog/findings.py
+++ b/src/cyclamenwing/catalog/findings.py
@@ -221,6 +221,29 @@
                 )
 
 
+def _find_unfunded_routes(items: Items) -> Findings:
+    budgets = {item.name: item.data for item in _select(items, "budgets")}
+    workspaces = _select(items, "workspaces")
+    for item in _select(items, "routes"):
+        if item.data["protocol"] != "chat":
+            continue
+        kind = item.data.get("kind", "completion")
+        admitted = set(item.data["workspaces"])
+        for workspace in workspaces:
+            if not admitted & {index.ANY_WORKSPACE, workspace.name}:
+                continue
+            rules = [budgets.get(name) for name in workspace.data["budgets"]]
+            kinds = [rule.get("kind", kind) for rule in rules if rule]
+            # A budget that is missing is a finding of its own.
+            if kind not in kinds and None not in rules:
+                yield item.make_finding(
+                    "unfunded_route",
+                    f"no budget of workspace {workspace.name!r} in"
+                    f" {workspace.describe()} pays for {kind!r} of route"
+                    f" {item.name!r}",
+                )
+
+
 def _select(items: Items, section: str) -> list[merge.Item]:
     return [item for item in items if item.section == section]
 
@@ -246,6 +269,7 @@
     _find_contradictory_routes,
     _find_contradictory_calls,
     _find_contradictory_budgets,
+    _find_unfunded_routes,
 )
 
 __all__ = (
--- a/src/cyclamenwing/catalog/index.py
+++ b/src/cyclamenwing/catalog/index.py
@@ -5,9 +5,11 @@
 import hashlib
 from typing import NamedTuple
 
+from cyclamenwing.catalog import errors
 from cyclamenwing.catalog import types
 
 ANY_WORKSPACE = "*"
+SAFE_METHODS = frozenset(("GET", "HEAD"))
 
 
 class PlainMatch(NamedTuple):
@@ -21,25 +23,52 @@
     """Answer look-ups in a revision.
 
     :param revision: the whole revision
+    :param earlier: index of an earlier revision, whose unchanged services
+        are not read again
+    :param strict: take no unsafe call as idempotent
     """
 
-    def __init__(self, revision: types.Revision) -> None:
+    def __init__(
+        self,
+        revision: types.Revision,
+        earlier: Index | None = None,
+        strict: bool = False,
+    ) -> None:
         self.revision = revision["revision"]
         self.source = revision
+        self.strict = strict
         self.workspaces: dict[str, types.Workspace] = {}
         self.budgets: dict[str, types.BudgetRule] = {}
         self.routes: dict[str, types.Route] = {}
         self._by_key: dict[str, types.Workspace] = {}
-        for file in revision["services"].values():
-            self._add_file(file)
+        known: dict[str, types.ServiceFile] = {}
+        if earlier is not None:
+            self._copy(earlier)
+            known = earlier.source["services"]
+        services = revision["services"]
+        for service, file in known.items():
+            if services.get(service) is not file:
+                self._drop_file(file)
+        for service, file in services.items():
+            if known.get(service) is not file:
+                self._add_file(file)
         self._chat = [
             route
-            for route in self.routes.values()
+            for _, route in sorted(self.routes.items())
             if route["protocol"] == "chat"
         ]
 
+    def with_strict(self, strict: bool) -> Index:
+        """Return the same look-ups, strict or not about unsafe calls."""
+        return Index(self.source, self, strict)
+
     def find_workspace(self, api_key: str) -> types.Workspace | None:
-        """Return the workspace that a caller's key belongs to."""
+        """Return the workspace that a caller's key belongs to.
+
+        Raise `NoRevisionError` before any revision was found.
+        """
+        if self.revision == 0:
+            raise errors.NoRevisionError("no configuration found yet")
         return self._by_key.get(hash_key(api_key))
 
     def find_chat_route(
@@ -60,12 +89,9 @@
             return None
         if not _admits(route, workspace):
             return None
-        rules = [
-            rule
-            for rule in route.get("calls", [])
-            if rule["method"] == method and path.startswith(rule["path"])
-        ]
-        longest = max(rules, key=lambda rule: len(rule["path"]), default=None)
+        longest = find_rule(route, method, path)
+        if longest is not None and self.strict and method not in SAFE_METHODS:
+            longest = {**longest, "idempotent": False}
         return PlainMatch(route, longest)
 
     def find_budgets(
@@ -79,6 +105,22 @@
             and rule.get("reviewer", reviewer) == reviewer
         ]
 
+    def _copy(self, earlier: Index) -> None:
+        self.workspaces = dict(earlier.workspaces)
+        self.budgets = dict(earlier.budgets)
+        self.routes = dict(earlier.routes)
+        self._by_key = dict(earlier._by_key)
+
+    def _drop_file(self, file: types.ServiceFile) -> None:
+        for workspace in file.get("workspaces", []):
+            self.workspaces.pop(workspace["name"], None)
+            for digest in workspace["keys"]:
+                self._by_key.pop(digest, None)
+        for budget in file.get("budgets", []):
+            self.budgets.pop(budget["name"], None)
+        for route in file.get("routes", []):
+            self.routes.pop(route["name"], None)
+
     def _add_file(self, file: types.ServiceFile) -> None:
         for workspace in file.get("workspaces", []):
             self.workspaces[workspace["name"]] = workspace
@@ -90,6 +132,18 @@
             self.routes[route["name"]] = route
 
 
+def find_rule(
+    route: types.Route, method: str, path: str
+) -> types.CallRule | None:
+    """Return the rule of a call, the one with the longest prefix."""
+    rules = [
+        rule
+        for rule in route.get("calls", [])
+        if rule["method"] == method and path.startswith(rule["path"])
+    ]
+    return max(rules, key=lambda rule: len(rule["path"]), default=None)
+
+
 def hash_key(api_key: str) -> str:
     """Return the digest under which a caller's key is published."""
     return hashlib.sha256(api_key.encode()).hexdigest()
@@ -102,7 +156,9 @@
 
 __all__ = (
     "ANY_WORKSPACE",
+    "SAFE_METHODS",
     "Index",
     "PlainMatch",
+    "find_rule",
     "hash_key",
 )
--- a/src/cyclamenwing/catalog/types.py
+++ b/src/cyclamenwing/catalog/types.py
@@ -130,6 +130,34 @@
     revision: int
     services: dict[str, ServiceFile]
     refs: NotRequired[dict[str, ServiceRef]]
+    removed: NotRequired[dict[str, ServiceRef]]
+
+
+class Delta(TypedDict):
+    """Hold the services that changed after revision `since`.
+
+    `digest` is that of all references after the step.
+    """
+
+    since: int
+    revision: int
+    refs: dict[str, ServiceRef]
+    removed: dict[str, ServiceRef]
+    files: dict[str, ServiceFile]
+    digest: str
+
+
+class DeltaRequest(TypedDict):
+    """Ask a process for what changed after a revision."""
+
+    since: int
+
+
+class SidecarRules(TypedDict):
+    """Hold what a sidecar needs of a revision: its own route."""
+
+    revision: int
+    route: Route | None
 
 
 __all__ = (
@@ -137,10 +165,13 @@
     "BudgetRule",
     "CallRule",
     "Chain",
+    "Delta",
+    "DeltaRequest",
     "Head",
     "Revision",
     "Route",
     "ServiceFile",
     "ServiceRef",
+    "SidecarRules",
     "Workspace",
 )
--- a/src/cyclamenwing/cli/check.py
+++ b/src/cyclamenwing/cli/check.py
@@ -10,7 +10,7 @@
 from cyclamenwing.catalog import collection
 from cyclamenwing.catalog import difference
 from cyclamenwing.catalog import findings
-from cyclamenwing.catalog import publication
+from cyclamenwing.catalog import revisions
 from cyclamenwing.catalog import types
 from cyclamenwing.cli import protocol
 from cyclamenwing.cli import remote
@@ -82,8 +82,8 @@
 async def read_in_force(address: str) -> types.Revision:
     """Read the revision in force from the store."""
     async with remote.open_store(address) as store:
-        head = await publication.read_head(store)
-        return await publication.read_revision(store, head)
+        head = await revisions.read_head(store)
+        return await revisions.read_revision(store, head)
 
 
 def _write_json(report: Report, with_differences: bool) -> None:
--- a/src/cyclamenwing/entry/app.py
+++ b/src/cyclamenwing/entry/app.py
@@ -55,6 +55,9 @@
             self.board, self._money, choice, self._client
         )
         sources: list[news.Source] = []
+        following = catalog.CatalogWatch(
+            self.board, self._store, self._client, settings["entries"]
+        )
         self._parts: list[part.Part] = [
             membership.Membership(
                 self.board,
@@ -62,8 +65,10 @@
                 settings["entries"],
                 lambda: self.peer_address,
                 sources,
+                following,
+                settings.get("hosts"),
             ),
-            catalog.CatalogWatch(self.board, self._store),
+            following,
             inquiry.Inquiry(self.board),
             self._money,
         ]
--- a/src/cyclamenwing/entry/blackboard.py
+++ b/src/cyclamenwing/entry/blackboard.py
@@ -5,6 +5,7 @@
 import dataclasses
 
 from cyclamenwing.budget import holder
+from cyclamenwing.catalog import adoption
 from cyclamenwing.catalog import index
 from cyclamenwing.entry import journal
 from cyclamenwing.membership import view
@@ -26,6 +27,9 @@
     catalog: index.Index = dataclasses.field(
         default_factory=lambda: index.Index({"revision": 0, "services": {}})
     )
+    adoption: adoption.AdoptionBoard = dataclasses.field(
+        default_factory=adoption.AdoptionBoard
+    )
     members: view.MemberBoard = dataclasses.field(
         default_factory=view.MemberBoard
     )
--- /dev/null
+++ b/src/cyclamenwing/entry/views.py
@@ -0,0 +1,42 @@
+"""HTTP handlers for an entry's view of the fleet."""
+
+from __future__ import annotations
+
+import time
+
+from cyclamenwing.entry import blackboard
+from cyclamenwing.entry import census
+from cyclamenwing.entry import gathering
+from cyclamenwing.membership import types
+from cyclamenwing.transport import server
+
+
+class SyncHandler(server.PeerHandler):
+    """Serve ``POST /peer/members``: the whole view."""
+
+    def initialize(self, gathered: gathering.Gathering) -> None:
+        """Take the view."""
+        self._gathered = gathered
+
+    async def post(self) -> None:
+        """Answer with the view unless it is the same."""
+        asked = self.decode_body(types.SyncRequest)
+        self.write_json(self._gathered.make_sync(asked["digest"]))
+
+
+class FleetHandler(server.PeerHandler):
+    """Serve ``POST /peer/fleet``: what operators ask of the fleet."""
+
+    def initialize(self, board: blackboard.EntryBoard) -> None:
+        """Take the shared state."""
+        self._board = board
+
+    async def post(self) -> None:
+        """Answer with this entry's state and view."""
+        self.write_json(census.describe_fleet(self._board, time.monotonic()))
+
+
+__all__ = (
+    "FleetHandler",
+    "SyncHandler",
+)
--- a/src/cyclamenwing/sidecar/app.py
+++ b/src/cyclamenwing/sidecar/app.py
@@ -7,6 +7,7 @@
 from cyclamenwing.membership import news
 from cyclamenwing.settings import types as settings_types
 from cyclamenwing.sidecar import blackboard
+from cyclamenwing.sidecar import catalog
 from cyclamenwing.sidecar import executor
 from cyclamenwing.sidecar import handlers
 from cyclamenwing.sidecar import membership
@@ -32,6 +33,9 @@
         self.execution = executor.Executor(
             self.board, self._client, settings["endpoint"]
         )
+        self._rules = catalog.Rules(
+            self.board, settings.get("orders_checked", False)
+        )
         sources: list[news.Source] = []
         self._membership = membership.Membership(
             self.board,
@@ -39,6 +43,8 @@
             settings["entries"],
             lambda: self.address,
             sources,
+            self._rules,
+            settings.get("hosts"),
         )
         self._parts: list[part.Part] = [
             handlers.RunService(self.board, self.execution),
--- a/src/cyclamenwing/sidecar/errors.py
+++ b/src/cyclamenwing/sidecar/errors.py
@@ -31,9 +31,17 @@
     code = "endpoint_malformed"
 
 
+class StaleRulesError(SidecarError):
+    """Report an order by rules that have become stricter since."""
+
+    code = "stale_rules"
+    status = 409
+
+
 __all__ = (
     "EndpointCrashedError",
     "EndpointDownError",
     "EndpointMalformedError",
     "SidecarError",
+    "StaleRulesError",
 )
--- a/src/cyclamenwing/sidecar/membership.py
+++ b/src/cyclamenwing/sidecar/membership.py
@@ -3,19 +3,33 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from collections.abc import Callable
 from typing import Any
+from typing import Protocol
 
 import eliot
 
+from cyclamenwing.catalog import types as catalog_types
+from cyclamenwing.membership import errors
+from cyclamenwing.membership import hostlist
 from cyclamenwing.membership import news
+from cyclamenwing.membership import topology
 from cyclamenwing.membership import types
 from cyclamenwing.sidecar import blackboard
+from cyclamenwing.sidecar import reporting
 from cyclamenwing.transport import errors as transport_errors
 from cyclamenwing.transport import protocol as transport
 
-HEARTBEAT_INTERVAL_S = 0.5
 HEARTBEAT_TIMEOUT_S = 1.0
+MIN_PAUSE_S = 0.02
+
+
+class Follower(Protocol):
+    """Take over the rules that entries send."""
+
+    def adopt(self, rules: catalog_types.SidecarRules) -> bool:
+        """Take over rules; False if they are not of a higher revision."""
 
 
 class Membership:
@@ -26,6 +40,8 @@
     :param entries: peer addresses of entries
     :param find_address: returns the own address once it is bound
     :param sources: concerns that add to heartbeats
+    :param follower: follows the configuration
+    :param hosts: ``ip:port`` of the platform's host list, if there is one
     """
 
     def __init__(
@@ -35,12 +51,23 @@
         entries: list[str],
         find_address: Callable[[], str],
         sources: list[news.Source],
+        follower: Follower,
+        hosts: str | None = None,
     ) -> None:
         self._board = board
         self._client = client
-        self._entries = entries
         self._find_address = find_address
         self._sources = sources
+        self._follower = follower
+        self._hosts = hosts
+        self._reporting = reporting.ReportingBoard(entries)
+        self._controller = reporting.ReportingController(
+            board.host, board.zone
+        )
+        self._sequence = 0
+        self._woken = asyncio.Event()
+        self._sending: set[str] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
         self._task: asyncio.Task[None] | None = None
 
     def list_handlers(self) -> list[Any]:
@@ -53,22 +80,57 @@
 
     async def close(self) -> None:
         """Stop sending heartbeats."""
-        if self._task is not None:
-            self._task.cancel()
+        for task in (self._task, *self._tasks):
+            if task is not None:
+                task.cancel()
 
     async def announce(self) -> None:
-        """Send a heartbeat to all entries at once."""
+        """Send a heartbeat to all reporters and wait for the replies."""
         beat = self._make_beat()
-        await asyncio.gather(
-            *(self._send(entry, beat) for entry in self._entries)
-        )
+        targets = self._controller.list_targets(self._reporting)
+        await asyncio.gather(*(self._send(peer, beat) for peer in targets))
+
+    def wake(self) -> None:
+        """Send the next heartbeats at once."""
+        self._woken.set()
 
     async def _run(self) -> None:
         while True:
-            await self.announce()
-            await asyncio.sleep(HEARTBEAT_INTERVAL_S)
+            self._woken.clear()
+            await self._find_entries()
+            self._beat_all()
+            await asyncio.sleep(MIN_PAUSE_S)
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(self._find_interval_s()):
+                    await self._woken.wait()
+
+    def _beat_all(self) -> None:
+        beat = self._make_beat()
+        for peer in self._controller.list_targets(self._reporting):
+            # An entry that is slow to answer must not delay the others.
+            if peer not in self._sending:
+                task = asyncio.create_task(self._send(peer, beat))
+                self._tasks.add(task)
+                task.add_done_callback(self._tasks.discard)
+
+    async def _find_entries(self) -> None:
+        if self._hosts is None or not self._reporting.is_lost():
+            return
+        try:
+            hosts = await hostlist.read_hosts(self._client, self._hosts)
+        except errors.HostListError as err:
+            eliot.log_message("sidecar:hosts", code=err.code)
+            return
+        self._controller.adopt_hosts(self._reporting, hosts)
 
     async def _send(self, entry: str, beat: types.Heartbeat) -> None:
+        self._sending.add(entry)
+        beat = {
+            **beat,
+            "directory": self._controller.digest_directory(
+                self._reporting, entry
+            ),
+        }
         try:
             reply = await self._client.call(
                 f"http://{entry}/peer/heartbeat",
@@ -78,11 +140,30 @@
             )
         except transport_errors.TransportError as err:
             eliot.log_message("sidecar:heartbeat", entry=entry, code=err.code)
+            if self._controller.note_failure(self._reporting, entry):
+                self.wake()
             return
-        self._board.revision = max(self._board.revision, reply["revision"])
+        finally:
+            self._sending.discard(entry)
+        self._take_reply(entry, reply)
+
+    def _take_reply(self, entry: str, reply: types.HeartbeatReply) -> None:
+        self._controller.note_success(self._reporting, entry)
+        rules = reply.get("rules")
+        if rules is not None and self._follower.adopt(rules):
+            # Operators who wait for this revision see it soon.
+            self.wake()
+        places = reply.get("directory")
+        if places is not None:
+            self._controller.adopt_places(self._reporting, entry, places)
+            self.wake()
         news.spread_news(self._sources, None, reply["news"])
 
+    def _find_interval_s(self) -> float:
+        return topology.find_interval_s(len(self._reporting.places))
+
     def _make_beat(self) -> types.Heartbeat:
+        self._sequence += 1
         return {
             "host": self._board.host,
             "role": "sidecar",
@@ -94,7 +175,12 @@
             "revision": self._board.revision,
             "load": self._board.running,
             "news": news.gather_news(self._sources),
+            "sequence": self._sequence,
+            "interval_s": self._find_interval_s(),
         }
 
 
-__all__ = ("Membership",)
+__all__ = (
+    "Follower",
+    "Membership",
+)
--- a/src/cyclamenwing/standin/store.py
+++ b/src/cyclamenwing/standin/store.py
@@ -44,6 +44,12 @@
     def initialize(self, state: StoreState) -> None:
         """Take the shared state."""
         self._state = state
+        self._gone = False
+
+    def on_connection_close(self) -> None:
+        """End the watch of a client that has gone."""
+        self._gone = True
+        asyncio.get_running_loop().create_task(self._state.announce())
 
     async def post(self, call: str) -> None:
         """Apply a call, or the fault that the table sets for it."""
@@ -73,7 +79,7 @@
         self._state.waiting += 1
         try:
             await self._send({"result": {"created": True}})
-            while not self._state.closing:
+            while not self._state.closing and not self._gone:
                 events = [
                     _write_event(change)
                     for change in self._state.data.changes
--- a/tests/catalog/test_findings.py
+++ b/tests/catalog/test_findings.py
@@ -103,6 +103,30 @@
         "contradictory_call",
         "routes/0/calls/1",
     ),
+    (
+        ("routes", 0),
+        {
+            "name": "x",
+            "protocol": "chat",
+            "model": "n",
+            "kind": "draft",
+            "workspaces": ["g", "p"],
+        },
+        "",
+        "",
+    ),
+    (
+        ("budgets", 0),
+        {"name": "gt", "unit": "tokens", "kind": "x"},
+        "",
+        "",
+    ),
+    (
+        ("workspaces", 0),
+        {"name": "p2", "keys": [], "budgets": []},
+        "dangling_workspace",
+        "routes/0/workspaces/0",
+    ),
     (("workspaces", 0, "weight"), 0, "schema", "workspaces/0/weight"),
 )
 
@@ -162,6 +186,9 @@
     if in_force and code == "duplicate_service":
         assert all("panels" not in str(item) for item in report.findings)
         return
+    if not code:
+        assert report.findings == []
+        return
     name = str(tmp_path / f"{len(files) - 1}.cyclamenwing.json")
     line = find_line(place, file)
     found = [(item.file, item.line, item.code) for item in report.findings]
@@ -179,6 +206,18 @@
     assert codes == [("service guides", "dangling_workspace")]
 
 
+def test_workspace_without_budget_for_a_chat_route(
+    tmp_path: pathlib.Path,
+) -> None:
+    poor = change(("budgets", 0, "kind"), "draft")
+    poor["routes"] = [{**PANELS["routes"][0], "workspaces": ["g"]}]
+    report = check.make_report(
+        write(tmp_path, poor), {"revision": 0, "services": {}}
+    )
+    codes = [(item.line, item.code) for item in report.findings]
+    assert codes == [(find_line("routes/0", poor), "unfunded_route")]
+
+
 def test_difference_names_each_entry(tmp_path: pathlib.Path) -> None:
     changed = change(("budgets", 0, "unit"), "requests")
     changed["workspaces"] = []
--- a/tests/catalog/test_publication.py
+++ b/tests/catalog/test_publication.py
@@ -11,6 +11,7 @@
 from cyclamenwing.catalog import audit
 from cyclamenwing.catalog import errors
 from cyclamenwing.catalog import publication
+from cyclamenwing.catalog import revisions
 from cyclamenwing.catalog import segments
 from cyclamenwing.catalog import types
 from cyclamenwing.store import keys
@@ -56,7 +57,7 @@
     removals: tuple[str, ...] = ()
 
     async def run(self, store: protocol.Store) -> Outcome:
-        base = (await publication.read_head(store))["revision"]
+        base = (await revisions.read_head(store))["revision"]
         try:
             head = await publication.publish_files(
                 store,
@@ -144,9 +145,7 @@
 
     def check(state: interleaving.State) -> None:
         outcomes: list[Outcome] = state.outcomes
-        head = publication.HeadCodec().decode(
-            state.values[keys.CATALOG_HEAD][0]
-        )
+        head = revisions.HeadCodec().decode(state.values[keys.CATALOG_HEAD][0])
         landed = [item for item in outcomes if item.error is None]
         kinds.add(len(landed))
         assert landed, outcomes
--- /dev/null
+++ b/tests/membership/test_topology.py
@@ -0,0 +1,149 @@
+from __future__ import annotations
+
+import collections
+
+import pytest
+
+from cyclamenwing.membership import rumours
+from cyclamenwing.membership import topology
+from cyclamenwing.membership import types
+from cyclamenwing.sidecar import reporting
+
+SIZES = (2, 8, 9, 60, 340)
+MAX_STEPS = 24
+
+
+def list_entries(count: int) -> dict[str, str]:
+    return {f"e{n}": f"z{n % 7}" for n in range(count)}
+
+
+@pytest.mark.parametrize("count", SIZES)
+@pytest.mark.parametrize("dead_each", [0, 10])
+def test_news_reach_all_entries_in_few_steps(
+    count: int, dead_each: int
+) -> None:
+    entries = list(list_entries(count))
+    dead = set(entries[1::dead_each]) if dead_each else set()
+    # The view still names the dead ones.
+    links = {host: topology.list_neighbours(host, entries) for host in entries}
+    reached = {entries[0]}
+    steps = 0
+    new = {entries[0]}
+    while new and steps < MAX_STEPS:
+        steps += 1
+        heard = {peer for host in new for peer in links[host]}
+        new = heard - dead - reached
+        reached |= new
+    # An entry whose senders are all dead asks at its own next heartbeat.
+    missed = set(entries) - dead - reached
+    assert len(missed) <= count // 100
+    assert all(reached & set(links[host]) for host in missed)
+    most = max(len(peers) for peers in links.values())
+    assert most <= max(topology.FULL_MESH_LIMIT - 1, topology.FINGERS)
+
+
+@pytest.mark.parametrize("count", SIZES)
+def test_reports_and_watches_are_few_and_spread(count: int) -> None:
+    entries = list_entries(count)
+    loads: collections.Counter[str] = collections.Counter()
+    for number in range(600):
+        zone = f"z{number % 7}"
+        found = topology.list_reporters(f"s{number}", zone, entries)
+        loads.update(found)
+        if not topology.is_mesh(count):
+            assert len(found) == topology.REPORTERS
+            assert {entries[host] == zone for host in found} == {True, False}
+    mean = sum(loads.values()) / count
+    assert max(loads.values()) <= mean + 6 * max(1.0, mean) ** 0.5
+    for zone in set(entries.values()):
+        near = [host for host in entries if entries[host] == zone]
+        watchers = topology.list_watchers(zone, near)
+        assert 0 < len(watchers) <= topology.WATCHERS
+        # The death of a watcher moves one watch, not all.
+        rest = [host for host in near if host != watchers[0]]
+        assert set(watchers[1:]) <= set(topology.list_watchers(zone, rest))
+
+
+def test_rumours_are_bounded() -> None:
+    board = rumours.RumourBoard()
+    controller = rumours.RumourController()
+    for number in range(20):
+        controller.note(
+            board,
+            {
+                "host": f"h{number}",
+                "role": "sidecar",
+                "zone": "z",
+                "address": "",
+                "incarnation": "a",
+                "route": "r",
+                "leaving": False,
+                "sequence": 1,
+                "state": "live",
+            },
+            340,
+        )
+    told: collections.Counter[str] = collections.Counter()
+    while board.left:
+        picked = controller.pick(board)
+        assert 0 < len(picked) <= rumours.MAX_REPORTS
+        told.update(report["host"] for report in picked)
+    assert set(told.values()) == {rumours.SPREAD_FACTOR * 9}
+
+
+def make_places(*names: str) -> list[types.Place]:
+    return [
+        {"host": name, "zone": "z", "address": f"at-{name}"} for name in names
+    ]
+
+
+def test_sidecar_finds_other_reporters() -> None:
+    controller = reporting.ReportingController("s", "z")
+    board = reporting.ReportingBoard(["at-e0"])
+    assert controller.list_targets(board) == ["at-e0"]
+    entries = list(list_entries(20))
+    controller.adopt_places(board, "at-e0", make_places(*entries))
+    first, second = controller.list_targets(board)
+    for _ in range(reporting.FAILURES_TO_AVOID):
+        controller.note_failure(board, first)
+    assert first not in controller.list_targets(board)
+    assert second in controller.list_targets(board)
+    controller.note_success(board, first)
+    assert controller.list_targets(board) == [first, second]
+
+
+def test_reporters_that_lost_each_other_do_not_alternate() -> None:
+    controller = reporting.ReportingController("s", "z")
+    board = reporting.ReportingBoard(["at-a"])
+    controller.adopt_places(board, "at-a", make_places("a", "b"))
+    for _ in range(3):
+        controller.adopt_places(board, "at-a", make_places("a"))
+        controller.adopt_places(board, "at-b", make_places("b"))
+        assert sorted(controller.list_targets(board)) == ["at-a", "at-b"]
+        digests = {
+            entry: controller.digest_directory(board, entry)
+            for entry in ("at-a", "at-b")
+        }
+        assert digests["at-a"] == topology.digest_directory(make_places("a"))
+        assert digests["at-b"] == topology.digest_directory(make_places("b"))
+
+
+def test_lost_sidecar_takes_the_host_list() -> None:
+    controller = reporting.ReportingController("s", "z")
+    board = reporting.ReportingBoard(["at-old"])
+    assert not board.is_lost()
+    controller.note_failure(board, "at-old")
+    assert board.is_lost()
+    controller.adopt_hosts(
+        board,
+        [
+            {
+                "host": "e",
+                "role": "entry",
+                "zone": "z",
+                "address": "at-new",
+                "state": "live",
+            },
+        ],
+    )
+    assert "at-new" in controller.list_targets(board)
