--- a/src/cyclamenwing/entry/app.py
+++ b/src/cyclamenwing/entry/app.py
@@ -3,20 +3,32 @@
 from __future__ import annotations
 
 import asyncio
+import random
 import time
 import uuid
 
+from cyclamenwing.budget import account
 from cyclamenwing.budget import coordinator
-from cyclamenwing.budget import holder
+from cyclamenwing.budget import exchange as budget_exchange
+from cyclamenwing.budget import layout
+from cyclamenwing.budget import sizing
 from cyclamenwing.entry import blackboard
 from cyclamenwing.entry import callers
 from cyclamenwing.entry import catalog
+from cyclamenwing.entry import claims
+from cyclamenwing.entry import departures
 from cyclamenwing.entry import dispatch
+from cyclamenwing.entry import exchange
 from cyclamenwing.entry import funding
 from cyclamenwing.entry import inquiry
 from cyclamenwing.entry import membership
+from cyclamenwing.entry import metrics
+from cyclamenwing.entry import quarantine
 from cyclamenwing.entry import serving
+from cyclamenwing.entry import sessions
+from cyclamenwing.entry import transfers
 from cyclamenwing.membership import news
+from cyclamenwing.metrics import operators
 from cyclamenwing.routing import scoring
 from cyclamenwing.settings import types as settings_types
 from cyclamenwing.store import client as store_client
@@ -25,9 +37,8 @@
 from cyclamenwing.transport import server
 
 DRAIN_POLL_S = 0.05
-DEFAULT_SHARDS = 4
+LINGER_S = 0.5
 DEFAULT_COMMIT_INTERVAL_MS = 20
-DEFAULT_GRANT_CHUNK = 20_000
 
 
 class EntryApp:
@@ -43,21 +54,31 @@
             settings["host"],
             settings["zone"],
             session,
-            holder.HolderBoard(session),
+            account.HolderBoard(session),
         )
         self._client = client.CurlClient(settings["fleet_keys"][0])
         self._store = store_client.StoreClient(self._client, settings["store"])
+        self._transfers = transfers.Transfers(self.board, self._client)
         self._money = self._make_funding()
+        held = quarantine.Quarantine(
+            self.board, self._client, quarantine.log_lift
+        )
+        leaving = departures.Departures(self.board)
         choice = dispatch.Dispatch(
-            self.board, scoring.ScoringPolicy(settings["zone"])
+            self.board,
+            scoring.ScoringPolicy(settings["zone"]),
+            held,
+            leaving,
+            random.Random(),
         )
+        self._claims = claims.Claims(self._store)
         self._service = serving.Serving(
-            self.board, self._money, choice, self._client
+            self.board, self._money, choice, self._client, self._claims
         )
-        sources: list[news.Source] = []
         following = catalog.CatalogWatch(
             self.board, self._store, self._client, settings["entries"]
         )
+        sources: list[news.Source] = [choice, held, leaving]
         self._parts: list[part.Part] = [
             membership.Membership(
                 self.board,
@@ -70,7 +91,13 @@
             ),
             following,
             inquiry.Inquiry(self.board),
+            self._claims,
+            choice,
+            held,
+            sessions.Sessions(self.board, self._store),
+            self._transfers,
             self._money,
+            self._open_operators(),
         ]
         self._callers = self._listen_callers()
         self._peers = self._listen_peers()
@@ -87,6 +114,8 @@
     async def close(self) -> None:
         """Finish the requests in progress, settle and stop."""
         self.board.leaving = True
+        # The balancer goes on sending until it notices.
+        await asyncio.sleep(LINGER_S)
         while self.board.in_progress:
             await asyncio.sleep(DRAIN_POLL_S)
         for item in self._parts:
@@ -100,17 +129,43 @@
         interval_ms = settings.get(
             "commit_interval_ms", DEFAULT_COMMIT_INTERVAL_MS
         )
-        return funding.Funding(
+        size = sizing.Sizing.from_weight(
+            settings.get("budget_weight", sizing.DEFAULT_WEIGHT)
+        )
+        ledger = exchange.Exchange(
             self.board,
-            holder.HolderController(
-                settings.get("grant_chunk", DEFAULT_GRANT_CHUNK)
-            ),
+            budget_exchange.ExchangeController(size),
             coordinator.Coordinator(
                 self._store, time.time, interval_ms / 1000
             ),
             self._client,
-            settings.get("ledger_shards", DEFAULT_SHARDS),
+            self._store,
+            settings.get("ledger_shards", layout.DEFAULT_SHARDS),
         )
+        return funding.Funding(self.board, ledger, self._transfers, size)
+
+    def _open_operators(self) -> operators.OperatorsPort:
+        board = self.board
+        board.recorder.watch(metrics.IN_PROGRESS, lambda: board.in_progress)
+        board.recorder.watch(metrics.REVISION, lambda: board.catalog.revision)
+        address = self._settings.get("operators")
+        made = operators.OperatorsPort(
+            address, board.recorder, self._read_health
+        )
+        self.operators_address = made.address
+        return made
+
+    def _read_health(self) -> operators.Health:
+        board = self.board
+        return {
+            "ready": board.catalog.revision > 0 and not board.leaving,
+            "role": "entry",
+            "host": board.host,
+            "zone": board.zone,
+            "revision": board.catalog.revision,
+            "leaving": board.leaving,
+            "in_progress": board.in_progress,
+        }
 
     def _listen_callers(self) -> server.Listener:
         options = {"board": self.board, "service": self._service}
--- a/src/cyclamenwing/entry/blackboard.py
+++ b/src/cyclamenwing/entry/blackboard.py
@@ -4,17 +4,20 @@
 
 import dataclasses
 
-from cyclamenwing.budget import holder
+from cyclamenwing.budget import account
 from cyclamenwing.catalog import adoption
 from cyclamenwing.catalog import index
-from cyclamenwing.entry import journal
 from cyclamenwing.membership import view
+from cyclamenwing.metrics import recorder
+from cyclamenwing.request import journal
 
 
 @dataclasses.dataclass(slots=True)
 class EntryBoard:
     """Hold what an entry knows.
 
+    `served` holds the sidecar incarnations that the session names.
+
     :param host: name of the host
     :param zone: availability zone of the host
     :param session: id of this incarnation
@@ -23,7 +26,7 @@
     host: str
     zone: str
     session: str
-    holder: holder.HolderBoard
+    holder: account.HolderBoard
     catalog: index.Index = dataclasses.field(
         default_factory=lambda: index.Index({"revision": 0, "services": {}})
     )
@@ -36,6 +39,10 @@
     journal: journal.Journal = dataclasses.field(
         default_factory=journal.Journal
     )
+    served: set[str] = dataclasses.field(default_factory=set)
+    recorder: recorder.Recorder = dataclasses.field(
+        default_factory=recorder.Recorder
+    )
     in_progress: int = 0
     leaving: bool = False
 
--- a/src/cyclamenwing/entry/membership.py
+++ b/src/cyclamenwing/entry/membership.py
@@ -91,6 +91,7 @@
         self._hosts = hosts
         self._gathered = gathering.Gathering(board, entries, find_address)
         self._sequence = 0
+        self._told_as = board.session
         self._round = 0
         self._woken = asyncio.Event()
         self._sending: dict[str, asyncio.Task[None]] = {}
@@ -249,6 +250,10 @@
             await asyncio.sleep(self._gathered.find_poll_s())
 
     def _make_beat(self) -> types.Heartbeat:
+        if self._told_as != self._board.session:
+            # A renewed session counts as another incarnation.
+            self._told_as = self._board.session
+            self._sequence = 0
         self._sequence += 1
         beat: types.Heartbeat = {
             "host": self._board.host,
--- a/src/cyclamenwing/sidecar/app.py
+++ b/src/cyclamenwing/sidecar/app.py
@@ -5,12 +5,16 @@
 import uuid
 
 from cyclamenwing.membership import news
+from cyclamenwing.metrics import operators
 from cyclamenwing.settings import types as settings_types
+from cyclamenwing.sidecar import accounts
 from cyclamenwing.sidecar import blackboard
 from cyclamenwing.sidecar import catalog
 from cyclamenwing.sidecar import executor
 from cyclamenwing.sidecar import handlers
 from cyclamenwing.sidecar import membership
+from cyclamenwing.sidecar import observation
+from cyclamenwing.sidecar import quarantine
 from cyclamenwing.transport import client
 from cyclamenwing.transport import part
 from cyclamenwing.transport import server
@@ -30,13 +34,26 @@
             settings["route"],
         )
         self._client = client.CurlClient(settings["fleet_keys"][0])
-        self.execution = executor.Executor(
-            self.board, self._client, settings["endpoint"]
+        self.accounts = accounts.Accounts(
+            accounts.AccountBoard(self.board.incarnation)
         )
         self._rules = catalog.Rules(
             self.board, settings.get("orders_checked", False)
         )
-        sources: list[news.Source] = []
+        self.execution = executor.Executor(
+            self.board,
+            self._client,
+            settings["endpoint"],
+            self.accounts,
+            self._rules,
+        )
+        observed = observation.Observation(
+            self.board, self._client, settings["endpoint"]
+        )
+        sources: list[news.Source] = [
+            observed,
+            quarantine.QuarantineRelay(settings["host"]),
+        ]
         self._membership = membership.Membership(
             self.board,
             self._client,
@@ -48,7 +65,13 @@
         )
         self._parts: list[part.Part] = [
             handlers.RunService(self.board, self.execution),
+            observed,
             self._membership,
+            operators.OperatorsPort(
+                settings.get("operators"),
+                self.board.recorder,
+                self._read_health,
+            ),
         ]
         self._listener = server.Listener(
             server.make_application(
@@ -72,6 +95,18 @@
         """Start a sidecar from its settings."""
         return cls(settings)
 
+    def _read_health(self) -> operators.Health:
+        board = self.board
+        return {
+            "ready": not board.runs.leaving,
+            "role": "sidecar",
+            "host": board.host,
+            "zone": board.zone,
+            "revision": board.revision,
+            "leaving": board.runs.leaving,
+            "in_progress": board.running,
+        }
+
     async def close(self) -> None:
         """Announce leaving, end the runs and stop."""
         self.board.runs.leaving = True
--- a/src/cyclamenwing/sidecar/blackboard.py
+++ b/src/cyclamenwing/sidecar/blackboard.py
@@ -4,6 +4,8 @@
 
 import dataclasses
 
+from cyclamenwing.metrics import recorder
+from cyclamenwing.request import journal
 from cyclamenwing.request import runs
 
 
@@ -22,8 +24,15 @@
     incarnation: str
     route: str
     runs: runs.RunBoard = dataclasses.field(default_factory=runs.RunBoard)
+    recorder: recorder.Recorder = dataclasses.field(
+        default_factory=recorder.Recorder
+    )
+    journal: journal.Journal = dataclasses.field(
+        default_factory=journal.Journal
+    )
     revision: int = 0
     running: int = 0
+    followers: int = 0
 
 
 __all__ = ("SidecarBoard",)
--- a/src/cyclamenwing/store/keys.py
+++ b/src/cyclamenwing/store/keys.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 CATALOG_HEAD = "catalog/head"
+LEDGER_LAYOUT = "ledger/layout"
+SESSION_PREFIX = "session/"
 OPERATIONS_HEAD = "operations/head"
 ORDERS_HEAD = "orders/head"
 
@@ -39,6 +41,8 @@
 
 __all__ = (
     "CATALOG_HEAD",
+    "LEDGER_LAYOUT",
+    "SESSION_PREFIX",
     "OPERATIONS_HEAD",
     "ORDERS_HEAD",
     "name_audit",
