Show the audit trail and the fleet, and wait until a revision is in force

Cause: acts beside publishing left no record, a broken chain did not show, and nobody could tell where a revision was in force. Conclusion: top-ups, settlements, lifts and orders can use one call to be recorded.

--- a/src/cyclamenwing/catalog/findings.py
+++ b/src/cyclamenwing/catalog/findings.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from collections.abc import Collection
 from collections.abc import Iterable
 from collections.abc import Iterator
 from collections.abc import Mapping
@@ -29,14 +30,20 @@
 def find_faults(
     collected: Sequence[collection.Collected],
     in_force: Mapping[str, types.ServiceFile],
+    removals: Collection[str] = (),
 ) -> list[documents.Finding]:
-    """Return the faults that the files bring with them.
+    """Return the faults that the files and removals bring with them.
 
     A fault that the revision in force has already is not reported.
     """
     found = set(_find_duplicate_services(collected))
     found.update(_find_too_large(collected))
-    found.update(_check_items(merge.list_items(collected, in_force)))
+    left = {
+        service: file
+        for service, file in in_force.items()
+        if service not in removals
+    }
+    found.update(_check_items(merge.list_items(collected, left)))
     return sorted(found - _check_items(merge.list_items([], in_force)))
 
 
--- a/src/cyclamenwing/cli/check.py
+++ b/src/cyclamenwing/cli/check.py
@@ -5,6 +5,8 @@
 import argparse
 import json
 import pathlib
+from collections.abc import Collection
+from typing import Any
 from typing import NamedTuple
 
 from cyclamenwing.catalog import collection
@@ -23,10 +25,15 @@
     """Hold what a check found; `revision` is the one in force."""
 
     revision: int
-    files: int
+    collected: list[collection.Collected]
     findings: list[documents.Finding]
     differences: list[difference.Difference]
 
+    @property
+    def files(self) -> int:
+        """Return the number of files that can be read."""
+        return len(self.collected)
+
 
 class CheckCommand:
     """Check the operators' files."""
@@ -65,17 +72,27 @@
         return protocol.EXIT_OK
 
 
-def make_report(paths: list[pathlib.Path], in_force: types.Revision) -> Report:
+def make_report(
+    paths: list[pathlib.Path],
+    in_force: types.Revision,
+    removals: Collection[str] = (),
+) -> Report:
     """Check files alone, against each other and against a revision."""
     collected = collection.collect_files(paths)
-    services = in_force["services"]
-    found = findings.find_faults(collected.files, services)
+    before = in_force["services"]
+    left = {
+        service: file
+        for service, file in before.items()
+        if service not in removals
+    }
     changed = {made.file["service"]: made.file for made in collected.files}
+    after = {**left, **changed}
+    found = findings.find_faults(collected.files, before, removals)
     return Report(
         in_force["revision"],
-        len(collected.files),
+        collected.files,
         sorted([*collected.findings, *found]),
-        difference.compare(services, {**services, **changed}),
+        difference.compare(before, after),
     )
 
 
@@ -87,10 +104,13 @@
 
 
 def _write_json(report: Report, with_differences: bool) -> None:
-    data = report._asdict()
-    data["findings"] = [finding._asdict() for finding in report.findings]
-    if not with_differences:
-        del data["differences"]
+    data: dict[str, Any] = {
+        "revision": report.revision,
+        "files": report.files,
+        "findings": [finding._asdict() for finding in report.findings],
+    }
+    if with_differences:
+        data["differences"] = report.differences
     print(json.dumps(data))
 
 
--- a/src/cyclamenwing/cli/main.py
+++ b/src/cyclamenwing/cli/main.py
@@ -8,6 +8,7 @@
 
 import cyclamenwing
 from cyclamenwing import errors
+from cyclamenwing.cli import audit
 from cyclamenwing.cli import bench
 from cyclamenwing.cli import check
 from cyclamenwing.cli import demo
@@ -18,6 +19,7 @@
 from cyclamenwing.cli import replay
 from cyclamenwing.cli import sidecar
 from cyclamenwing.cli import standin
+from cyclamenwing.cli import status
 from cyclamenwing.cli import topup
 from cyclamenwing.settings import errors as settings_errors
 from cyclamenwing.store import errors as store_errors
@@ -28,6 +30,8 @@
     sidecar.SidecarCommand(),
     check.CheckCommand(),
     publish.PublishCommand(),
+    audit.AuditCommand(),
+    status.StatusCommand(),
     topup.TopUpCommand(),
     explain.ExplainCommand(),
     standin.StandinCommand(),
--- /dev/null
+++ b/src/cyclamenwing/cli/survey.py
@@ -0,0 +1,178 @@
+"""Survey of the fleet: what each process reports of its revision."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Iterable
+from typing import NamedTuple
+from typing import TypedDict
+
+from cyclamenwing import errors as base_errors
+from cyclamenwing.entry import census
+from cyclamenwing.membership import types
+from cyclamenwing.transport import protocol as transport
+
+TIMEOUT_S = 2.0
+MAX_CALLS = 32
+
+
+class ProcessState(TypedDict):
+    """Describe one process; `standing` is empty for a sidecar."""
+
+    host: str
+    role: types.Role
+    zone: str
+    address: str
+    route: str
+    revision: int
+    standing: str
+    leaving: bool
+    load: int
+
+
+class Survey(NamedTuple):
+    """Hold the processes that answer and the hosts out of reach."""
+
+    processes: dict[str, ProcessState]
+    unreachable: dict[str, str]
+
+    def list_behind(self, revision: int) -> list[str]:
+        """Return the hosts that are not at a revision yet."""
+        return sorted(
+            host
+            for host, state in self.processes.items()
+            if state["revision"] < revision
+        )
+
+
+async def survey_fleet(
+    client: transport.Client, seeds: Iterable[str]
+) -> Survey:
+    """Ask all entries that any seed knows for their views.
+
+    Each sidecar reports to some entry directly, so that together they
+    know the revision of all.
+    """
+    asked: set[str] = set()
+    fleets: list[census.Fleet] = []
+    failed: dict[str, str] = {}
+    pending = set(seeds)
+    limit = asyncio.Semaphore(MAX_CALLS)
+    while pending:
+        asked |= pending
+        found = await asyncio.gather(
+            *(_ask(client, address, limit) for address in sorted(pending))
+        )
+        for address, answer in zip(sorted(pending), found, strict=True):
+            if isinstance(answer, str):
+                failed[address] = answer
+            else:
+                fleets.append(answer)
+        pending = _list_entries(fleets) - asked
+    return merge_fleets(fleets, failed)
+
+
+def merge_fleets(fleets: list[census.Fleet], failed: dict[str, str]) -> Survey:
+    """Merge the views of entries; direct reports go before told ones."""
+    processes: dict[str, ProcessState] = {}
+    unreachable: dict[str, str] = {}
+    for fleet in fleets:
+        for member in fleet["members"]:
+            _merge_member(processes, unreachable, member, failed)
+    for fleet in fleets:
+        processes[fleet["host"]] = _describe_entry(fleet)
+    missing = {**_list_unheard(fleets), **unreachable}
+    known = {fleet["address"] for fleet in fleets}
+    known |= _list_entries(fleets)
+    for address, code in failed.items():
+        if address not in known:
+            missing.setdefault(address, code)
+    return Survey(
+        processes,
+        {host: why for host, why in missing.items() if host not in processes},
+    )
+
+
+def _list_unheard(fleets: list[census.Fleet]) -> dict[str, str]:
+    return {
+        host["host"]: "not heard of"
+        for fleet in fleets
+        for host in fleet["hosts"]
+        if host["state"] == "live"
+    }
+
+
+async def _ask(
+    client: transport.Client, address: str, limit: asyncio.Semaphore
+) -> census.Fleet | str:
+    async with limit:
+        try:
+            return await client.call(
+                f"http://{address}/peer/fleet", {}, census.Fleet, TIMEOUT_S
+            )
+        except base_errors.CodedError as err:
+            return err.code
+
+
+def _list_entries(fleets: list[census.Fleet]) -> set[str]:
+    return {
+        member["address"]
+        for fleet in fleets
+        for member in fleet["members"]
+        if member["role"] == "entry"
+    }
+
+
+def _merge_member(
+    processes: dict[str, ProcessState],
+    unreachable: dict[str, str],
+    member: census.MemberState,
+    failed: dict[str, str],
+) -> None:
+    host = member["host"]
+    code = failed.get(member["address"])
+    if member["role"] == "entry":
+        if code is not None:
+            unreachable[host] = code
+        return
+    if not member["live"]:
+        unreachable.setdefault(host, "silent")
+        return
+    if not member["direct"]:
+        unreachable.setdefault(host, "reports to no entry that answers")
+        return
+    known = processes.get(host)
+    if known is None or known["revision"] < member["revision"]:
+        processes[host] = {
+            "host": host,
+            "role": "sidecar",
+            "zone": member["zone"],
+            "address": member["address"],
+            "route": member["route"],
+            "revision": member["revision"],
+            "standing": "",
+            "leaving": member["leaving"],
+            "load": member["load"],
+        }
+
+
+def _describe_entry(fleet: census.Fleet) -> ProcessState:
+    return {
+        "host": fleet["host"],
+        "role": "entry",
+        "zone": fleet["zone"],
+        "address": fleet["address"],
+        "route": "",
+        "revision": fleet["revision"],
+        "standing": fleet["standing"],
+        "leaving": fleet["leaving"],
+        "load": fleet["in_progress"],
+    }
+
+
+__all__ = (
+    "ProcessState",
+    "Survey",
+    "merge_fleets",
+    "survey_fleet",
+)
--- a/src/cyclamenwing/entry/census.py
+++ b/src/cyclamenwing/entry/census.py
@@ -32,6 +32,7 @@
 
     host: str
     zone: str
+    address: str
     incarnation: str
     leaving: bool
     revision: int
@@ -43,12 +44,15 @@
     hosts: list[types.Host]
 
 
-def describe_fleet(board: blackboard.EntryBoard, now: float) -> Fleet:
+def describe_fleet(
+    board: blackboard.EntryBoard, address: str, now: float
+) -> Fleet:
     """Return an entry's state and view."""
     following = adoption.AdoptionController()
     return {
         "host": board.host,
         "zone": board.zone,
+        "address": address,
         "incarnation": board.session,
         "leaving": board.leaving,
         "revision": board.catalog.revision,
--- a/src/cyclamenwing/entry/membership.py
+++ b/src/cyclamenwing/entry/membership.py
@@ -100,6 +100,10 @@
 
     def list_handlers(self) -> list[Any]:
         """Return handlers for other processes, by path."""
+        fleet_options = {
+            "board": self._board,
+            "find_address": self._find_address,
+        }
         return [
             (r"/peer/heartbeat", HeartbeatHandler, {"membership": self}),
             (
@@ -107,7 +111,7 @@
                 views.SyncHandler,
                 {"gathered": self._gathered},
             ),
-            (r"/peer/fleet", views.FleetHandler, {"board": self._board}),
+            (r"/peer/fleet", views.FleetHandler, fleet_options),
         ]
 
     def start(self) -> None:
--- a/src/cyclamenwing/entry/views.py
+++ b/src/cyclamenwing/entry/views.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import time
+from collections.abc import Callable
 
 from cyclamenwing.entry import blackboard
 from cyclamenwing.entry import census
@@ -27,13 +28,22 @@
 class FleetHandler(server.PeerHandler):
     """Serve ``POST /peer/fleet``: what operators ask of the fleet."""
 
-    def initialize(self, board: blackboard.EntryBoard) -> None:
+    def initialize(
+        self,
+        board: blackboard.EntryBoard,
+        find_address: Callable[[], str],
+    ) -> None:
         """Take the shared state."""
         self._board = board
+        self._find_address = find_address
 
     async def post(self) -> None:
         """Answer with this entry's state and view."""
-        self.write_json(census.describe_fleet(self._board, time.monotonic()))
+        self.write_json(
+            census.describe_fleet(
+                self._board, self._find_address(), time.monotonic()
+            )
+        )
 
 
 __all__ = (
--- a/src/cyclamenwing/store/keys.py
+++ b/src/cyclamenwing/store/keys.py
@@ -6,7 +6,7 @@
 LEDGER_LAYOUT = "ledger/layout"
 SESSION_PREFIX = "session/"
 OPERATIONS_HEAD = "operations/head"
-ORDERS_HEAD = "orders/head"
+WEIGHT_STORE_SLOTS = "orders/weight-store"
 
 
 def name_ledger(shard: int) -> str:
@@ -39,16 +39,28 @@
     return f"audit/{chain}/{number:08d}"
 
 
+def name_order_number(route: str) -> str:
+    """Return the key of a route's fencing number for orders."""
+    return f"orders/number/{route}"
+
+
+def name_order_holder(route: str) -> str:
+    """Return the key of who may give a route's endpoints orders."""
+    return f"orders/holder/{route}"
+
+
 __all__ = (
     "CATALOG_HEAD",
     "LEDGER_LAYOUT",
-    "SESSION_PREFIX",
     "OPERATIONS_HEAD",
-    "ORDERS_HEAD",
+    "SESSION_PREFIX",
+    "WEIGHT_STORE_SLOTS",
     "name_audit",
     "name_bill_segment",
     "name_chunk",
     "name_claims",
     "name_ledger",
+    "name_order_holder",
+    "name_order_number",
     "name_session",
 )
--- /dev/null
+++ b/tests/cli/test_control.py
@@ -0,0 +1,287 @@
+from __future__ import annotations
+
+import asyncio
+import json
+import pathlib
+import time
+import uuid
+from typing import Any
+
+import pytest
+from tests.entry import fleet
+
+from cyclamenwing import errors as base_errors
+from cyclamenwing.catalog import audit
+from cyclamenwing.catalog import history
+from cyclamenwing.catalog import publication
+from cyclamenwing.catalog import revisions
+from cyclamenwing.catalog import trail
+from cyclamenwing.cli import main
+from cyclamenwing.cli import protocol
+from cyclamenwing.cli import publish
+from cyclamenwing.cli import remote
+from cyclamenwing.cli import survey
+from cyclamenwing.standin import faults
+from cyclamenwing.store import errors as store_errors
+from cyclamenwing.store import keys
+
+
+def make_fault(kind: faults.FaultKind, skip: int, count: int) -> faults.Fault:
+    return {
+        "call": "kv/",
+        "kind": kind,
+        "skip": skip,
+        "count": count,
+        "delay_s": 0.05 if kind == "slow" else 0.0,
+    }
+
+
+# Each row: fault of the store, calls spared and hit, the error in the end.
+FAULTS: tuple[tuple[faults.FaultKind, int, int, str], ...] = (
+    ("down", 0, 3, ""),
+    ("down", 0, 10**6, "store_unavailable"),
+    ("slow", 0, 10**6, ""),
+    *(("lost_answer", skip, 1, "") for skip in range(5)),
+    ("lost_answer", 0, 3, ""),
+    ("lost_answer", 3, 10**6, "store_answer_lost"),
+)
+
+
+@pytest.mark.parametrize(("kind", "skip", "count", "code"), FAULTS)
+def test_publishing_under_faults_of_the_store(
+    kind: faults.FaultKind, skip: int, count: int, code: str
+) -> None:
+    async def run() -> None:
+        async with fleet.open_fleet() as made:
+            await made.publish(fleet.make_file())
+            made.table.faults = [make_fault(kind, skip, count)]
+            change = audit.Change(
+                time.time(), "bob", "test", "publish", "", "", None, None
+            )
+            publisher = publication.Publisher(
+                made.store_client,
+                [fleet.make_file(idempotent=True)],
+                (),
+                change,
+                uuid.uuid4().hex,
+                1,
+            )
+            bound_s = 1.0 if code else fleet.WAIT_S
+            found = ""
+            try:
+                ends_at = time.monotonic() + bound_s
+                await publish.publish_surely(publisher, ends_at)
+            except base_errors.CodedError as err:
+                found = err.code
+            assert found == code
+            made.table.faults = []
+            # The same id again lands once, whatever was reported.
+            await publisher.publish()
+            head = await revisions.read_head(made.store_client)
+            assert head["revision"] == 2
+            assert len(head["audit"]) == 2
+
+    asyncio.run(run())
+
+
+def test_commands_publish_wait_status_audit(
+    tmp_path: pathlib.Path,
+    capsys: pytest.CaptureFixture[str],
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setenv(remote.FLEET_KEY_VARIABLE, fleet.KEY)
+    path = tmp_path / "records.cyclamenwing.json"
+    store = ["--store"]
+
+    async def command(*words: str) -> tuple[int, str]:
+        code = await asyncio.to_thread(main.run, list(words))
+        return code, capsys.readouterr().out
+
+    async def run() -> None:
+        async with fleet.open_fleet() as made:
+            entry = made.start_entry("e0", "z0", [])
+            peer = entry.peer_address
+            made.start_sidecar("s0", [peer])
+            store.append(made.store.address)
+            path.write_text(json.dumps(fleet.make_file()))
+            code, out = await command(
+                "publish", str(path), *store, "--wait", "--entry", peer
+            )
+            assert (code, out.split("\n")[:3]) == (
+                protocol.EXIT_OK,
+                ["revision 1", "e0 revision 1", "s0 revision 1"],
+            )
+            path.write_text(json.dumps(fleet.make_file(idempotent=True)))
+            code, out = await command("check", str(path), *store, "--diff")
+            assert code == protocol.EXIT_OK
+            assert out.startswith("change records/routes/records calls: ")
+            code, _ = await command("publish", str(path), *store)
+            code, _ = await command(
+                "publish", "--delete", "records", "--base", "1", *store
+            )
+            assert code == protocol.EXIT_FAILED
+            made.hosts.state.hosts = [
+                {
+                    "host": "gone",
+                    "role": "sidecar",
+                    "zone": "z0",
+                    "address": "127.0.0.1:1",
+                    "state": "live",
+                },
+            ]
+            await fleet.wait_for(lambda: entry.board.members.hosts)
+            await fleet.wait_for(lambda: entry.board.catalog.revision == 2)
+            code, out = await command("status", "--json", "--entry", peer)
+            found = json.loads(out)
+            assert code == protocol.EXIT_FAILED
+            assert found["unreachable"] == {"gone": "not heard of"}
+            assert set(found["processes"]) == {"e0", "s0"}
+            code, out = await command("audit", *store, "--diff", "2")
+            assert (code, out[:29]) == (
+                protocol.EXIT_OK,
+                "change records/routes/records",
+            )
+            code, out = await command("audit", *store, "--json")
+            assert len(json.loads(out)["records"]) == 2
+
+    asyncio.run(run())
+
+
+def test_act_is_in_the_trail_whatever_fails() -> None:
+    async def run() -> None:
+        async with fleet.open_fleet() as made:
+            change = audit.Change(
+                1.0, "ann", "host", "top-up", "budget", "w", None, 5
+            )
+            store = made.store_client
+
+            async def pay() -> trail.Outcome:
+                return trail.Outcome(1, 6)
+
+            async def fail() -> trail.Outcome:
+                raise store_errors.StoreUnavailableError("down")
+
+            async def die() -> trail.Outcome:
+                made.table.faults = [fleet.DOWN]
+                return trail.Outcome(6, 11)
+
+            await trail.record_act(store, trail.Act("a", change), pay)
+            with pytest.raises(store_errors.StoreUnavailableError):
+                await trail.record_act(store, trail.Act("b", change), fail)
+            await trail.record_act(store, trail.Act("c", change), die)
+            with pytest.raises(store_errors.StoreUnavailableError):
+                await trail.record_act(store, trail.Act("d", change), pay)
+            made.table.faults = []
+            found = await history.read_history(store)
+            assert not found.faults
+            records = found.select(history.Filter(workspace="w"))
+            states = [
+                (record["after"]["act"], record["after"]["state"])
+                for record in records
+            ]
+            assert states == [
+                ("a", "begun"),
+                ("a", "done"),
+                ("b", "begun"),
+                ("b", "refused"),
+                ("c", "begun"),
+            ]
+            assert not found.select(history.Filter(kind="publish"))
+            assert not found.select(history.Filter(since=2.0))
+            assert len(found.select(history.Filter(until=2.0))) == 5
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize("how", ["segment", "record", "revision", "tail"])
+def test_broken_trail_shows(
+    how: str, capsys: pytest.CaptureFixture[str]
+) -> None:
+    async def run() -> tuple[int, str]:
+        async with fleet.open_fleet() as made:
+            for number in range(70):
+                await made.publish(fleet.make_file(path=f"/{number}"))
+            data = made.store.state.data
+            key = keys.name_audit("catalog", 0)
+            head = await revisions.read_head(made.store_client)
+            if how == "segment":
+                data.swap(key, data.records[key].revision, None, 0)
+            elif how == "record":
+                head["audit"][3]["author"] = "x"
+            elif how == "revision":
+                head["services"]["records"]["author"] = "x"
+            else:
+                del head["audit"][-1]
+            written = revisions.HeadCodec().encode(head)
+            old = data.records[keys.CATALOG_HEAD]
+            data.swap(keys.CATALOG_HEAD, old.revision, written, 0)
+            code = await asyncio.to_thread(
+                main.run, ["audit", "--store", made.store.address]
+            )
+            return code, capsys.readouterr().out
+
+    code, out = asyncio.run(run())
+    assert code == protocol.EXIT_FAILED
+    assert "audit_broken: " in out
+
+
+def make_member(host: str, **fields: Any) -> Any:
+    return {
+        "host": host,
+        "role": "sidecar",
+        "zone": "z",
+        "address": f"at-{host}",
+        "incarnation": "i",
+        "route": "r",
+        "revision": 3,
+        "load": 0,
+        "leaving": False,
+        "live": True,
+        "direct": True,
+        "silent_s": 0.1,
+        **fields,
+    }
+
+
+def test_survey_merges_views() -> None:
+    view: Any = {
+        "zone": "z",
+        "incarnation": "i",
+        "leaving": False,
+        "behind": 0,
+        "standing": "confirmed",
+        "confirmed_age_s": 0.0,
+        "in_progress": 0,
+        "hosts": [],
+    }
+    one = make_member("e1", role="entry", direct=False, revision=0)
+    dead = make_member("e9", role="entry", direct=False, revision=0)
+    fleets: Any = [
+        {
+            **view,
+            "host": "e0",
+            "address": "at-e0",
+            "revision": 4,
+            "members": [
+                one,
+                dead,
+                make_member("s0", revision=4),
+                make_member("s1", direct=False, revision=0),
+                make_member("s2", live=False),
+            ],
+        },
+        {
+            **view,
+            "host": "e1",
+            "address": "at-e1",
+            "revision": 3,
+            "members": [make_member("s1"), make_member("s3", direct=False)],
+        },
+    ]
+    found = survey.merge_fleets(fleets, {"at-e9": "connect_failed"})
+    assert found.list_behind(4) == ["e1", "s1"]
+    assert found.unreachable == {
+        "e9": "connect_failed",
+        "s2": "silent",
+        "s3": "reports to no entry that answers",
+    }
