Send Retry-After with refusals by headers

Cause: the intake's refusals left out the time after which to come back, so a process without a configuration sent callers away for good. Change: the header is written there as well; the index no longer refuses for a missing revision, since the gate does; the view of the fleet reads its message like any other call. Figures: tests/entry's start with the store down failed on the header before, passes after. Conclusion: one place refuses before a revision is known.

--- a/src/cyclamenwing/catalog/errors.py
+++ b/src/cyclamenwing/catalog/errors.py
@@ -32,14 +32,6 @@
     status = 500
 
 
-class NoRevisionError(CatalogError):
-    """Report a process that has found no revision yet."""
-
-    code = "no_revision"
-    status = 503
-    retry_after_s = 1.0
-
-
 class DeltaMismatchError(CatalogError):
     """Report a delta that doesn't lead to the stated revision."""
 
@@ -60,6 +52,5 @@
     "CatalogInvalidError",
     "DeltaMismatchError",
     "MalformedCatalogError",
-    "NoRevisionError",
     "PublishConflictError",
 )
--- a/src/cyclamenwing/catalog/index.py
+++ b/src/cyclamenwing/catalog/index.py
@@ -5,7 +5,6 @@
 import hashlib
 from typing import NamedTuple
 
-from cyclamenwing.catalog import errors
 from cyclamenwing.catalog import types
 
 ANY_WORKSPACE = "*"
@@ -63,12 +62,7 @@
         return Index(self.source, self, strict)
 
     def find_workspace(self, api_key: str) -> types.Workspace | None:
-        """Return the workspace that a caller's key belongs to.
-
-        Raise `NoRevisionError` before any revision was found.
-        """
-        if self.revision == 0:
-            raise errors.NoRevisionError("no configuration found yet")
+        """Return the workspace that a caller's key belongs to."""
         return self._by_key.get(hash_key(api_key))
 
     def find_chat_route(
--- a/src/cyclamenwing/entry/views.py
+++ b/src/cyclamenwing/entry/views.py
@@ -39,6 +39,7 @@
 
     async def post(self) -> None:
         """Answer with this entry's state and view."""
+        self.decode_body(dict[str, str])
         self.write_json(
             census.describe_fleet(
                 self._board, self._find_address(), time.monotonic()
--- a/src/cyclamenwing/transport/intake.py
+++ b/src/cyclamenwing/transport/intake.py
@@ -119,6 +119,8 @@
             "Content-Length": str(len(body)),
             "Connection": "close",
         })
+        if error.retry_after_s is not None:
+            headers["Retry-After"] = str(round(error.retry_after_s))
         reason = http.HTTPStatus(error.status).phrase
         line = httputil.ResponseStartLine("HTTP/1.1", error.status, reason)
         self._connection.write_headers(line, headers, body)
