--- a/src/cyclamenwing/entry/app.py
+++ b/src/cyclamenwing/entry/app.py
@@ -82,6 +82,9 @@
         self._service = serving.Serving(
             self.board, self._money, choice, self._client, self._claims
         )
+        following = catalog.CatalogWatch(
+            self.board, self._store, self._client, settings["entries"]
+        )
         sources: list[news.Source] = [choice, held, leaving]
         self._parts: list[part.Part] = [
             membership.Membership(
@@ -90,8 +93,10 @@
                 settings["entries"],
                 lambda: self.peer_address,
                 sources,
+                following,
+                settings.get("hosts"),
             ),
-            catalog.CatalogWatch(self.board, self._store),
+            following,
             inquiry.Inquiry(self.board),
             self._claims,
             choice,
--- a/src/cyclamenwing/entry/departures.py
+++ b/src/cyclamenwing/entry/departures.py
@@ -11,6 +11,7 @@
 
 from cyclamenwing.entry import blackboard
 from cyclamenwing.membership import types
+from cyclamenwing.membership import view
 
 MAX_TOLD = 32
 KEPT_S = 5.0
@@ -31,6 +32,7 @@
 
     def __init__(self, board: blackboard.EntryBoard) -> None:
         self._board = board
+        self._members = view.MemberController()
         self._told: dict[tuple[str, str], float] = {}
         self._refused: dict[tuple[str, str], float] = {}
 
@@ -66,12 +68,9 @@
     def _knows(self, beat: types.Heartbeat) -> bool:
         if beat["role"] != "sidecar":
             return False
-        listed = self._board.members.hosts.get(beat["host"])
         key = (beat["host"], beat["incarnation"])
-        return (
-            beat["leaving"]
-            or _is_fresh(self._refused, key)
-            or (listed is not None and listed["state"] == "leaving")
+        return _is_fresh(self._refused, key) or self._members.is_leaving(
+            self._board.members, beat
         )
 
 
--- a/src/cyclamenwing/sidecar/app.py
+++ b/src/cyclamenwing/sidecar/app.py
@@ -10,6 +10,7 @@
 from cyclamenwing.sidecar import accounts
 from cyclamenwing.sidecar import blackboard
 from cyclamenwing.sidecar import closing
+from cyclamenwing.sidecar import catalog
 from cyclamenwing.sidecar import executor
 from cyclamenwing.sidecar import handlers
 from cyclamenwing.sidecar import membership
@@ -37,8 +38,15 @@
         self.accounts = accounts.Accounts(
             accounts.AccountBoard(self.board.incarnation)
         )
+        self._rules = catalog.Rules(
+            self.board, settings.get("orders_checked", False)
+        )
         self.execution = executor.Executor(
-            self.board, self._client, settings["endpoint"], self.accounts
+            self.board,
+            self._client,
+            settings["endpoint"],
+            self.accounts,
+            self._rules,
         )
         observed = observation.Observation(
             self.board, self._client, settings["endpoint"]
@@ -53,6 +61,8 @@
             settings["entries"],
             lambda: self.address,
             sources,
+            self._rules,
+            settings.get("hosts"),
         )
         self._parts: list[part.Part] = [
             handlers.RunService(self.board, self.execution),
--- a/src/cyclamenwing/sidecar/executor.py
+++ b/src/cyclamenwing/sidecar/executor.py
@@ -14,6 +14,7 @@
 from cyclamenwing.sidecar import accounts
 from cyclamenwing.sidecar import blackboard
 from cyclamenwing.sidecar import calls
+from cyclamenwing.sidecar import catalog
 from cyclamenwing.sidecar import errors
 from cyclamenwing.sidecar import meter
 from cyclamenwing.sidecar import signal
@@ -28,6 +29,7 @@
     :param client: HTTP client
     :param endpoint: ``ip:port`` of the endpoint
     :param held: what each session ran here
+    :param rules: rules of the configuration, if the sidecar keeps them
     """
 
     def __init__(
@@ -36,12 +38,14 @@
         client: transport.Client,
         endpoint: str,
         held: accounts.Accounts,
+        rules: catalog.Rules | None = None,
     ) -> None:
         self._board = board
         self._client = client
         self._endpoint = endpoint
         self._accounts = held
         self._runs = runs.RunController()
+        self._rules = rules
         self._signals: dict[str, signal.Signal] = {}
         self._tasks: dict[str, asyncio.Task[None]] = {}
 
@@ -119,6 +123,8 @@
         if not admitted.started:
             return admitted
         try:
+            if self._rules is not None:
+                self._rules.check_order(order)
             self._accounts.admit(order, time.time())
         except base_errors.CodedError as err:
             refusal = _make_refusal(admitted.run, err)
