--- a/src/cyclamenwing/settings/types.py
+++ b/src/cyclamenwing/settings/types.py
@@ -29,9 +29,9 @@
     peers: str
     ledger_shards: NotRequired[int]
     commit_interval_ms: NotRequired[int]
-    grant_chunk: NotRequired[int]
     max_body_bytes: NotRequired[int]
     body_timeout_s: NotRequired[float]
+    budget_weight: NotRequired[float]
 
 
 class SidecarSettings(CommonSettings):
@@ -80,13 +80,13 @@
         "peers": _ADDRESS,
         "ledger_shards": {"type": "integer", "minimum": 1, "maximum": 4096},
         "commit_interval_ms": {"type": "integer", "minimum": 1},
-        "grant_chunk": {"type": "integer", "minimum": 0},
         "max_body_bytes": {
             "type": "integer",
             "minimum": 1024,
             "maximum": MAX_BODY_BYTES,
         },
         "body_timeout_s": {"type": "number", "exclusiveMinimum": 0},
+        "budget_weight": {"type": "number", "minimum": 0, "maximum": 1},
     },
 }
 SIDECAR_SCHEMA: dict[str, Any] = {
--- a/src/cyclamenwing/sidecar/app.py
+++ b/src/cyclamenwing/sidecar/app.py
@@ -7,10 +7,13 @@
 from cyclamenwing.membership import news
 from cyclamenwing.metrics import operators
 from cyclamenwing.settings import types as settings_types
+from cyclamenwing.sidecar import accounts
 from cyclamenwing.sidecar import blackboard
 from cyclamenwing.sidecar import executor
 from cyclamenwing.sidecar import handlers
 from cyclamenwing.sidecar import membership
+from cyclamenwing.sidecar import observation
+from cyclamenwing.sidecar import quarantine
 from cyclamenwing.transport import client
 from cyclamenwing.transport import part
 from cyclamenwing.transport import server
@@ -30,10 +33,19 @@
             settings["route"],
         )
         self._client = client.CurlClient(settings["fleet_keys"][0])
+        self.accounts = accounts.Accounts(
+            accounts.AccountBoard(self.board.incarnation)
+        )
         self.execution = executor.Executor(
+            self.board, self._client, settings["endpoint"], self.accounts
+        )
+        observed = observation.Observation(
             self.board, self._client, settings["endpoint"]
         )
-        sources: list[news.Source] = []
+        sources: list[news.Source] = [
+            observed,
+            quarantine.QuarantineRelay(settings["host"]),
+        ]
         self._membership = membership.Membership(
             self.board,
             self._client,
@@ -43,6 +55,7 @@
         )
         self._parts: list[part.Part] = [
             handlers.RunService(self.board, self.execution),
+            observed,
             self._membership,
             operators.OperatorsPort(
                 settings.get("operators"),
--- a/tests/contract/test_peers.py
+++ b/tests/contract/test_peers.py
@@ -10,7 +10,7 @@
 KEY = {"Authorization": f"Bearer {demo_fleet.FLEET_KEY}"}
 BIG_BYTES = 10**9
 # Paths whose calls carry no message.
-BODILESS = {"/peer/status", "/v1/status"}
+BODILESS = {"/peer/status", "/peer/quarantine/list", "/v1/status"}
 BEAT = {
     "host": "late",
     "role": "sidecar",
