Bring about every fault of the store and service stand-ins

Cause: of six kinds of faults the store stand-in knew three, for watches two; the plain service knew none. The client took a 5xx answer to a write for "no effect", though the service gives it also when a write was taken and its outcome came late; and curl's bound on silence averages over seconds, so that a bound of 1 s took 7.0 s to act. Change: one handler brings about down, slow, lost_answer, cut, silent and garbage for calls and watches; rates, the value limit and malformed calls are answered as the real service does; reads and writes are classified apart; streams watch silence themselves and an abandoned one is aborted at once instead of at curl's next tick. Conclusion: a silent peer is noticed in the stated time, and a write is never reported as without effect unless it is sure.

--- a/src/cyclamenwing/standin/service.py
+++ b/src/cyclamenwing/standin/service.py
@@ -4,41 +4,64 @@
 
 import collections
 import hashlib
+from typing import Any
 
+from cyclamenwing.standin import faults
+from cyclamenwing.standin import faulty
 from cyclamenwing.transport import server
 
 
 class ServiceState:
-    """Count the calls that had an effect, by request id."""
+    """Count the calls that had an effect.
 
-    def __init__(self) -> None:
+    :param table: faults by path
+    """
+
+    def __init__(self, table: faults.FaultTable | None = None) -> None:
+        self.table = table or faults.FaultTable()
         self.runs: collections.Counter[str] = collections.Counter()
+        self.effects: collections.Counter[str] = collections.Counter()
         self.records: list[str] = []
 
+    def describe(self) -> dict[str, Any]:
+        """Return the effects by the body's digest, and the runs."""
+        return {"effects": self.effects, "runs": self.runs}
+
 
-class RecordHandler(server.CodedHandler):
-    """Serve the service's calls."""
+class RecordHandler(faulty.FaultyHandler):
+    """Serve the service's calls: GET reads, POST adds, PUT sets."""
 
     def initialize(self, state: ServiceState) -> None:
         """Take the shared state."""
         self._state = state
+        self.table = state.table
 
     async def post(self, path: str) -> None:
-        """Record a call and return its number."""
-        self._state.runs[self.request.headers.get("X-Request-Id", "")] += 1
-        digest = hashlib.sha256(self.request.body).hexdigest()
+        """Add a record, which is not idempotent, and return its number."""
+        digest = self._count_run()
         self._state.records.append(digest)
+        self._state.effects[digest] += 1
         self.set_status(201)
-        self.write_json({
+        await self.answer({
             "path": path,
             "number": len(self._state.records),
             "digest": digest,
         })
 
+    async def put(self, path: str) -> None:
+        """Set a record, which is idempotent."""
+        digest = self._count_run()
+        self._state.effects[digest] = 1
+        await self.answer({"path": path, "digest": digest})
+
     async def get(self, path: str) -> None:
         """Return how many records there are."""
+        self._count_run()
+        await self.answer({"path": path, "count": len(self._state.records)})
+
+    def _count_run(self) -> str:
         self._state.runs[self.request.headers.get("X-Request-Id", "")] += 1
-        self.write_json({"path": path, "count": len(self._state.records)})
+        return hashlib.sha256(self.request.body).hexdigest()
 
 
 class ServiceStandin:
@@ -50,9 +73,11 @@
 
     def __init__(self, address: str, state: ServiceState) -> None:
         self.state = state
+        options = {"state": state}
         self._listener = server.Listener(
             server.make_application([
-                (r"(/.*)", RecordHandler, {"state": state}),
+                (r"/faults", faulty.FaultHandler, options),
+                (r"(/.*)", RecordHandler, options),
             ]),
             address,
         )
--- a/src/cyclamenwing/store/client.py
+++ b/src/cyclamenwing/store/client.py
@@ -12,10 +12,13 @@
 
 from cyclamenwing.store import errors
 from cyclamenwing.store import protocol
+from cyclamenwing.transport import client
 from cyclamenwing.transport import errors as transport_errors
 from cyclamenwing.transport import protocol as transport
 
 CALL_TIMEOUT_S = 2.0
+TOO_MANY_REQUESTS = 429
+SERVER_ERROR = 500
 WATCH_SILENCE_S = 30.0
 
 T = TypeVar("T")
@@ -73,6 +76,7 @@
     """Hold the changes of one message of a watch."""
 
     events: list[Event]
+    canceled: bool
 
 
 class WatchReply(TypedDict, total=False):
@@ -84,12 +88,12 @@
 class StoreClient:
     """Call the key-value service.
 
-    :param client: HTTP client
+    :param http: HTTP client
     :param address: ``ip:port`` of the service
     """
 
-    def __init__(self, client: transport.Client, address: str) -> None:
-        self._client = client
+    def __init__(self, http: transport.Client, address: str) -> None:
+        self._client = http
         self._base = f"http://{address}/v3"
 
     async def get(self, key: str) -> protocol.Entry | None:
@@ -121,15 +125,15 @@
 
     async def grant_lease(self, ttl_s: int) -> int:
         """Create a lease and return its id."""
-        reply = await self._call("lease/grant", {"TTL": ttl_s}, LeaseReply)
-        return int(reply["ID"])
+        reply = await self._write("lease/grant", {"TTL": ttl_s}, LeaseReply)
+        return _read_number(reply.get("ID"))
 
     async def keep_lease(self, lease: int) -> bool:
         """Renew a lease; False means that it has lapsed."""
-        reply = await self._call(
+        reply = await self._write(
             "lease/keepalive", {"ID": str(lease)}, KeepAliveReply
         )
-        return int(reply["result"].get("TTL", "0")) > 0
+        return _read_number(reply.get("result", {}).get("TTL", "0")) > 0
 
     async def watch(
         self, prefix: str, revision: int
@@ -145,6 +149,11 @@
         )
         rest = b""
         try:
+            head = await stream.read_head()
+            if head.status != 200:
+                raise errors.StoreUnavailableError(
+                    f"watch answered {head.status}"
+                )
             async for chunk in stream.read_chunks():
                 lines = (rest + chunk).split(b"\n")
                 rest = lines.pop()
@@ -157,7 +166,7 @@
             stream.close()
 
     async def _range(self, request: dict[str, str]) -> list[protocol.Entry]:
-        reply = await self._call("kv/range", request, RangeReply)
+        reply = await self._read("kv/range", request, RangeReply)
         return [_read_kv(kv) for kv in reply.get("kvs", [])]
 
     async def _txn(
@@ -170,29 +179,54 @@
             "modRevision": str(revision),
         }
         body = {"compare": [compare], "success": [action]}
-        # A write that the client repeats would hide its first answer's loss.
-        return await self._call("kv/txn", body, TxnReply, repeatable=False)
-
-    async def _call(
-        self,
-        path: str,
-        body: object,
-        reply: type[T],
-        repeatable: bool = True,
-    ) -> T:
+        reply = await self._write("kv/txn", body, TxnReply)
+        if reply.get("succeeded") and "revision" not in reply.get(
+            "header", {}
+        ):
+            raise errors.StoreMalformedError("no revision in the answer")
+        return reply
+
+    async def _read(self, path: str, body: object, reply: type[T]) -> T:
         url = f"{self._base}/{path}"
         try:
+            return await self._client.call(url, body, reply, CALL_TIMEOUT_S)
+        except transport_errors.TransportError as err:
+            raise classify_error(err) or errors.StoreUnavailableError(
+                err.message
+            ) from err
+
+    async def _write(self, path: str, body: object, reply: type[T]) -> T:
+        url = f"{self._base}/{path}"
+        try:
+            # One that the client repeats would hide its first answer's loss.
             return await self._client.call(
-                url, body, reply, CALL_TIMEOUT_S, repeatable
+                url, body, reply, CALL_TIMEOUT_S, repeatable=False
             )
-        except transport_errors.ConnectFailedError as err:
-            raise errors.StoreUnavailableError(err.message) from err
-        except transport_errors.PeerRefusedError as err:
-            raise errors.StoreUnavailableError(err.message) from err
         except transport_errors.MalformedMessageError as err:
             raise errors.StoreMalformedError(err.message) from err
         except transport_errors.TransportError as err:
-            raise errors.StoreAnswerLostError(err.message) from err
+            raise classify_error(err) or errors.StoreAnswerLostError(
+                err.message
+            ) from err
+
+
+def classify_error(
+    error: transport_errors.TransportError,
+) -> errors.StoreError | None:
+    """Return the error of a call that had no effect, None if it may have.
+
+    The service answers 5xx also when a write was accepted and its outcome
+    did not arrive in time.
+    """
+    if isinstance(error, transport_errors.ConnectFailedError):
+        return errors.StoreUnavailableError(error.message)
+    if not isinstance(error, transport_errors.PeerRefusedError):
+        return None
+    if error.http_status == TOO_MANY_REQUESTS:
+        return errors.StoreBusyError(error.message)
+    if error.http_status < SERVER_ERROR:
+        return errors.StoreRefusedError(error.message)
+    return None
 
 
 def _encode(data: bytes) -> str:
@@ -206,23 +240,38 @@
 
 
 def _read_kv(kv: KeyValue) -> protocol.Entry:
-    return protocol.Entry(
-        base64.b64decode(kv["key"]).decode(),
-        base64.b64decode(kv.get("value", "")),
-        int(kv["mod_revision"]),
-    )
+    try:
+        return protocol.Entry(
+            base64.b64decode(kv["key"], validate=True).decode(),
+            base64.b64decode(kv.get("value", ""), validate=True),
+            int(kv["mod_revision"]),
+        )
+    except (KeyError, ValueError) as err:
+        raise errors.StoreMalformedError(f"key and value: {err}") from err
+
+
+def _read_number(text: str | None) -> int:
+    if text is None or not text.isdecimal():
+        raise errors.StoreMalformedError(f"{text!r} is not a number")
+    return int(text)
 
 
 def _read_events(line: bytes) -> list[protocol.Entry]:
     try:
         reply = msgspec.json.decode(line, type=WatchReply)
-    except (msgspec.ValidationError, msgspec.DecodeError) as err:
+    except client.MALFORMED as err:
         raise errors.StoreMalformedError(str(err)) from err
-    events = reply.get("result", {}).get("events", [])
-    return [_read_kv(event["kv"]) for event in events]
+    result = reply.get("result", {})
+    if result.get("canceled"):
+        raise errors.StoreUnavailableError("the service ended the watch")
+    try:
+        return [_read_kv(event["kv"]) for event in result.get("events", [])]
+    except KeyError as err:
+        raise errors.StoreMalformedError(f"event without {err}") from err
 
 
 __all__ = (
     "CALL_TIMEOUT_S",
     "StoreClient",
+    "classify_error",
 )
--- a/src/cyclamenwing/store/errors.py
+++ b/src/cyclamenwing/store/errors.py
@@ -24,7 +24,23 @@
     code = "store_answer_lost"
 
 
-class StoreMalformedError(StoreError):
+class StoreBusyError(StoreUnavailableError):
+    """Report that the call was over the service's rate."""
+
+    code = "store_busy"
+    retry_after_s = 1.0
+
+
+class StoreRefusedError(StoreError):
+    """Report a call that the service will never take, such as a large value.
+
+    It had no effect, and repeating it does not help.
+    """
+
+    code = "store_refused"
+
+
+class StoreMalformedError(StoreAnswerLostError):
     """Report an answer of the service that can't be read."""
 
     code = "store_malformed"
@@ -40,7 +56,9 @@
 __all__ = (
     "CommitConflictError",
     "StoreAnswerLostError",
+    "StoreBusyError",
     "StoreError",
     "StoreMalformedError",
+    "StoreRefusedError",
     "StoreUnavailableError",
 )
--- a/src/cyclamenwing/transport/client.py
+++ b/src/cyclamenwing/transport/client.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import contextlib
-import math
 from collections.abc import AsyncIterator
 from collections.abc import Callable
 from typing import Any
@@ -23,6 +22,7 @@
 CONNECT_TIMEOUT_S = 1.0
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
 MAX_WAITING_BYTES = 1024 * 1024
+MAX_QUOTED_BYTES = 200
 STREAM_TIMEOUT_S = 3_600.0
 CLOSE_TIMEOUT_S = 5.0
 JSON_TYPE = "application/json"
@@ -47,10 +47,17 @@
 class CurlStream:
     """Read a streamed answer of a curl transfer.
 
-    The transfer pauses while `MAX_WAITING_BYTES` wait to be read.
+    The transfer pauses while `MAX_WAITING_BYTES` wait to be read. Curl's
+    own bound on slow transfers averages over seconds, so silence is
+    watched here.
+
+    :param silence_s: longest time without a byte
     """
 
-    def __init__(self) -> None:
+    def __init__(self, silence_s: float) -> None:
+        self._silence_s = silence_s
+        self._heard_at = 0.0
+        self._timer: asyncio.TimerHandle | None = None
         self._head: asyncio.Future[protocol.Head] = (
             asyncio.get_running_loop().create_future()
         )
@@ -58,6 +65,7 @@
         self._curl: pycurl.Curl | None = None
         self._waiting_bytes = 0
         self._paused = False
+        self._ended = False
         self._closed = False
         self._error: errors.TransportError | None = None
         self._status = 0
@@ -82,17 +90,20 @@
     def close(self) -> None:
         """Abandon the answer; the connection is not reused."""
         self._closed = True
-        self._resume()
+        self._wake()
 
     def prepare(self, curl: pycurl.Curl) -> None:
         """Attach this stream to a transfer."""
         self._curl = curl
+        self._hear()
+        self._watch(self._silence_s)
         curl.setopt(pycurl.WRITEFUNCTION, self._write)
         curl.setopt(pycurl.NOPROGRESS, 0)
         curl.setopt(pycurl.XFERINFOFUNCTION, self._check_closed)
 
     def take_header(self, line: str) -> None:
         """Read one header line."""
+        self._hear()
         line = line.strip()
         if line.startswith("HTTP/"):
             self._status = int(line.split()[1])
@@ -107,6 +118,12 @@
         """End the stream, with an error if it broke."""
         # The handle serves another transfer from now on.
         self._curl = None
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        if self._ended:
+            return
+        self._ended = True
         self._error = error
         if not self._head.done():
             self._head.set_exception(
@@ -123,15 +140,46 @@
             self._paused = True
             return int(pycurl.WRITEFUNC_PAUSE)
         self._waiting_bytes += len(chunk)
+        self._hear()
         self._chunks.put_nowait(chunk)
         return len(chunk)
 
+    def _hear(self) -> None:
+        self._heard_at = asyncio.get_running_loop().time()
+
+    def _watch(self, delay_s: float) -> None:
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(delay_s, self._check_silence)
+
+    def _check_silence(self) -> None:
+        loop = asyncio.get_running_loop()
+        left_s = self._heard_at + self._silence_s - loop.time()
+        if self._paused:
+            left_s = self._silence_s
+        if left_s > 0:
+            self._watch(left_s)
+            return
+        self._timer = None
+        self.close()
+        self.finish(
+            errors.ConnectionSilentError(
+                f"nothing arrived for {self._silence_s} s", "unknown"
+            )
+        )
+
     def _resume(self) -> None:
-        if not self._paused or self._curl is None:
+        if not self._paused:
+            return
+        self._hear()
+        self._wake()
+
+    def _wake(self) -> None:
+        if self._curl is None:
             return
         self._paused = False
         # The transfer may break here; its end then reports the error.
         with contextlib.suppress(pycurl.error):
+            self._curl.pause(pycurl.PAUSE_RECV)
             self._curl.pause(pycurl.PAUSE_CONT)
 
     def _check_closed(self, *_totals: float) -> int:
@@ -208,14 +256,12 @@
 
         A `fresh` one gets a new connection and is sent at most once.
         """
-        stream = CurlStream()
+        stream = CurlStream(silence_s)
         request = self._make_request(
             method, url, headers, body, STREAM_TIMEOUT_S
         )
         request.header_callback = stream.take_header
-        request.prepare_curl_callback = _make_preparer(
-            stream, silence_s, fresh
-        )
+        request.prepare_curl_callback = _make_preparer(stream, fresh)
         task = asyncio.create_task(self._transfer(request, stream))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
@@ -277,8 +323,6 @@
 def _prepare_whole(curl: pycurl.Curl) -> None:
     # Handles are reused, so each option of a stream is undone here.
     curl.setopt(pycurl.NOPROGRESS, 1)
-    curl.setopt(pycurl.LOW_SPEED_LIMIT, 0)
-    curl.setopt(pycurl.LOW_SPEED_TIME, 0)
     curl.setopt(pycurl.FRESH_CONNECT, 0)
 
 
@@ -288,12 +332,10 @@
 
 
 def _make_preparer(
-    stream: CurlStream, silence_s: float, fresh: bool
+    stream: CurlStream, fresh: bool
 ) -> Callable[[pycurl.Curl], None]:
     def prepare(curl: pycurl.Curl) -> None:
         stream.prepare(curl)
-        curl.setopt(pycurl.LOW_SPEED_LIMIT, 1)
-        curl.setopt(pycurl.LOW_SPEED_TIME, max(1, math.ceil(silence_s)))
         curl.setopt(pycurl.FRESH_CONNECT, int(fresh))
 
     return prepare
@@ -321,10 +363,15 @@
     try:
         body = msgspec.json.decode(answer.body, type=base_errors.ErrorBody)
     except MALFORMED:
+        text = answer.body[:MAX_QUOTED_BYTES].decode(errors="replace")
         return errors.PeerRefusedError(
-            "malformed_refusal", f"status {answer.status}"
+            "malformed_refusal",
+            f"status {answer.status}: {text}",
+            http_status=answer.status,
         )
-    return errors.PeerRefusedError(body["code"], body["message"], body["run"])
+    return errors.PeerRefusedError(
+        body["code"], body["message"], body["run"], answer.status
+    )
 
 
 __all__ = (
--- a/src/cyclamenwing/transport/errors.py
+++ b/src/cyclamenwing/transport/errors.py
@@ -98,15 +98,21 @@
     """Report a coded refusal by the other process.
 
     :param peer_code: the refusal's code
+    :param http_status: status of the answer
     """
 
     code = "peer_refused"
 
     def __init__(
-        self, peer_code: str, message: str, run: errors.RunState = "unknown"
+        self,
+        peer_code: str,
+        message: str,
+        run: errors.RunState = "unknown",
+        http_status: int = 0,
     ) -> None:
         super().__init__(message, run)
         self.peer_code = peer_code
+        self.http_status = http_status
 
 
 __all__ = (
