--- a/src/cyclamenwing/cli/standin.py
+++ b/src/cyclamenwing/cli/standin.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import argparse
+import pathlib
 
 from cyclamenwing.cli import process
 from cyclamenwing.standin import engine
@@ -17,32 +18,86 @@
 
     NAME = "standin"
     HELP = "run a stand-in of the platform: store, engine, service, hosts"
+    EPILOG = """\
+examples:
+  cyclamenwing standin store 127.0.0.1:2379 --writes-per-s 300
+  cyclamenwing standin engine 127.0.0.1:9000 --model assistant
+  cyclamenwing standin service 127.0.0.1:9100 --faults faults.json
+
+A faults file holds rows such as
+  [{"call": "kv/txn", "kind": "lost_answer", "skip": 2, "count": 1,
+    "delay_s": 0}]
+with the kinds down, slow, lost_answer, cut, silent and garbage; a count of
+-1 hits all calls. POST the same rows to /faults to replace them, GET
+/faults to read what was counted.
+"""
 
     def add_arguments(self, parser: argparse.ArgumentParser) -> None:
         """Add the subcommand's arguments."""
         parser.add_argument("kind", choices=sorted(_MAKERS))
         parser.add_argument("address", help="ip:port to bind")
-        parser.add_argument("--model", default="demo-model")
+        parser.add_argument(
+            "--model",
+            default="demo-model",
+            help="engine: the model's name (default: %(default)s)",
+        )
+        parser.add_argument(
+            "--token-interval-ms",
+            type=float,
+            default=engine.TOKEN_INTERVAL_S * 1000,
+            help="engine: time between tokens (default: %(default)s)",
+        )
+        parser.add_argument(
+            "--reads-per-s",
+            type=float,
+            help="store: reads and new watches a second (default: no limit)",
+        )
+        parser.add_argument(
+            "--writes-per-s",
+            type=float,
+            help="store: writes a second (default: no limit)",
+        )
+        parser.add_argument(
+            "--faults",
+            type=pathlib.Path,
+            metavar="FILE",
+            help="table of faults, in JSON with comments",
+        )
 
     def run(self, args: argparse.Namespace) -> int:
         """Run a stand-in until it is told to stop."""
-        return process.run_app(lambda: _MAKERS[args.kind](args), None)
-
-
-def _make_store(args: argparse.Namespace) -> process.App:
-    return store.StoreStandin(args.address)
-
-
-def _make_engine(args: argparse.Namespace) -> process.App:
-    state = engine.EngineState(args.model, faults.FaultTable())
+        table = (
+            faults.FaultTable.from_file(args.faults)
+            if args.faults
+            else faults.FaultTable()
+        )
+        return process.run_app(lambda: _MAKERS[args.kind](args, table), None)
+
+
+def _make_store(
+    args: argparse.Namespace, table: faults.FaultTable
+) -> process.App:
+    limits = store.Limits(args.reads_per_s, args.writes_per_s)
+    return store.StoreStandin(args.address, table, limits)
+
+
+def _make_engine(
+    args: argparse.Namespace, table: faults.FaultTable
+) -> process.App:
+    interval_s = args.token_interval_ms / 1000
+    state = engine.EngineState(args.model, table, interval_s)
     return engine.EngineStandin(args.address, state)
 
 
-def _make_service(args: argparse.Namespace) -> process.App:
-    return service.ServiceStandin(args.address, service.ServiceState())
+def _make_service(
+    args: argparse.Namespace, table: faults.FaultTable
+) -> process.App:
+    return service.ServiceStandin(args.address, service.ServiceState(table))
 
 
-def _make_hosts(args: argparse.Namespace) -> process.App:
+def _make_hosts(
+    args: argparse.Namespace, table: faults.FaultTable
+) -> process.App:
     return hosts.HostsStandin(args.address)
 
 
--- a/src/cyclamenwing/standin/generation.py
+++ b/src/cyclamenwing/standin/generation.py
@@ -99,7 +99,7 @@
     async def read(self, name: str) -> batch.Emission | None:
         """Return the generation's next token; None after a crash."""
         queue = self._streams.get(name)
-        return None if queue is None else await queue.get()
+        return await queue.get() if queue else None
 
     def close(self, name: str) -> None:
         """Free a generation's place."""
