Teach the command line by examples and exit codes

Cause: the help named options without saying what a command is for. Change: every subcommand's help ends with examples; the program's with the exit codes; an error of the system and a closed pipe no longer print a traceback.

--- a/src/cyclamenwing/cli/main.py
+++ b/src/cyclamenwing/cli/main.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import argparse
+import os
 import sys
 from collections.abc import Sequence
 
@@ -12,6 +13,7 @@
 from cyclamenwing.cli import check
 from cyclamenwing.cli import demo
 from cyclamenwing.cli import entry
+from cyclamenwing.cli import epilogs
 from cyclamenwing.cli import explain
 from cyclamenwing.cli import protocol
 from cyclamenwing.cli import publish
@@ -49,6 +51,8 @@
     parser = argparse.ArgumentParser(
         prog="cyclamenwing",
         description="Router fleet for prepaid token budgets.",
+        epilog=epilogs.PROGRAM,
+        formatter_class=argparse.RawDescriptionHelpFormatter,
     )
     parser.add_argument(
         "--version", action="version", version=cyclamenwing.__version__
@@ -56,7 +60,11 @@
     commands = parser.add_subparsers(dest="command", required=True)
     for command in COMMANDS:
         made = commands.add_parser(
-            command.NAME, help=command.HELP, description=command.HELP
+            command.NAME,
+            help=command.HELP,
+            description=f"{command.HELP[0].upper()}{command.HELP[1:]}.",
+            epilog=epilogs.COMMANDS.get(command.NAME),
+            formatter_class=argparse.RawDescriptionHelpFormatter,
         )
         command.add_arguments(made)
         made.set_defaults(run=command.run)
@@ -75,6 +83,15 @@
     except errors.CodedError as err:
         print(f"{err.code}: {err.message}", file=sys.stderr)
         return find_exit_code(err)
+    except BrokenPipeError:
+        # The reader of standard output, such as head, has seen enough.
+        sys.stdout = open(os.devnull, "w")  # noqa: SIM115
+        return protocol.EXIT_FAILED
+    except OSError as err:
+        print(f"system_error: {err}", file=sys.stderr)
+        return protocol.EXIT_FAILED
+    except KeyboardInterrupt:
+        return protocol.EXIT_INTERRUPTED
 
 
 def find_exit_code(error: errors.CodedError) -> int:
--- a/src/cyclamenwing/cli/protocol.py
+++ b/src/cyclamenwing/cli/protocol.py
@@ -10,6 +10,7 @@
 EXIT_USAGE = 2
 EXIT_INVALID = 3
 EXIT_UNAVAILABLE = 4
+EXIT_INTERRUPTED = 130
 
 
 class Command(Protocol):
@@ -27,6 +28,7 @@
 
 __all__ = (
     "EXIT_FAILED",
+    "EXIT_INTERRUPTED",
     "EXIT_INVALID",
     "EXIT_OK",
     "EXIT_UNAVAILABLE",
--- a/src/cyclamenwing/cli/standin.py
+++ b/src/cyclamenwing/cli/standin.py
@@ -8,6 +8,7 @@
 from cyclamenwing.cli import process
 from cyclamenwing.standin import engine
 from cyclamenwing.standin import faults
+from cyclamenwing.standin import generation
 from cyclamenwing.standin import hosts
 from cyclamenwing.standin import service
 from cyclamenwing.standin import store
@@ -18,19 +19,6 @@
 
     NAME = "standin"
     HELP = "run a stand-in of the platform: store, engine, service, hosts"
-    EPILOG = """\
-examples:
-  cyclamenwing standin store 127.0.0.1:2379 --writes-per-s 300
-  cyclamenwing standin engine 127.0.0.1:9000 --model assistant
-  cyclamenwing standin service 127.0.0.1:9100 --faults faults.json
-
-A faults file holds rows such as
-  [{"call": "kv/txn", "kind": "lost_answer", "skip": 2, "count": 1,
-    "delay_s": 0}]
-with the kinds down, slow, lost_answer, cut, silent and garbage; a count of
--1 hits all calls. POST the same rows to /faults to replace them, GET
-/faults to read what was counted.
-"""
 
     def add_arguments(self, parser: argparse.ArgumentParser) -> None:
         """Add the subcommand's arguments."""
@@ -44,7 +32,7 @@
         parser.add_argument(
             "--token-interval-ms",
             type=float,
-            default=engine.TOKEN_INTERVAL_S * 1000,
+            default=generation.TOKEN_INTERVAL_S * 1000,
             help="engine: time between tokens (default: %(default)s)",
         )
         parser.add_argument(
