Check every promise of the demo, each by a check that can fail

Cause: the demo checked statuses and overspending only, and knew one fleet. Change: a plan says what a fleet consists of; the tour sends both users' kinds of requests, repeats a capture under its key at the other entry, exhausts a small budget with a batch, explains a request, and after the roles have settled compares bills and budgets with what was answered. Conclusion: a broken promise ends the command with 1.

--- a/src/cyclamenwing/cli/demo.py
+++ b/src/cyclamenwing/cli/demo.py
@@ -4,15 +4,18 @@
 
 import argparse
 import asyncio
+import json
+import signal
 
 from cyclamenwing.cli import process
 from cyclamenwing.cli import protocol
 from cyclamenwing.demo import fleet
+from cyclamenwing.demo import plan
 from cyclamenwing.demo import tour
 
 
 class DemoCommand:
-    """Run stand-ins, two entries and three sidecars in one process."""
+    """Run stand-ins, entries and sidecars in one process."""
 
     NAME = "demo"
     HELP = "run a small fleet with stand-ins on loopback"
@@ -24,24 +27,91 @@
             action="store_true",
             help="send sample requests, check the promises and exit",
         )
-        parser.add_argument("--log-file", default="/dev/null")
+        parser.add_argument(
+            "--example",
+            metavar="NAME",
+            help="run examples/NAME, or the folder NAME, instead",
+        )
+        parser.add_argument(
+            "--log-file",
+            default="/dev/null",
+            help="file for the log (default: none)",
+        )
 
     def run(self, args: argparse.Namespace) -> int:
         """Run the demo; with --once exit 1 if a promise was broken."""
         process.open_log(args.log_file)
-        return asyncio.run(_run(args.once))
+        chosen = plan.SMALL
+        visit = tour.run_tour
+        if args.example:
+            chosen = plan.Plan.from_folder(plan.find_example(args.example))
+            visit = tour.run_routes
+        if not args.once:
+            return asyncio.run(_serve(chosen))
+        faults = asyncio.run(_visit(chosen, visit))
+        print(f"{len(faults)} promises broken")
+        return protocol.EXIT_FAILED if faults else protocol.EXIT_OK
 
 
-async def _run(once: bool) -> int:
-    made = await fleet.Fleet.start()
+async def _visit(chosen: plan.Plan, visit: tour.Visit) -> list[str]:
+    made = await fleet.Fleet.start(plan=chosen)
     try:
-        if not once:
-            print(made.describe(), flush=True)
-            await asyncio.Event().wait()
-        faults = await tour.run_tour(made)
+        return await visit(made)
     finally:
         await made.close()
-    return protocol.EXIT_FAILED if faults else protocol.EXIT_OK
 
 
-__all__ = ("DemoCommand",)
+async def _serve(chosen: plan.Plan) -> int:
+    made = await fleet.Fleet.start(plan=chosen)
+    stopped = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopped.set)
+    try:
+        print(describe_fleet(made), flush=True)
+        await stopped.wait()
+    finally:
+        await made.close()
+    return protocol.EXIT_OK
+
+
+def describe_fleet(made: fleet.Fleet) -> str:
+    """Return what to try and what to look at next."""
+    key = next(iter(made.plan.keys.values()))
+    calls = [
+        _describe_call(made, tour.make_sample(made.plan, item["route"], key))
+        for item in made.plan.endpoints
+    ]
+    peers = " ".join(f"--entry {item.peer_address}" for item in made.entries)
+    operators = [item.operators_address for item in made.entries]
+    return "\n".join([
+        f"callers:   {', '.join(item.address for item in made.entries)}",
+        f"operators: {', '.join(str(item) for item in operators)}",
+        "",
+        "try:",
+        *calls,
+        "",
+        "then look at:",
+        f"  curl http://{operators[0]}/metrics",
+        f"  CYCLAMENWING_FLEET_KEY={fleet.FLEET_KEY} cyclamenwing explain"
+        f" {peers} <X-Request-Id of an answer>",
+        "",
+        "Ctrl-C stops it.",
+    ])
+
+
+def _describe_call(made: fleet.Fleet, sample: tour.Sample) -> str:
+    line = (
+        f"  curl -iN http://{made.entries[0].address}{sample.path}"
+        f" -H 'Authorization: Bearer {sample.key}'"
+    )
+    if not sample.body:
+        return line
+    body = json.dumps(sample.body | {"stream": True, "max_tokens": 20})
+    return f"{line} -d '{body}'"
+
+
+__all__ = (
+    "DemoCommand",
+    "describe_fleet",
+)
--- a/src/cyclamenwing/demo/fleet.py
+++ b/src/cyclamenwing/demo/fleet.py
@@ -1,4 +1,4 @@
-"""Stand-ins, two entries and three sidecars in one process."""
+"""Stand-ins, entries and sidecars in one process on loopback."""
 
 from __future__ import annotations
 
@@ -11,9 +11,9 @@
 
 from cyclamenwing.budget import payment
 from cyclamenwing.catalog import audit
-from cyclamenwing.catalog import index
 from cyclamenwing.catalog import publication
 from cyclamenwing.catalog import types as catalog_types
+from cyclamenwing.demo import plan as demo_plan
 from cyclamenwing.entry import app as entry_app
 from cyclamenwing.settings import types as settings_types
 from cyclamenwing.sidecar import app as sidecar_app
@@ -25,53 +25,12 @@
 from cyclamenwing.transport import client
 
 FLEET_KEY = "demo-fleet-key-0001"
-CALLER_KEY = "demo-caller-key"
 LOOPBACK = "127.0.0.1:0"
-READY_TIMEOUT_S = 10.0
+READY_TIMEOUT_S = 20.0
 SHARDS = 4
-MODEL = "assistant"
-TOKENS_PAID = 50_000
-SMALL_PAID = 400
-
-CATALOG: list[catalog_types.ServiceFile] = [
-    {
-        "service": "demo",
-        "workspaces": [
-            {
-                "name": "panels",
-                "keys": [index.hash_key(CALLER_KEY)],
-                "budgets": ["panels-tokens"],
-            },
-            {
-                "name": "guides",
-                "keys": [index.hash_key(f"{CALLER_KEY}-small")],
-                "budgets": ["guides-tokens"],
-            },
-        ],
-        "budgets": [
-            {"name": "panels-tokens", "unit": "tokens"},
-            {"name": "guides-tokens", "unit": "tokens"},
-        ],
-        "routes": [
-            {
-                "name": "assistant",
-                "protocol": "chat",
-                "model": MODEL,
-                "workspaces": ["*"],
-                "kind": "summary",
-            },
-            {
-                "name": "records",
-                "protocol": "plain",
-                "workspaces": ["*"],
-                "calls": [
-                    {"method": "GET", "path": "/", "idempotent": True},
-                    {"method": "POST", "path": "/decisions"},
-                ],
-            },
-        ],
-    },
-]
+
+CALLER_KEY = demo_plan.CALLER_KEY
+MODEL = demo_plan.MODEL
 
 
 class EntryOptions(TypedDict, total=False):
@@ -84,31 +43,34 @@
 class Fleet:
     """Hold the processes of the demo.
 
+    :param plan: what the fleet consists of
     :param extra: further settings of the entries
     """
 
-    def __init__(self, extra: EntryOptions) -> None:
+    def __init__(self, plan: demo_plan.Plan, extra: EntryOptions) -> None:
+        self.plan = plan
         self._extra = extra
         self.store = store.StoreStandin(LOOPBACK)
-        self.engines = [
-            engine.EngineStandin(
-                LOOPBACK, engine.EngineState(MODEL, faults.FaultTable())
-            )
-            for _ in range(2)
-        ]
-        self.service = service.ServiceStandin(LOOPBACK, service.ServiceState())
+        self.engines: list[engine.EngineStandin] = []
+        self.services: dict[str, service.ServiceState] = {}
         self.client = client.CurlClient(FLEET_KEY)
         self.store_client = store_client.StoreClient(
             self.client, self.store.address
         )
         self.entries: list[entry_app.EntryApp] = []
         self.sidecars: list[sidecar_app.SidecarApp] = []
+        self._services: list[service.ServiceStandin] = []
 
     @classmethod
-    async def start(cls, extra: EntryOptions | None = None) -> Fleet:
+    async def start(
+        cls,
+        extra: EntryOptions | None = None,
+        plan: demo_plan.Plan = demo_plan.SMALL,
+    ) -> Fleet:
         """Start all processes and wait until they serve."""
-        made = cls(extra or {})
+        made = cls(plan, extra or {})
         await made._publish()
+        await made._pay()
         made._start_entries()
         made._start_sidecars()
         await made._wait_ready()
@@ -116,35 +78,31 @@
 
     async def close(self) -> None:
         """Stop all processes gracefully."""
-        for sidecar in self.sidecars:
-            await sidecar.close()
-        for entry in self.entries:
-            await entry.close()
+        await self.close_roles()
         await self.client.close()
         for endpoint in self.engines:
             await endpoint.close()
-        await self.service.close()
+        for served in self._services:
+            await served.close()
         await self.store.close()
 
-    def describe(self) -> str:
-        """Return what to try next."""
-        url = f"http://{self.entries[0].address}/v1/chat/completions"
-        return (
-            f"entries: {[entry.address for entry in self.entries]}\n"
-            f"try: curl -N {url} -H 'Authorization: Bearer {CALLER_KEY}'"
-            f' -d \'{{"model": "{MODEL}", "stream": true, "max_tokens": 20,'
-            ' "messages": [{"role": "user", "content": "a dossier"}]}\''
-        )
+    async def close_roles(self) -> None:
+        """Stop the sidecars and entries, which settle all they hold."""
+        sidecars, self.sidecars = self.sidecars, []
+        await asyncio.gather(*(sidecar.close() for sidecar in sidecars))
+        entries, self.entries = self.entries, []
+        await asyncio.gather(*(entry.close() for entry in entries))
 
     async def _publish(self) -> None:
         change = audit.Change(
             time.time(), "demo", "demo", "publish", "", "", None, None
         )
         await publication.publish_files(
-            self.store_client, CATALOG, change, uuid.uuid4().hex
+            self.store_client, self.plan.files, change, uuid.uuid4().hex
         )
-        paid = {"panels-tokens": TOKENS_PAID, "guides-tokens": SMALL_PAID}
-        for budget, amount in paid.items():
+
+    async def _pay(self) -> None:
+        for budget, amount in self.plan.paid.items():
             await payment.apply_top_up(
                 self.store_client,
                 {
@@ -158,40 +116,55 @@
 
     def _start_entries(self) -> None:
         peers: list[str] = []
-        for number in range(2):
+        for number, zone in enumerate(self.plan.zones):
             settings: settings_types.EntrySettings = {
                 "host": f"entry-{number}",
-                "zone": f"zone-{number}",
+                "zone": zone,
                 "listen": LOOPBACK,
                 "peers": LOOPBACK,
                 "store": self.store.address,
                 "fleet_keys": [FLEET_KEY],
                 "entries": peers,
                 "operators": LOOPBACK,
+                "ledger_shards": SHARDS,
             }
             settings.update(cast(Any, self._extra))
             made = entry_app.EntryApp.from_config(settings)
-            # Both entries share the list, so each learns of the other.
+            # All entries share the list, so each learns of the others.
             peers.append(made.peer_address)
             self.entries.append(made)
 
     def _start_sidecars(self) -> None:
-        endpoints = [
-            *((item.address, "assistant") for item in self.engines),
-            (self.service.address, "records"),
-        ]
-        for number, (endpoint, route) in enumerate(endpoints):
-            settings: settings_types.SidecarSettings = {
-                "host": f"endpoint-{number}",
-                "zone": f"zone-{number % 2}",
-                "listen": LOOPBACK,
-                "store": self.store.address,
-                "fleet_keys": [FLEET_KEY],
-                "entries": [entry.peer_address for entry in self.entries],
-                "endpoint": endpoint,
-                "route": route,
-            }
-            self.sidecars.append(sidecar_app.SidecarApp.from_config(settings))
+        for item in self.plan.endpoints:
+            route = self.plan.find_route(item["route"])
+            for _ in range(item["replicas"]):
+                self._start_sidecar(route)
+
+    def _start_sidecar(self, route: catalog_types.Route) -> None:
+        number = len(self.sidecars)
+        zones = self.plan.zones
+        settings: settings_types.SidecarSettings = {
+            "host": f"endpoint-{number}",
+            "zone": zones[number % len(zones)],
+            "listen": LOOPBACK,
+            "store": self.store.address,
+            "fleet_keys": [FLEET_KEY],
+            "entries": [entry.peer_address for entry in self.entries],
+            "endpoint": _STARTERS[route["protocol"]](self, route),
+            "route": route["name"],
+        }
+        self.sidecars.append(sidecar_app.SidecarApp.from_config(settings))
+
+    def _start_engine(self, route: catalog_types.Route) -> str:
+        state = engine.EngineState(route["model"], faults.FaultTable())
+        self.engines.append(engine.EngineStandin(LOOPBACK, state))
+        return self.engines[-1].address
+
+    def _start_service(self, route: catalog_types.Route) -> str:
+        # The replicas of a service share their records.
+        state = self.services.setdefault(route["name"], service.ServiceState())
+        self._services.append(service.ServiceStandin(LOOPBACK, state))
+        return self._services[-1].address
 
     async def _wait_ready(self) -> None:
         async with asyncio.timeout(READY_TIMEOUT_S):
@@ -199,17 +172,26 @@
                 await asyncio.sleep(0.02)
 
     def _is_ready(self, entry: entry_app.EntryApp) -> bool:
-        board = entry.board
-        heard = len(board.members.members) == 4 and len(board.served) == 3
-        return heard and board.catalog.revision > 0
+        known = entry.board.members.members
+        wanted = len(self.entries) - 1 + len(self.sidecars)
+        served = len(entry.board.served)
+        return (
+            entry.board.catalog.revision > 0
+            and len(known) >= wanted
+            and served >= len(self.sidecars)
+        )
+
 
+_STARTERS = {
+    "chat": Fleet._start_engine,
+    "plain": Fleet._start_service,
+}
 
 __all__ = (
     "CALLER_KEY",
     "FLEET_KEY",
     "MODEL",
-    "SMALL_PAID",
-    "TOKENS_PAID",
+    "SHARDS",
     "EntryOptions",
     "Fleet",
 )
--- a/src/cyclamenwing/demo/tour.py
+++ b/src/cyclamenwing/demo/tour.py
@@ -2,21 +2,39 @@
 
 from __future__ import annotations
 
+import asyncio
+from collections.abc import Callable
+from collections.abc import Coroutine
 from typing import Any
 from typing import NamedTuple
 
 import msgspec
 
-from cyclamenwing.budget import shard as budget_shard
+from cyclamenwing.budget import layout
+from cyclamenwing.budget import segments
+from cyclamenwing.demo import checks
 from cyclamenwing.demo import fleet as demo_fleet
-from cyclamenwing.store import keys
+from cyclamenwing.demo import plan as demo_plan
+from cyclamenwing.request import journal
 from cyclamenwing.transport import protocol as transport
 
 TIMEOUT_S = 30.0
+CHAT = "/v1/chat/completions"
+DECISIONS = "/services/records/decisions"
+CAPTURES = "/services/records/captures"
+BATCH = 6
+BATCH_TOKENS = 60
+SHOWN_BYTES = 100
+
+Check = Callable[[transport.Answer], list[str]]
+Visit = Callable[[demo_fleet.Fleet], Coroutine[Any, Any, list[str]]]
 
 
 class Sample(NamedTuple):
-    """Describe a request and the status it must have."""
+    """Describe a request and the answer that it must have.
+
+    `budget` pays for it; an empty one means that it is free.
+    """
 
     title: str
     method: str
@@ -24,99 +42,268 @@
     key: str
     body: dict[str, Any]
     status: int
+    code: str = ""
+    once: str = ""
+    budget: str = ""
+    check: Check | None = None
 
 
 def make_chat(prompt: str, stream: bool, max_tokens: int) -> dict[str, Any]:
     """Return the body of a chat completion."""
     return {
-        "model": demo_fleet.MODEL,
+        "model": demo_plan.MODEL,
         "stream": stream,
         "max_tokens": max_tokens,
         "messages": [{"role": "user", "content": prompt}],
     }
 
 
-CHAT = "/v1/chat/completions"
-SMALL_KEY = f"{demo_fleet.CALLER_KEY}-small"
+def _check_dossier(answer: transport.Answer) -> list[str]:
+    return checks.check_stream(answer.body, "summarise the dossier", 20)
+
+
+def _check_ledger(answer: transport.Answer) -> list[str]:
+    return checks.check_whole(answer.body, "summarise the ledger", 30)
+
+
+KEY = demo_plan.CALLER_KEY
 SAMPLES = (
     Sample(
         "dossier summary, streamed",
         "POST",
         CHAT,
-        demo_fleet.CALLER_KEY,
+        KEY,
         make_chat("summarise the dossier", True, 20),
         200,
+        budget="panels-tokens",
+        check=_check_dossier,
     ),
     Sample(
         "panel decision",
         "POST",
-        "/services/records/decisions",
-        demo_fleet.CALLER_KEY,
+        DECISIONS,
+        KEY,
         {"candidate": "c-17", "decision": "extend"},
         201,
     ),
+    Sample(
+        "deposit capture",
+        "POST",
+        CAPTURES,
+        KEY,
+        {"booking": "b-4", "cents": 5000},
+        201,
+        once="capture-b-4",
+    ),
+    Sample(
+        "the same capture again, at the other entry",
+        "POST",
+        CAPTURES,
+        KEY,
+        {"booking": "b-4", "cents": 5000},
+        201,
+        once="capture-b-4",
+    ),
+    Sample(
+        "another capture under the same key",
+        "POST",
+        CAPTURES,
+        KEY,
+        {"booking": "b-4", "cents": 9000},
+        422,
+        "key_reused",
+        once="capture-b-4",
+    ),
     Sample(
         "ledger summary, whole",
         "POST",
         CHAT,
-        SMALL_KEY,
-        make_chat("summarise the ledger", False, 100),
+        KEY,
+        make_chat("summarise the ledger", False, 30),
         200,
+        budget="panels-tokens",
+        check=_check_ledger,
     ),
     Sample(
-        "budget that runs out",
+        "more than the budget holds",
         "POST",
         CHAT,
-        SMALL_KEY,
-        make_chat("summarise the ledger", False, 350),
+        demo_plan.SMALL_KEY,
+        make_chat("summarise the ledger", False, demo_plan.SMALL_PAID),
         402,
+        "budget_exhausted",
     ),
     Sample(
-        "unknown key", "POST", CHAT, "wrong", make_chat("x", False, 1), 401
+        "unknown key",
+        "POST",
+        CHAT,
+        "wrong",
+        make_chat("x", False, 1),
+        401,
+        "unauthorized",
     ),
 )
 
 
-async def run_tour(fleet: demo_fleet.Fleet) -> list[str]:
-    """Send the samples through both entries; return broken promises."""
-    faults: list[str] = []
-    for number, sample in enumerate(SAMPLES):
-        entry = fleet.entries[number % len(fleet.entries)]
-        answer = await _send(fleet, entry.address, sample)
-        text = answer.body.decode()[:120].replace("\n", " ")
+class Tour:
+    """Send samples to a fleet and gather broken promises.
+
+    :param fleet: the running fleet of the small plan
+    """
+
+    def __init__(self, fleet: demo_fleet.Fleet) -> None:
+        self._fleet = fleet
+        self._answered: dict[str, str] = {}
+        self._refused: list[str] = []
+        self.faults: list[str] = []
+
+    async def run(self) -> None:
+        """Send the samples, one after another, then a batch."""
+        entries = self._fleet.entries
+        first = ""
+        for number, sample in enumerate(SAMPLES):
+            entry = entries[number % len(entries)]
+            answer = await _send(self._fleet, entry.address, sample)
+            self._judge(sample, answer)
+            first = first or answer.headers.get("X-Request-Id", "")
+        await self._exhaust()
+        await self._explain(first)
+        for state in self._fleet.services.values():
+            self._blame("records", checks.check_effects(state.effects))
+
+    async def settle(self) -> None:
+        """Stop the roles and check budgets and bills."""
+        await self._fleet.close_roles()
+        store = self._fleet.store_client
+        bills = []
+        made = await layout.load_layout(store, demo_fleet.SHARDS)
+        for shard in range(made["shards"]):
+            document, found = await segments.read_bills(store, shard)
+            bills += found
+            for name, budget in document["budgets"].items():
+                spent = checks.count_spent(budget)
+                print(f"budget {name}: paid {budget['paid']}, spent {spent}")
+                self._blame("budget", checks.check_budget(name, budget))
+        for bill in bills:
+            print(
+                f"bill: request {bill['request'][:12]} {bill['kind']}"
+                f" {bill['units']} of {bill['budget']}"
+            )
+        found_faults = checks.check_bills(bills, self._answered, self._refused)
+        self._blame("bills", found_faults)
+
+    def _judge(self, sample: Sample, answer: transport.Answer) -> None:
+        text = answer.body.decode()[:SHOWN_BYTES].replace("\n", " ")
         print(f"{sample.title}: {answer.status} {text}")
-        if answer.status != sample.status:
-            faults.append(f"{sample.title}: status {answer.status}")
-    faults.extend(await check_ledger(fleet))
-    for fault in faults:
-        print(f"broken: {fault}")
-    return faults
+        found = checks.check_status(answer, sample.status, sample.code)
+        if not found and sample.check is not None:
+            found = sample.check(answer)
+        self._blame(sample.title, found)
+        request = answer.headers.get("X-Request-Id", "")
+        if answer.status >= 400:
+            self._refused.append(request)
+        elif sample.budget:
+            self._answered[request] = sample.budget
+
+    async def _exhaust(self) -> None:
+        sample = Sample(
+            "batch on a small budget",
+            "POST",
+            CHAT,
+            demo_plan.SMALL_KEY,
+            make_chat("list the season", False, BATCH_TOKENS),
+            200,
+            budget="guides-tokens",
+        )
+        entries = self._fleet.entries
+        answers = await asyncio.gather(
+            *(
+                _send(self._fleet, entries[i % len(entries)].address, sample)
+                for i in range(BATCH)
+            )
+        )
+        for answer in answers:
+            refused = answer.status != sample.status
+            self._judge(
+                sample._replace(status=402, code="budget_exhausted")
+                if refused
+                else sample,
+                answer,
+            )
+        statuses = {answer.status for answer in answers}
+        if statuses != {200, 402}:
+            self._blame(sample.title, [f"statuses {sorted(statuses)}"])
+
+    async def _explain(self, request: str) -> None:
+        steps: list[journal.Step] = []
+        for entry in self._fleet.entries:
+            course = await self._fleet.client.call(
+                f"http://{entry.peer_address}/peer/explain",
+                {"request": request},
+                journal.Course,
+                TIMEOUT_S,
+            )
+            steps += course["steps"]
+        names = [step["step"] for step in steps]
+        print(f"explain {request[:12]}: {', '.join(names)}")
+        if not {"attempt", "settled"} <= set(names):
+            self._blame("explain", [f"steps {names}"])
+
+    def _blame(self, title: str, found: list[str]) -> None:
+        for fault in found:
+            print(f"broken: {title}: {fault}")
+            self.faults.append(f"{title}: {fault}")
+
+
+async def run_tour(fleet: demo_fleet.Fleet) -> list[str]:
+    """Send the samples and settle; return broken promises."""
+    tour = Tour(fleet)
+    await tour.run()
+    await tour.settle()
+    return tour.faults
 
 
-async def check_ledger(fleet: demo_fleet.Fleet) -> list[str]:
-    """Return budgets that were overspent."""
+async def run_routes(fleet: demo_fleet.Fleet) -> list[str]:
+    """Send one request to each route of an example; return faults."""
     faults: list[str] = []
-    for shard in range(demo_fleet.SHARDS):
-        found = await fleet.store_client.get(keys.name_ledger(shard))
-        document = budget_shard.ShardCodec().decode(
-            found.value if found else None
-        )
-        for name, budget in document["budgets"].items():
-            charged = budget_shard.count_charged(budget)
-            print(f"budget {name}: paid {budget['paid']}, held {charged}")
-            if charged > budget["paid"]:
-                faults.append(f"budget {name} is overspent")
+    for key in list(fleet.plan.keys.values())[:1]:
+        for item in fleet.plan.endpoints:
+            sample = make_sample(fleet.plan, item["route"], key)
+            answer = await _send(fleet, fleet.entries[0].address, sample)
+            text = answer.body.decode()[:SHOWN_BYTES].replace("\n", " ")
+            print(f"{sample.title}: {answer.status} {text}")
+            faults += [
+                f"{sample.title}: {fault}"
+                for fault in checks.check_status(answer, sample.status)
+            ]
     return faults
 
 
+def make_sample(plan: demo_plan.Plan, name: str, key: str) -> Sample:
+    """Return a request that a route takes."""
+    route = plan.find_route(name)
+    if route["protocol"] == "chat":
+        body = make_chat("one two three", False, 5)
+        body["model"] = route["model"]
+        return Sample(name, "POST", CHAT, key, body, 200)
+    call = next(
+        item for item in route.get("calls", []) if item["method"] == "GET"
+    )
+    path = f"/services/{name}{call['path']}"
+    return Sample(name, "GET", path, key, {}, 200)
+
+
 async def _send(
     fleet: demo_fleet.Fleet, address: str, sample: Sample
 ) -> transport.Answer:
+    headers = {"Authorization": f"Bearer {sample.key}"}
+    if sample.once:
+        headers["Idempotency-Key"] = sample.once
     return await fleet.client.fetch(
         sample.method,
         f"http://{address}{sample.path}",
-        {"Authorization": f"Bearer {sample.key}"},
-        msgspec.json.encode(sample.body),
+        headers,
+        msgspec.json.encode(sample.body) if sample.body else None,
         TIMEOUT_S,
     )
 
@@ -124,7 +311,10 @@
 __all__ = (
     "SAMPLES",
     "Sample",
-    "check_ledger",
+    "Tour",
+    "Visit",
     "make_chat",
+    "make_sample",
+    "run_routes",
     "run_tour",
 )
