--- a/src/cyclamenwing/standin/faults.py
+++ b/src/cyclamenwing/standin/faults.py
@@ -3,17 +3,23 @@
 from __future__ import annotations
 
 import asyncio
+import pathlib
 from typing import Literal
 from typing import TypedDict
 
+import msgspec
+
+from cyclamenwing.settings import documents
+from cyclamenwing.settings import errors as settings_errors
+
 FaultKind = Literal["down", "slow", "lost_answer", "cut", "silent", "garbage"]
 
 
 class Fault(TypedDict):
     """Describe a fault of calls whose path contains `call`.
 
-    It spares `skip` calls first and then hits `count`; `delay_s` is for
-    slow calls.
+    It spares `skip` calls first and then hits `count`, -1 for all;
+    `delay_s` passes before the call.
     """
 
     call: str
@@ -46,6 +52,17 @@
             return fault
         return None
 
+    @classmethod
+    def from_file(cls, path: pathlib.Path) -> FaultTable:
+        """Read a table from JSON with comments; raise a coded error."""
+        document = documents.read_document(path)
+        try:
+            return cls(msgspec.convert(document.data, list[Fault]))
+        except msgspec.ValidationError as err:
+            raise settings_errors.SettingsSchemaError(
+                str(err), document.file
+            ) from err
+
     async def delay(self, fault: Fault | None) -> None:
         """Wait as long as a fault says."""
         if fault is not None and fault["delay_s"] > 0:
