--- a/src/cyclamenwing/budget/coordinator.py
+++ b/src/cyclamenwing/budget/coordinator.py
@@ -97,7 +97,7 @@
         self, shard: int, ops: list[messages.LedgerOp]
     ) -> list[messages.OpResult]:
         commit_id = uuid.uuid4().hex
-        results: dict[int, messages.OpResult] = {}
+        results: list[messages.OpResult] = []
         now = self._wall_clock()
         segment = self._written.pop(shard, None)
 
@@ -106,8 +106,7 @@
             billing.expire_keys(document, now)
             if segment is not None:
                 segments.drop_segment(document, segment)
-            for place in _order_ops(ops):
-                results[place] = ledger.apply_op(document, ops[place], now)
+            results[:] = ledger.apply_ops(document, ops, now)
             shards.record_commit(document, commit_id)
 
         made = await commits.commit(
@@ -119,7 +118,7 @@
         )
         self.commits += 1
         await self._move_bills(shard, made.document)
-        return [results[place] for place in range(len(ops))]
+        return results
 
     async def _move_bills(
         self, shard: int, document: types.LedgerShard
@@ -129,20 +128,6 @@
                 self._written[shard] = document["segments"]
 
 
-def _order_ops(ops: list[messages.LedgerOp]) -> list[int]:
-    """Return places, those first that free units for the others."""
-    return sorted(range(len(ops)), key=lambda place: _RANK[ops[place]["op"]])
-
-
-_RANK = {
-    "close": 0,
-    "top_up": 1,
-    "settle": 2,
-    "settle_doubt": 3,
-    "recover": 3,
-    "grant": 4,
-}
-
 __all__ = (
     "MAX_QUEUED_OPS",
     "Coordinator",
--- a/src/cyclamenwing/budget/ledger.py
+++ b/src/cyclamenwing/budget/ledger.py
@@ -27,6 +27,18 @@
     return _make_result(shard, op, error)
 
 
+def apply_ops(
+    shard: types.LedgerShard, ops: list[messages.LedgerOp], now: float
+) -> list[messages.OpResult]:
+    """Apply operations, those first that free units for the others.
+
+    The results are in the order of the operations given.
+    """
+    ranked = sorted(range(len(ops)), key=lambda place: _RANK[ops[place]["op"]])
+    results = {place: apply_op(shard, ops[place], now) for place in ranked}
+    return [results[place] for place in range(len(ops))]
+
+
 def list_ops(batch: messages.LedgerBatch) -> list[messages.LedgerOp]:
     """Return a batch's operations in the order of their results."""
     return [
@@ -143,8 +155,6 @@
     grant["reason"] = "runs in progress" if op["running"] else ""
     outstanding = shards.count_outstanding(grant)
     grant["returned"] += max(0, outstanding - op["running"])
-    if not op["running"]:
-        _remove_grant(budget, op["session"])
 
 
 def _apply_doubt_settlement(
@@ -152,6 +162,8 @@
 ) -> None:
     budget = _find_budget(shard, op["budget"])
     grant = _find_closing(budget, op["session"])
+    if not shards.count_outstanding(grant):
+        raise errors.StaleSessionError("nothing is in doubt")
     if not 0 <= op["spent"] <= shards.count_outstanding(grant):
         raise errors.LedgerInvariantError("not within the doubt")
     bill: types.Bill = {
@@ -169,12 +181,7 @@
     billing.check_room(shard, [bill])
     billing.fold_bills(shard, grant, [bill], now)
     grant["returned"] += shards.count_outstanding(grant)
-    _remove_grant(budget, op["session"])
-
-
-def _remove_grant(budget: types.Budget, session: str) -> None:
-    grant = budget["grants"].pop(session)
-    budget["settled"] += grant["spent"] - grant["refunded"]
+    grant["reason"] = ""
 
 
 def _count_share(budget: types.Budget, rate: float) -> float:
@@ -242,9 +249,19 @@
     "settle_doubt": _apply_doubt_settlement,
 }
 
+_RANK = {
+    "close": 0,
+    "top_up": 1,
+    "settle": 2,
+    "settle_doubt": 3,
+    "recover": 3,
+    "grant": 4,
+}
+
 __all__ = (
     "DOUBT_KIND",
     "apply_op",
+    "apply_ops",
     "list_ops",
     "make_batch",
 )
--- a/src/cyclamenwing/budget/messages.py
+++ b/src/cyclamenwing/budget/messages.py
@@ -166,7 +166,7 @@
 
 
 class EntryAnswer(TypedDict):
-    """Tell the transfers that an entry took from a closing session."""
+    """Tell the transfers between an entry and a closing session."""
 
     session: str
     transfers: list[types.Transfer]
--- a/src/cyclamenwing/budget/peers.py
+++ b/src/cyclamenwing/budget/peers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from cyclamenwing.budget import account as accounts
+from cyclamenwing.budget import exchange
 from cyclamenwing.budget import messages
 from cyclamenwing.budget import types
 
@@ -45,16 +46,16 @@
         account.taking[name] = transfer
         account.dirty = True
 
-    def tell_taken(
-        self, board: accounts.HolderBoard, donor: str
+    def tell_transfers(
+        self, board: accounts.HolderBoard, other: str
     ) -> messages.EntryAnswer:
-        """Return transfers taken from a session and take no more of it."""
-        board.barred.add(donor)
+        """Return transfers with a closing session and take no more of it."""
+        board.barred.add(other)
         found = [
             transfer
             for account in board.accounts.values()
-            for transfer in account.taking.values()
-            if transfer["donor"] == donor
+            for transfer in exchange.list_transfers(account)
+            if other in {transfer["donor"], transfer["receiver"]}
         ]
         return {"session": board.session, "transfers": found}
 
@@ -62,7 +63,7 @@
         self, board: accounts.HolderBoard, ask: messages.TransferRequest
     ) -> messages.TransferReply:
         account = board.accounts.get(ask["budget"])
-        if account is None or board.stale:
+        if account is None or board.stale or ask["session"] in board.barred:
             return {"transfers": [], "held": 0}
         available = max(0, account.count_available())
         waits = bool(account.waiting) and board.session < ask["session"]
--- a/src/cyclamenwing/budget/recovery.py
+++ b/src/cyclamenwing/budget/recovery.py
@@ -88,32 +88,90 @@
     }
 
 
-def is_covered(inquest: Inquest, budgets: dict[str, types.Budget]) -> bool:
-    """Tell whether all that a session ran is within its known grants.
+def concerns(inquest: Inquest, budget: types.Budget, name: str) -> bool:
+    """Tell whether a session has units of a budget to account for."""
+    grant = _find_grant(budget, inquest.record["session"])
+    return shards.count_outstanding(grant) > 0 or any(
+        record["budget"] == name
+        and not billing.is_folded(grant, record["sequence"])
+        for record in merge_records(inquest.answers)
+    )
+
 
-    If so, a transfer to it that nobody knows of was not spent.
+def find_unclear(
+    inquests: list[Inquest], budgets: dict[str, types.Budget]
+) -> set[str]:
+    """Return closing sessions that may hold units nobody can trace.
+
+    If all sidecars of all closing sessions told, a session that ran more
+    than its grant took the rest from others that close: such transfers
+    are made up for, since their sum is known to fit.
     """
-    if inquest.list_missing():
-        return False
-    session = inquest.record["session"]
-    needed: dict[str, int] = {}
+    unclear = {
+        inquest.record["session"]
+        for inquest in inquests
+        if inquest.list_missing()
+    }
+    for name, budget in budgets.items():
+        slack = {
+            inquest.record["session"]: _count_slack(inquest, name, budget)
+            for inquest in inquests
+        }
+        short = {session for session, units in slack.items() if units < 0}
+        if unclear or sum(slack.values()) < 0:
+            unclear |= short
+            continue
+        implied = _imply_transfers(name, budget, slack)
+        for inquest in inquests:
+            inquest.transfers.extend(implied)
+    return unclear
+
+
+def _count_slack(inquest: Inquest, name: str, budget: types.Budget) -> int:
+    """Return what a session's grant holds beyond what it ran."""
+    grant = _find_grant(budget, inquest.record["session"])
+    needed = 0
     for record in merge_records(inquest.answers):
-        units = record["reserved"] if record["running"] else record["used"]
-        grant = _find_grant(budgets, record["budget"], session)
+        if record["budget"] != name:
+            continue
         if not billing.is_folded(grant, record["sequence"]):
-            needed[record["budget"]] = needed.get(record["budget"], 0) + units
-    return all(
-        units <= shards.count_outstanding(_find_grant(budgets, name, session))
-        for name, units in needed.items()
-    )
-
-
-def _find_grant(
-    budgets: dict[str, types.Budget], name: str, session: str
-) -> types.Grant:
-    budget = budgets.get(name)
-    found = budget["grants"].get(session) if budget else None
-    return found or shards.make_grant()
+            needed += (
+                record["reserved"] if record["running"] else record["used"]
+            )
+    return shards.count_outstanding(grant) - needed
+
+
+def _imply_transfers(
+    name: str, budget: types.Budget, slack: dict[str, int]
+) -> list[types.Transfer]:
+    """Return transfers that leave no session short."""
+    made: list[types.Transfer] = []
+    for receiver in sorted(slack):
+        for donor in sorted(slack):
+            amount = min(-slack[receiver], slack[donor])
+            if amount <= 0:
+                continue
+            earlier = sum(1 for item in made if item["donor"] == donor)
+            made.append({
+                "budget": name,
+                "donor": donor,
+                "number": _find_number(budget, donor, earlier),
+                "receiver": receiver,
+                "amount": amount,
+            })
+            slack[receiver] += amount
+            slack[donor] -= amount
+    return made
+
+
+def _find_number(budget: types.Budget, donor: str, earlier: int) -> int:
+    """Return a number of a transfer that the shard has not seen."""
+    grant = _find_grant(budget, donor)
+    return max([grant["given"] - 1, *grant["early"]]) + 1 + earlier
+
+
+def _find_grant(budget: types.Budget, session: str) -> types.Grant:
+    return budget["grants"].get(session) or shards.make_grant()
 
 
 def _outranks(record: types.RunRecord, known: types.RunRecord) -> bool:
@@ -140,7 +198,8 @@
 
 __all__ = (
     "Inquest",
-    "is_covered",
+    "concerns",
+    "find_unclear",
     "merge_records",
     "plan_recovery",
 )
--- a/src/cyclamenwing/budget/shard.py
+++ b/src/cyclamenwing/budget/shard.py
@@ -11,7 +11,7 @@
 MAX_SHARD_BYTES = 900_000
 MAX_TOP_UP_IDS = 1_000
 TOP_UP_RETENTION_S = 30 * 86_400.0
-CLOSED_RETENTION_S = 86_400.0
+CLOSED_RETENTION_S = 3_600.0
 
 
 class ShardCodec:
@@ -79,6 +79,8 @@
 
 def expire(shard: types.LedgerShard, now: float) -> None:
     """Drop closed sessions and top-up ids past their retention."""
+    for budget in shard["budgets"].values():
+        _drop_closed(budget, now)
     shard["closed"] = {
         session: at
         for session, at in shard["closed"].items()
@@ -91,6 +93,20 @@
     }
 
 
+def _drop_closed(budget: types.Budget, now: float) -> None:
+    """Drop closed grants that hold nothing, past their retention."""
+    done = [
+        session
+        for session, grant in budget["grants"].items()
+        if grant["closing"]
+        and not count_outstanding(grant)
+        and now - grant["closing"] >= CLOSED_RETENTION_S
+    ]
+    for session in done:
+        grant = budget["grants"].pop(session)
+        budget["settled"] += grant["spent"] - grant["refunded"]
+
+
 def count_outstanding(grant: types.Grant) -> int:
     """Return the units that a grant may still spend."""
     return grant["granted"] - grant["spent"] - grant["returned"]
--- a/src/cyclamenwing/budget/transfers.py
+++ b/src/cyclamenwing/budget/transfers.py
@@ -27,10 +27,9 @@
     donor["granted"] -= transfer["amount"]
     receiver = budget["grants"].get(transfer["receiver"])
     if receiver is None:
-        if transfer["receiver"] in shard["closed"]:
-            # The receiver's spending is all billed: nobody can use this.
-            return
         receiver = shards.make_grant()
+        # What a closed session may have spent of it, recovery finds out.
+        receiver["closing"] = shard["closed"].get(transfer["receiver"], 0.0)
         budget["grants"][transfer["receiver"]] = receiver
     receiver["granted"] += transfer["amount"]
     receiver["taken"].append(transfer)
--- a/src/cyclamenwing/entry/closing.py
+++ b/src/cyclamenwing/entry/closing.py
@@ -54,26 +54,15 @@
         for inquest in inquests:
             await self._witnesses.ask_sidecars(inquest)
             unclear = unclear | await self._witnesses.ask_entries(inquest)
-        unclear = unclear | self._list_uncovered(inquests, held)
-        for inquest in inquests:
-            own = {inquest.record["session"]}
-            await self._return(inquest, held, sorted(unclear - own))
-
-    def _list_uncovered(
-        self,
-        inquests: list[recovery.Inquest],
-        held: dict[int, types.LedgerShard],
-    ) -> set[str]:
         budgets = {
             name: budget
             for document in held.values()
             for name, budget in document["budgets"].items()
         }
-        return {
-            inquest.record["session"]
-            for inquest in inquests
-            if not recovery.is_covered(inquest, budgets)
-        }
+        unclear = unclear | recovery.find_unclear(inquests, budgets)
+        for inquest in inquests:
+            own = {inquest.record["session"]}
+            await self._return(inquest, held, sorted(unclear - own))
 
     async def _return(
         self,
@@ -88,12 +77,15 @@
             batch["recoveries"] = [
                 recovery.plan_recovery(inquest, name, reason)
                 for name, budget in document["budgets"].items()
-                if inquest.record["session"] in budget["grants"]
+                if recovery.concerns(inquest, budget, name)
             ]
             if not batch["recoveries"]:
                 continue
             reply = await self._ledger.local.submit(batch)
-            rest = rest or any(item["closing"] for item in reply["results"])
+            rest = rest or any(
+                item["error"] or item["outstanding"]
+                for item in reply["results"]
+            )
         if not rest:
             await self._witnesses.tell_gone(inquest)
             await self._remove(inquest.record)
@@ -112,7 +104,8 @@
             session
             for document in documents
             for budget in document["budgets"].values()
-            for session in budget["grants"]
+            for session, grant in budget["grants"].items()
+            if shards.count_outstanding(grant)
         }
         found = await self._store.scan(keys.SESSION_PREFIX)
         prefix = len(keys.SESSION_PREFIX)
--- a/src/cyclamenwing/entry/transfers.py
+++ b/src/cyclamenwing/entry/transfers.py
@@ -37,16 +37,16 @@
 
 
 class ClosingHandler(server.PeerHandler):
-    """Serve ``POST /peer/taken``."""
+    """Serve ``POST /peer/transfers``."""
 
     def initialize(self, part: Transfers) -> None:
         """Take the part that knows transfers."""
         self._part = part
 
     async def post(self) -> None:
-        """Tell what was taken from a session, and take no more."""
+        """Tell transfers with a session, and take no more."""
         asked = self.decode_body(messages.SessionQuestion)
-        self.write_json(self._part.tell_taken(asked["session"]))
+        self.write_json(self._part.tell_transfers(asked["session"]))
 
 
 class Transfers:
@@ -69,7 +69,7 @@
         options = {"part": self}
         return [
             (r"/peer/transfer", TransferHandler, options),
-            (r"/peer/taken", ClosingHandler, options),
+            (r"/peer/transfers", ClosingHandler, options),
         ]
 
     def start(self) -> None:
@@ -82,9 +82,9 @@
         """Deduct units for a peer."""
         return self._controller.give(self._board.holder, ask)
 
-    def tell_taken(self, donor: str) -> messages.EntryAnswer:
-        """Tell what was taken from a session, and take no more."""
-        return self._controller.tell_taken(self._board.holder, donor)
+    def tell_transfers(self, donor: str) -> messages.EntryAnswer:
+        """Tell transfers with a session, and take no more."""
+        return self._controller.tell_transfers(self._board.holder, donor)
 
     async def gather(self, budget: str, amount: int, deadline: float) -> None:
         """Ask live peers until an amount is available or none is left."""
--- a/src/cyclamenwing/entry/witnesses.py
+++ b/src/cyclamenwing/entry/witnesses.py
@@ -72,11 +72,11 @@
     async def ask_entries(self, inquest: recovery.Inquest) -> set[str]:
         """Find the session's transfers; return live sessions that fail."""
         donor = inquest.record["session"]
-        inquest.transfers = self._own.tell_taken(donor)["transfers"]
+        inquest.transfers = self._own.tell_transfers(donor)["transfers"]
         silent: set[str] = set()
         for session, address in self.list_live().items():
             answer = await self._ask(
-                f"{address}/peer/taken",
+                f"{address}/peer/transfers",
                 {"session": donor},
                 messages.EntryAnswer,
             )
