--- a/src/cyclamenwing/request/claims.py
+++ b/src/cyclamenwing/request/claims.py
@@ -14,7 +14,7 @@
 from cyclamenwing.request import errors
 from cyclamenwing.store import protocol
 
-CLAIM_SHARDS = 16
+CLAIM_SHARDS = 64
 CLAIM_RETENTION_S = 24 * 3_600.0
 MIN_RETENTION_S = 3_600.0
 MAX_COMMIT_IDS = 64
