Remember a caller's key as long as its bills fold to one

Cause: a sidecar forgot a key after 600 s, while bills of one key fold to one for an hour, so that a key sent again in between ran unbilled. Change: the answer goes after 600 s, the key of a caller after 3,600 s. Conclusion: what is left is a sidecar's restart within the hour.

--- a/src/cyclamenwing/request/runs.py
+++ b/src/cyclamenwing/request/runs.py
@@ -11,6 +11,7 @@
 from cyclamenwing.request import types
 
 RETENTION_S = 600.0
+TOMBSTONE_RETENTION_S = 3_600.0
 FENCE_RETENTION_S = 3_600.0
 MAX_HELD_BYTES = 64 * 1024 * 1024
 MAX_RUN_BYTES = 8 * 1024 * 1024
@@ -190,11 +191,17 @@
         return any(run.answer and not run.delivered for run in board.ended)
 
     def expire(self, board: RunBoard, now: float) -> int:
-        """Drop runs and fences past their retention; return how many."""
+        """Drop what is past its retention; return how many records.
+
+        The key that a caller gave outlives its answer, so that it can't
+        run again within the time in which its bills fold to one.
+        """
+        ended = [run for run in board.runs.values() if run.ended]
+        for run in ended:
+            if now - run.ended_at > RETENTION_S:
+                self._drop_answer(board, run)
         stale = [
-            run
-            for run in board.runs.values()
-            if run.ended and now - run.ended_at > RETENTION_S
+            run for run in ended if now - run.ended_at > _find_retention(run)
         ]
         for run in stale:
             self._drop(board, run)
@@ -282,17 +289,24 @@
             if run is None:
                 return
             board.ended.remove(run)
-            board.held_bytes -= len(run.answer)
-            run.answer = bytearray()
-            run.expired = run.phase == "done"
+            self._drop_answer(board, run)
 
     def _drop(self, board: RunBoard, run: Run) -> None:
         key = run.order["key"]
         if board.runs.get(key) is run:
             del board.runs[key]
             board.by_request.pop(run.order["request"], None)
+        self._drop_answer(board, run)
+
+    def _drop_answer(self, board: RunBoard, run: Run) -> None:
         board.held_bytes -= len(run.answer)
         run.answer = bytearray()
+        run.expired = run.phase == "done"
+
+
+def _find_retention(run: Run) -> float:
+    fresh = run.order["key"].endswith(f"/{run.order['request']}")
+    return RETENTION_S if fresh else TOMBSTONE_RETENTION_S
 
 
 def _name_fence(order: types.RunOrder) -> str:
@@ -329,6 +343,7 @@
     "MAX_RUN_BYTES",
     "RETENTION_S",
     "RETRY_AFTER_S",
+    "TOMBSTONE_RETENTION_S",
     "Admission",
     "DrainingError",
     "Fence",
--- a/tests/request/test_runs.py
+++ b/tests/request/test_runs.py
@@ -76,13 +76,24 @@
 
 
 def test_retention_ends_and_bytes_balance() -> None:
+    """A caller's key outlives its answer, a fresh one does not."""
     controller, board = make_controller(), runs.RunBoard()
-    run_whole(controller, board, "w/1", 0.0)
+    run_whole(controller, board, "w/given", 0.0)
+    fresh = samples.make_order("w/fresh", request="fresh")
+    run = controller.admit(board, fresh, 0.0).run
+    controller.finish(board, run, 0.0)
     controller.bar(board, samples.make_order("w/2"), 0.0)
     assert controller.expire(board, runs.RETENTION_S) == 0
     assert controller.expire(board, runs.RETENTION_S + 1) == 1
-    assert controller.expire(board, runs.FENCE_RETENTION_S + 1) == 1
-    assert (board.held_bytes, board.booked_bytes, board.fences) == (0, 0, {})
+    assert board.held_bytes == 0
+    with pytest.raises(errors.ExpiredAnswerError):
+        controller.admit(board, samples.make_order("w/given"), 700.0)
+    with pytest.raises(errors.KeyReusedError):
+        controller.admit(
+            board, samples.make_order("w/given", fingerprint="g"), 700.0
+        )
+    assert controller.expire(board, runs.TOMBSTONE_RETENTION_S + 1) == 2
+    assert (board.runs, board.booked_bytes, board.fences) == ({}, 0, {})
 
 
 @pytest.mark.parametrize(
