--- a/src/cyclamenwing/bench/requestprobes.py
+++ b/src/cyclamenwing/bench/requestprobes.py
@@ -11,6 +11,7 @@
 from cyclamenwing.bench import timing
 from cyclamenwing.request import assembly
 from cyclamenwing.request import claims
+from cyclamenwing.request import held
 from cyclamenwing.request import journal
 from cyclamenwing.request import runs
 from cyclamenwing.request import types
@@ -58,8 +59,8 @@
 def measure_run_bytes(count: int) -> float:
     """Return the memory of ended runs with their answers."""
 
-    def make() -> runs.RunBoard:
-        board = runs.RunBoard()
+    def make() -> held.RunBoard:
+        board = held.RunBoard()
         controller = runs.RunController()
         for number in range(count):
             run = controller.admit(board, make_order(number), 0.0).run
@@ -73,9 +74,9 @@
 def measure_tombstone_bytes(count: int) -> float:
     """Return the memory of ended runs whose answers were dropped."""
 
-    def make() -> runs.RunBoard:
-        board = runs.RunBoard()
-        controller = runs.RunController(runs.MAX_HELD_BYTES)
+    def make() -> held.RunBoard:
+        board = held.RunBoard()
+        controller = runs.RunController(held.MAX_HELD_BYTES)
         for number in range(count):
             run = controller.admit(board, make_order(number), 0.0).run
             controller.finish(board, run, 1.0)
@@ -87,8 +88,8 @@
 def measure_fence_bytes(count: int) -> float:
     """Return the memory of barred keys."""
 
-    def make() -> runs.RunBoard:
-        board = runs.RunBoard()
+    def make() -> held.RunBoard:
+        board = held.RunBoard()
         controller = runs.RunController()
         for number in range(count):
             controller.fence(board, f"workspace/{number:032x}", 1, 0.0)
--- a/src/cyclamenwing/sidecar/blackboard.py
+++ b/src/cyclamenwing/sidecar/blackboard.py
@@ -5,8 +5,8 @@
 import dataclasses
 
 from cyclamenwing.metrics import recorder
+from cyclamenwing.request import held
 from cyclamenwing.request import journal
-from cyclamenwing.request import runs
 
 
 @dataclasses.dataclass(slots=True)
@@ -23,7 +23,7 @@
     zone: str
     incarnation: str
     route: str
-    runs: runs.RunBoard = dataclasses.field(default_factory=runs.RunBoard)
+    runs: held.RunBoard = dataclasses.field(default_factory=held.RunBoard)
     recorder: recorder.Recorder = dataclasses.field(
         default_factory=recorder.Recorder
     )
--- a/src/cyclamenwing/sidecar/executor.py
+++ b/src/cyclamenwing/sidecar/executor.py
@@ -9,6 +9,8 @@
 
 from cyclamenwing import errors as base_errors
 from cyclamenwing.request import errors as request_errors
+from cyclamenwing.request import held
+from cyclamenwing.request import retention
 from cyclamenwing.request import runs
 from cyclamenwing.request import types
 from cyclamenwing.sidecar import accounts
@@ -59,7 +61,7 @@
         """Tell whether an answer waits for a retry of its caller."""
         return self._runs.has_undelivered(self._board.runs)
 
-    def start(self, order: types.RunOrder, resumed: bool = False) -> runs.Run:
+    def start(self, order: types.RunOrder, resumed: bool = False) -> held.Run:
         """Admit an order and start it unless it runs already."""
         if order["sidecar"] != self._board.incarnation:
             raise request_errors.OtherIncarnationError(
@@ -75,7 +77,7 @@
             self._board.running = len(self._tasks)
         return admitted.run
 
-    def attach(self, query: types.KeyQuery) -> runs.Run:
+    def attach(self, query: types.KeyQuery) -> held.Run:
         """Return the run of a key; raise a coded error."""
         run = self._runs.find(self._board.runs, query["key"])
         if run is None:
@@ -109,13 +111,13 @@
             return False
         return self._tasks[key].cancel()
 
-    def get_signal(self, run: runs.Run) -> signal.Signal:
+    def get_signal(self, run: held.Run) -> signal.Signal:
         """Return the signal that a run's progress raises."""
         return self._signals.get(run.order["key"]) or signal.Signal()
 
     def expire(self, now: float) -> None:
         """Drop runs past their retention."""
-        self._runs.expire(self._board.runs, now)
+        retention.expire(self._board.runs, now)
 
     async def drain(self) -> None:
         """Wait until every run has ended."""
@@ -139,7 +141,7 @@
             raise
         return admitted
 
-    async def _execute(self, run: runs.Run) -> None:
+    async def _execute(self, run: held.Run) -> None:
         order = run.order
         with eliot.start_action(
             action_type="sidecar:run", request=order["request"]
@@ -173,7 +175,7 @@
             raised.notify()
 
     async def _run_bounded(
-        self, run: runs.Run
+        self, run: held.Run
     ) -> base_errors.CodedError | None:
         """Run to the end; return the error of a run that failed."""
         try:
@@ -192,7 +194,7 @@
             return errors.SidecarError(type(err).__name__, "unknown")
         return None
 
-    async def _call_endpoint(self, run: runs.Run) -> None:
+    async def _call_endpoint(self, run: held.Run) -> None:
         call = calls.make_call(run.order, run.deadline - time.monotonic())
         stream = self._client.open_stream(
             call.method,
@@ -216,7 +218,7 @@
             stream.close()
 
     async def _copy_answer(
-        self, run: runs.Run, stream: transport.Stream, metered: meter.Meter
+        self, run: held.Run, stream: transport.Stream, metered: meter.Meter
     ) -> None:
         head = await stream.read_head()
         run.status = head.status
@@ -231,7 +233,7 @@
         self._append(run, used.finish())
         run.usage = used.usage
 
-    def _append(self, run: runs.Run, data: bytes) -> None:
+    def _append(self, run: held.Run, data: bytes) -> None:
         if data:
             self._runs.append(self._board.runs, run, data)
             self.get_signal(run).notify()
@@ -243,7 +245,7 @@
 
 
 def _make_refusal(
-    run: runs.Run, error: base_errors.CodedError
+    run: held.Run, error: base_errors.CodedError
 ) -> types.Refusal:
     refusal: types.Refusal = {
         "t": "refusal",
--- a/tests/request/samples.py
+++ b/tests/request/samples.py
@@ -9,6 +9,7 @@
 from cyclamenwing.request import attempts
 from cyclamenwing.request import claims
 from cyclamenwing.request import errors
+from cyclamenwing.request import held
 from cyclamenwing.request import runs
 from cyclamenwing.request import types
 
@@ -50,7 +51,7 @@
         self.name = name
         self.number = 1
         self.paused = False
-        self.board = runs.RunBoard()
+        self.board = held.RunBoard()
         self._ran = ran
         self._controller = runs.RunController()
 
@@ -60,7 +61,7 @@
 
     def restart(self) -> None:
         self.number += 1
-        self.board = runs.RunBoard()
+        self.board = held.RunBoard()
 
     def receive(
         self, order: types.RunOrder, resumed: bool, now: float
--- a/tests/request/test_failures.py
+++ b/tests/request/test_failures.py
@@ -10,7 +10,7 @@
 from cyclamenwing import errors as base_errors
 from cyclamenwing.request import attempts
 from cyclamenwing.request import claims
-from cyclamenwing.request import runs
+from cyclamenwing.request import held
 from cyclamenwing.request import types
 
 KEY = "w/k"
@@ -79,11 +79,11 @@
 
 
 def fill_buffers(world, sidecar, order, resumed):  # type: ignore
-    sidecar.board.booked_bytes += runs.MAX_HELD_BYTES
+    sidecar.board.booked_bytes += held.MAX_HELD_BYTES
     try:
         deliver(world, sidecar, order, resumed)
     finally:
-        sidecar.board.booked_bytes -= runs.MAX_HELD_BYTES
+        sidecar.board.booked_bytes -= held.MAX_HELD_BYTES
 
 
 def restart_and_drain(world, sidecar, order, resumed):  # type: ignore
