Split settlement and the meaning of failures from serving

Change: `entry/settlement.py` bills, releases or doubts, `entry/failures.py` tells what an error means for the attempt.

--- a/src/cyclamenwing/entry/attempts.py
+++ b/src/cyclamenwing/entry/attempts.py
@@ -5,7 +5,6 @@
 import asyncio
 import functools
 import time
-from collections.abc import Callable
 from typing import NamedTuple
 from typing import Protocol
 
@@ -15,12 +14,12 @@
 from cyclamenwing.entry import admission
 from cyclamenwing.entry import blackboard
 from cyclamenwing.entry import dispatch
+from cyclamenwing.entry import failures
 from cyclamenwing.entry import follower
 from cyclamenwing.request import attempts
 from cyclamenwing.request import errors
 from cyclamenwing.request import types
 from cyclamenwing.routing import types as routing_types
-from cyclamenwing.transport import errors as transport_errors
 from cyclamenwing.transport import protocol as transport
 
 SILENCE_S = 3.0
@@ -109,7 +108,7 @@
             except base_errors.CodedError as err:
                 if task.answer.offset > offset:
                     self._controller.advance(progress)
-                failure = classify_failure(err)
+                failure = failures.classify_failure(err)
                 step = self._controller.decide(
                     progress, failure, time.monotonic()
                 )
@@ -220,7 +219,7 @@
         error: base_errors.CodedError,
     ) -> attempts.Step:
         task.progress.sending = False
-        failure = classify_failure(error)
+        failure = failures.classify_failure(error)
         step = self._controller.decide(
             task.progress, failure, time.monotonic()
         )
@@ -275,55 +274,10 @@
     }
 
 
-def classify_failure(error: base_errors.CodedError) -> attempts.Failure:
-    """Tell what an error means for the attempt."""
-    for kind, classify in _CLASSES:
-        if isinstance(error, kind):
-            return attempts.Failure(classify(error), error)
-    return attempts.Failure("final", error)
-
-
-def _classify_refusal(
-    error: base_errors.CodedError,
-) -> attempts.FailureKind:
-    if error.code in _REFUSALS:
-        return _REFUSALS[error.code]
-    return "refused" if error.run == "not_run" else "final"
-
-
-def _classify_peer(error: base_errors.CodedError) -> attempts.FailureKind:
-    # It says nothing of an order that was sent before.
-    return "replaced" if error.run == "not_run" else "lost"
-
-
-_REFUSALS: dict[str, attempts.FailureKind] = {
-    "cancelled": "crashed",
-    "endpoint_crashed": "crashed",
-    "endpoint_silent": "crashed",
-    "key_reused": "final",
-    "other_incarnation": "replaced",
-    "run_not_found": "final",
-}
-_CLASSES: tuple[
-    tuple[
-        type[base_errors.CodedError],
-        Callable[[base_errors.CodedError], attempts.FailureKind],
-    ],
-    ...,
-] = (
-    (follower.RunRefusedError, _classify_refusal),
-    (transport_errors.PeerRefusedError, _classify_peer),
-    (transport_errors.ConnectFailedError, lambda _error: "unsent"),
-    (transport_errors.ConnectionSilentError, lambda _error: "silent"),
-    (transport_errors.TransportError, lambda _error: "lost"),
-    (errors.AnswerGapError, lambda _error: "lost"),
-)
-
 __all__ = (
     "Attempts",
     "Permit",
     "Task",
     "Ticket",
-    "classify_failure",
     "make_query",
 )
--- /dev/null
+++ b/src/cyclamenwing/entry/failures.py
@@ -0,0 +1,58 @@
+"""Meaning of an exchange's failure for its request."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from cyclamenwing import errors as base_errors
+from cyclamenwing.entry import follower
+from cyclamenwing.request import attempts
+from cyclamenwing.request import errors
+from cyclamenwing.transport import errors as transport_errors
+
+
+def classify_failure(error: base_errors.CodedError) -> attempts.Failure:
+    """Tell what an error means for the attempt."""
+    for kind, classify in _CLASSES:
+        if isinstance(error, kind):
+            return attempts.Failure(classify(error), error)
+    return attempts.Failure("final", error)
+
+
+def _classify_refusal(
+    error: base_errors.CodedError,
+) -> attempts.FailureKind:
+    if error.code in _REFUSALS:
+        return _REFUSALS[error.code]
+    return "refused" if error.run == "not_run" else "final"
+
+
+def _classify_peer(error: base_errors.CodedError) -> attempts.FailureKind:
+    # It says nothing of an order that was sent before.
+    return "replaced" if error.run == "not_run" else "lost"
+
+
+_REFUSALS: dict[str, attempts.FailureKind] = {
+    "cancelled": "crashed",
+    "endpoint_crashed": "crashed",
+    "endpoint_silent": "crashed",
+    "key_reused": "final",
+    "other_incarnation": "replaced",
+    "run_not_found": "final",
+}
+_CLASSES: tuple[
+    tuple[
+        type[base_errors.CodedError],
+        Callable[[base_errors.CodedError], attempts.FailureKind],
+    ],
+    ...,
+] = (
+    (follower.RunRefusedError, _classify_refusal),
+    (transport_errors.PeerRefusedError, _classify_peer),
+    (transport_errors.ConnectFailedError, lambda _error: "unsent"),
+    (transport_errors.ConnectionSilentError, lambda _error: "silent"),
+    (transport_errors.TransportError, lambda _error: "lost"),
+    (errors.AnswerGapError, lambda _error: "lost"),
+)
+
+__all__ = ("classify_failure",)
--- a/src/cyclamenwing/entry/serving.py
+++ b/src/cyclamenwing/entry/serving.py
@@ -15,15 +15,16 @@
 from cyclamenwing.entry import claimed
 from cyclamenwing.entry import claims as entry_claims
 from cyclamenwing.entry import dispatch
+from cyclamenwing.entry import failures
 from cyclamenwing.entry import finder
 from cyclamenwing.entry import follower
 from cyclamenwing.entry import funding
+from cyclamenwing.entry import settlement
 from cyclamenwing.entry import sinks
 from cyclamenwing.entry import tickets
 from cyclamenwing.request import attempts as request_attempts
 from cyclamenwing.request import claims
 from cyclamenwing.request import errors
-from cyclamenwing.request import types
 from cyclamenwing.routing import prefix
 from cyclamenwing.routing import types as routing_types
 from cyclamenwing.store import errors as store_errors
@@ -54,6 +55,7 @@
         self._board = board
         self._money = money
         self._dispatch = choice
+        self._settlement = settlement.Settlement(board, money)
         self._claims = held
         self._finder = finder.Finder(board, client)
         self._attempts = attempts.Attempts(board, choice, client)
@@ -125,7 +127,7 @@
         try:
             await self._attempts.attach(task, search.address, query)
         except base_errors.CodedError as err:
-            failure = attempts.classify_failure(err)
+            failure = failures.classify_failure(err)
             if failure.kind == "final" and err.code != "run_not_found":
                 raise
             task.answer.restart()
@@ -225,13 +227,13 @@
             outcome = await self._attempts.run(task, ticket)
         except base_errors.CodedError as err:
             self._note(accepted, "failed", **err.describe())
-            self._settle_failed(task, ticket, err)
+            self._settlement.settle_failed(task, ticket, err)
             if err.run == "not_run":
                 await self._withdraw(ticket, err)
             raise
         finally:
             self._dispatch.leave(task.job)
-        self._settle(task, ticket, outcome)
+        self._settlement.settle(task, ticket, outcome)
 
     async def _withdraw(
         self, ticket: tickets.PaidTicket, error: base_errors.CodedError
@@ -246,39 +248,6 @@
         except base_errors.CodedError as err:
             raise errors.OutcomeUnknownError(err.message, "unknown") from error
 
-    def _settle(
-        self,
-        task: attempts.Task,
-        ticket: tickets.PaidTicket,
-        outcome: types.Outcome,
-    ) -> None:
-        accepted = task.accepted
-        made = ticket.made or []
-        if outcome.charges == ticket.charges:
-            self._money.settle(accepted, made, outcome.usage)
-            self._note(accepted, "settled", usage=outcome.usage)
-        elif task.progress.doubtful:
-            self._money.doubt(accepted, made)
-            self._note(accepted, "doubted", paid_by=outcome.charges)
-        else:
-            self._money.release(made)
-            self._note(accepted, "released", paid_by=outcome.charges)
-
-    def _settle_failed(
-        self,
-        task: attempts.Task,
-        ticket: tickets.PaidTicket,
-        error: base_errors.CodedError,
-    ) -> None:
-        made = ticket.made or []
-        outcome = _read_failed(error)
-        if error.run == "not_run":
-            self._money.release(made)
-        elif outcome is not None:
-            self._settle(task, ticket, outcome)
-        else:
-            self._money.doubt(task.accepted, made)
-
     def _make_task(
         self, accepted: admission.Accepted, sink: sinks.Sink
     ) -> attempts.Task:
@@ -307,15 +276,6 @@
         self._board.journal.note(accepted.request, time.time(), step, **detail)
 
 
-def _read_failed(error: base_errors.CodedError) -> types.Outcome | None:
-    """Return what a failed run used, if its sidecar told."""
-    if not isinstance(error, follower.RunRefusedError):
-        return None
-    if error.usage is None or error.run != "ran":
-        return None
-    return types.Outcome(error.usage, error.charges or [])
-
-
 def _digest_prompt(accepted: admission.Accepted) -> tuple[int, ...]:
     if accepted.route["protocol"] != "chat":
         return ()
