Place unknown prefixes alike, and let batch jobs keep their places

Entries that had not heard of a prefix placed it each elsewhere. What entries tell each other of leaving hosts stood twice since membership spreads it. Change: batch jobs have their places whatever interactive ones hold, and leave a tenth free; a prefix not known is expected at the host that ranks first for it; a route's priority travels to the engine; a host that refuses work as draining is remembered by the entry, and `departures` is gone.

--- a/src/cyclamenwing/entry/admission.py
+++ b/src/cyclamenwing/entry/admission.py
@@ -15,6 +15,7 @@
 from cyclamenwing.catalog import types as catalog_types
 from cyclamenwing.request import errors
 from cyclamenwing.request import types
+from cyclamenwing.routing import types as routing_types
 
 DEFAULT_MAX_TOKENS = 1024
 DEFAULT_TIMEOUT_S = 120.0
@@ -219,7 +220,9 @@
         "body": base64.b64encode(accepted.caller.body).decode(),
         "charges": charges,
         "max_tokens": accepted.max_tokens,
-        "priority": 0,
+        "priority": routing_types.ENGINE_PRIORITIES[
+            accepted.route.get("priority", "interactive")
+        ],
         "deadline_ms": max(1, int(remaining_s * 1000)),
         "revision": revision,
     }
--- a/src/cyclamenwing/entry/app.py
+++ b/src/cyclamenwing/entry/app.py
@@ -17,7 +17,6 @@
 from cyclamenwing.entry import catalog
 from cyclamenwing.entry import claims
 from cyclamenwing.entry import closing
-from cyclamenwing.entry import departures
 from cyclamenwing.entry import dispatch
 from cyclamenwing.entry import exchange
 from cyclamenwing.entry import funding
@@ -70,12 +69,10 @@
         held = quarantine.Quarantine(
             self.board, self._client, quarantine.log_lift
         )
-        leaving = departures.Departures(self.board)
         choice = dispatch.Dispatch(
             self.board,
             scoring.ScoringPolicy(settings["zone"]),
             held,
-            leaving,
             random.Random(),
         )
         self._claims = claims.Claims(self._store)
@@ -85,7 +82,7 @@
         following = catalog.CatalogWatch(
             self.board, self._store, self._client, settings["entries"]
         )
-        sources: list[news.Source] = [choice, held, leaving]
+        sources: list[news.Source] = [choice, held]
         self._parts: list[part.Part] = [
             membership.Membership(
                 self.board,
--- a/src/cyclamenwing/entry/dispatch.py
+++ b/src/cyclamenwing/entry/dispatch.py
@@ -12,7 +12,6 @@
 import msgspec
 
 from cyclamenwing.entry import blackboard
-from cyclamenwing.entry import departures
 from cyclamenwing.entry import quarantine
 from cyclamenwing.membership import types as membership_types
 from cyclamenwing.membership import view
@@ -29,7 +28,6 @@
     :param board: the entry's state
     :param policy: order of candidates
     :param held: quarantine of jobs that crash endpoints
-    :param leaving: hosts that others know to be leaving
     :param draw: source of the jitter
     """
 
@@ -40,13 +38,12 @@
         board: blackboard.EntryBoard,
         policy: types.Policy,
         held: quarantine.Quarantine,
-        leaving: departures.Departures,
         draw: random.Random,
     ) -> None:
         self._board = board
         self._router = router.Router(policy)
         self._held = held
-        self._leaving = leaving
+        self._draining: dict[str, str] = {}
         self._draw = draw
         self._members = view.MemberController()
         self._turns: dict[str, asyncio.Future[None]] = {}
@@ -143,8 +140,11 @@
         self._router.policy.note_failure(host, time.monotonic())
 
     def note_draining(self, host: str, incarnation: str) -> None:
-        """Take note that a host refused work because it is leaving."""
-        self._leaving.note_refusal(host, incarnation)
+        """Take note that a host refused work because it is leaving.
+
+        Its successor of the same name is another incarnation.
+        """
+        self._draining[host] = incarnation
 
     async def retry(self, job: types.Job, attempt: int) -> None:
         """Wait before attempt number 2 and up.
@@ -175,7 +175,7 @@
             )
             for beat in self._members.list_open(members, route, now)
             if beat["incarnation"] in self._board.served
-            and not self._leaving.is_leaving(beat["host"], beat["incarnation"])
+            and self._draining.get(beat["host"]) != beat["incarnation"]
         ]
         return subset.pick_subset(self._board.host, candidates)
 
--- a/src/cyclamenwing/routing/load.py
+++ b/src/cyclamenwing/routing/load.py
@@ -20,6 +20,7 @@
 SATURATED_REPORTS = 2
 # Share of a host's places that batch jobs leave to interactive ones.
 INTERACTIVE_SHARE = 6
+SPARE_SHARE = 10
 
 
 @dataclasses.dataclass(slots=True)
@@ -27,6 +28,7 @@
     """Hold an entry's own jobs at a host and the host's learnt limit."""
 
     in_flight: int = 0
+    interactive: int = 0
     pending: dict[types.Priority, float] = dataclasses.field(
         default_factory=lambda: dict.fromkeys(types.PRIORITIES, 0.0)
     )
@@ -47,9 +49,11 @@
             return self.pending["interactive"]
         return self.pending["interactive"] + self.pending["batch"]
 
-    def change(self, delta: int, now: float) -> None:
+    def change(self, priority: types.Priority, delta: int, now: float) -> None:
         """Count a job that came or went."""
         self.in_flight += delta
+        if priority == "interactive":
+            self.interactive += delta
         self.changes.append((now, delta))
         while now - self.changes[0][0] > CHANGES_KEPT_S:
             self.changes.popleft()
@@ -70,10 +74,17 @@
         Other entries' jobs since then are not known, so each takes no
         more than its share until the next report.
         """
-        limit = bound_limit(self.limit, priority)
-        free = (limit - candidate.load) / entries
-        room = free - self._count_growth(candidate)
-        return max(0.0, min(room, limit - self.in_flight))
+        grown = self._count_growth(candidate)
+        bounds: list[float] = [self.limit - self.in_flight]
+        free = self.limit - candidate.load
+        if priority == "batch":
+            # Batch jobs leave places besides those that interactive ones
+            # hold, and a few free whatever those hold.
+            kept = self.limit // INTERACTIVE_SHARE
+            bounds.append(self.limit - kept - self._count_batch())
+            bounds.append((free - kept) / entries - grown + self.interactive)
+            free -= self.limit // SPARE_SHARE
+        return max(0.0, min(free / entries - grown, *bounds))
 
     def is_full(
         self,
@@ -91,6 +102,9 @@
             return self.estimate(candidate) >= self.limit
         return self.count_room(candidate, priority, entries) <= draw
 
+    def _count_batch(self) -> int:
+        return self.in_flight - self.interactive
+
     def _count_growth(self, candidate: types.Candidate) -> int:
         since = candidate.heard_at - REPORT_LAG_S
         grown = 0
@@ -131,14 +145,4 @@
             self.grown_at = now
 
 
-def bound_limit(limit: int, priority: types.Priority) -> int:
-    """Return the places of a host that a priority may fill."""
-    if priority == "interactive":
-        return limit
-    return max(1, limit - limit // INTERACTIVE_SHARE)
-
-
-__all__ = (
-    "HostLoad",
-    "bound_limit",
-)
+__all__ = ("HostLoad",)
--- a/src/cyclamenwing/routing/quarantine.py
+++ b/src/cyclamenwing/routing/quarantine.py
@@ -17,7 +17,7 @@
 SAME_CRASH_MS = 2_000
 # A suspect waits so long, until what others know has been heard.
 SPREAD_MS = 1_000
-CLAIM_KEPT_MS = 2_500
+CLAIM_KEPT_MS = 3_500
 RECORD_KEPT_MS = 24 * 3_600 * 1_000
 MAX_RECORDS = 4_096
 FRESH_MS = 3_000
--- a/src/cyclamenwing/routing/scoring.py
+++ b/src/cyclamenwing/routing/scoring.py
@@ -22,6 +22,10 @@
 SPREAD_S = 0.002
 DOWN_S = 60.0
 MAX_SCORED = 24
+# A prefix counts as known from this share of the prompt on; one that is not
+# is expected by this share at the host that ranks first for it.
+KNOWN_SHARE = 0.5
+EXPECTED_SHARE = 0.3
 _HASH_RANGE = 2**64
 
 
@@ -60,6 +64,7 @@
         kept = self._health.filter(candidates, now)
         held = self._affinity.match(job.prefix, now)
         prompt = affinity.count_prompt_tokens(job.prefix)
+        _expect_elsewhere(job, kept, held, prompt)
         scored, others = _split(job, kept, held)
         scores = {
             item.host: self._score(
@@ -77,7 +82,7 @@
         expected_s = self._expect(found, job.priority, tokens, found.in_flight)
         self._sent[job.request] = _Sent(host, now, expected_s, tokens, False)
         found.pending[job.priority] += tokens
-        found.change(1, now)
+        found.change(job.priority, 1, now)
         self._affinity.add(host, job.prefix, now)
 
     def note_first(self, job: types.Job, host: str, now: float) -> None:
@@ -97,7 +102,7 @@
         if sent is None:
             return
         found = self._find_load(host)
-        found.change(-1, now)
+        found.change(job.priority, -1, now)
         if not sent.first:
             found.pending[job.priority] -= sent.tokens
         if completed:
@@ -180,6 +185,22 @@
         return found
 
 
+def _expect_elsewhere(
+    job: types.Job,
+    candidates: list[types.Candidate],
+    held: dict[str, float],
+    prompt: float,
+) -> None:
+    """Expect a prefix not known here where every entry places it first."""
+    if not candidates or prompt == 0.0:
+        return
+    if max(held.values(), default=0.0) >= prompt * KNOWN_SHARE:
+        return
+    key = str(job.prefix[-1])
+    first = min(candidates, key=lambda item: _draw(key, item.host)).host
+    held[first] = max(held.get(first, 0.0), prompt * EXPECTED_SHARE)
+
+
 def _split(
     job: types.Job, candidates: list[types.Candidate], held: dict[str, float]
 ) -> tuple[list[types.Candidate], list[types.Candidate]]:
--- a/src/cyclamenwing/routing/types.py
+++ b/src/cyclamenwing/routing/types.py
@@ -10,6 +10,8 @@
 
 Priority = Literal["interactive", "batch"]
 PRIORITIES: tuple[Priority, ...] = ("interactive", "batch")
+# An engine runs the lower number first.
+ENGINE_PRIORITIES: dict[Priority, int] = {"interactive": 0, "batch": 1}
 
 
 class Candidate(NamedTuple):
@@ -98,6 +100,7 @@
 
 
 __all__ = (
+    "ENGINE_PRIORITIES",
     "PRIORITIES",
     "Candidate",
     "EndpointNews",
--- a/src/cyclamenwing/sidecar/calls.py
+++ b/src/cyclamenwing/sidecar/calls.py
@@ -69,6 +69,10 @@
     bound = order["max_tokens"]
     body.pop("max_completion_tokens", None)
     body["max_tokens"] = max(1, bound // body.get("n", 1))
+    # Engines without priorities refuse the field, so the usual has none.
+    body.pop("priority", None)
+    if order["priority"]:
+        body["priority"] = order["priority"]
     metered: meter.Meter = meter.WholeMeter(bound)
     silence_s = remaining_s
     if body.get("stream"):
