Show that a request that crashes engines takes two of the fleet

Cause: the quarantine had tests of its controller only. Change: a test with three entries, five sidecars and engines over HTTP sends a marked request through every entry with another key each time, beside requests that must be answered whole and not be held, and lifts it. Conclusion: the promise holds over real connections.

--- /dev/null
+++ b/tests/entry/test_poison.py
@@ -0,0 +1,182 @@
+from __future__ import annotations
+
+import asyncio
+import hashlib
+from typing import Any
+
+import msgspec
+from tests.entry import fleet as test_fleet
+
+from cyclamenwing.budget import payment
+from cyclamenwing.catalog import types as catalog_types
+from cyclamenwing.entry import app as entry_app
+from cyclamenwing.sidecar import app as sidecar_app
+from cyclamenwing.standin import engine
+from cyclamenwing.standin import faults
+from cyclamenwing.standin import generation
+from cyclamenwing.transport import protocol
+
+CALLER_KEY = "poison-test-caller"
+ENGINES = 5
+SHARDS = 4
+FILE: catalog_types.ServiceFile = {
+    "service": "assistant",
+    "workspaces": [
+        {
+            "name": "w",
+            "keys": [hashlib.sha256(CALLER_KEY.encode()).hexdigest()],
+            "budgets": ["tokens"],
+        }
+    ],
+    "budgets": [{"name": "tokens", "unit": "tokens"}],
+    "routes": [
+        {
+            "name": "assistant",
+            "protocol": "chat",
+            "model": "m",
+            "workspaces": ["w"],
+        }
+    ],
+}
+
+
+class PoisonFleet:
+    def __init__(self, fleet: test_fleet.Fleet) -> None:
+        self.fleet = fleet
+        self.engines = [
+            engine.EngineStandin(
+                test_fleet.LOOPBACK,
+                generation.EngineState(
+                    "m", faults.FaultTable(), 0.005, down_s=60.0
+                ),
+            )
+            for _ in range(ENGINES)
+        ]
+        self.entries: list[entry_app.EntryApp] = []
+
+    @property
+    def crashes(self) -> int:
+        return sum(item.state.crashes for item in self.engines)
+
+    async def start(self) -> None:
+        await self.fleet.publish(FILE)
+        await payment.apply_top_up(
+            self.fleet.store_client,
+            {"op": "top_up", "id": "1", "budget": "tokens", "amount": 10**6},
+            SHARDS,
+        )
+        seeds: list[str] = []
+        for number in range(3):
+            made = self.fleet.start_entry(f"e{number}", "z0", seeds)
+            seeds.append(made.peer_address)
+            self.entries.append(made)
+        for number, item in enumerate(self.engines):
+            self._start_sidecar(f"s{number}", seeds, item.address)
+        await test_fleet.wait_for(
+            lambda: all(self._is_ready(entry) for entry in self.entries)
+        )
+
+    async def send(
+        self, entry: int, key: str, content: str, max_tokens: int
+    ) -> protocol.Answer:
+        return await self.fleet.client.fetch(
+            "POST",
+            f"http://{self.entries[entry].address}/v1/chat/completions",
+            {
+                "Authorization": f"Bearer {CALLER_KEY}",
+                "Idempotency-Key": key,
+            },
+            msgspec.json.encode({
+                "model": "m",
+                "max_tokens": max_tokens,
+                "messages": [{"role": "user", "content": content}],
+            }),
+            test_fleet.WAIT_S,
+        )
+
+    async def ask(self, entry: int, path: str, message: Any) -> Any:
+        return await self.fleet.client.call(
+            f"http://{self.entries[entry].peer_address}/peer/quarantine/{path}",
+            message,
+            Any,
+            test_fleet.WAIT_S,
+        )
+
+    async def close(self) -> None:
+        for item in self.engines:
+            await item.close()
+
+    def _start_sidecar(
+        self, host: str, seeds: list[str], endpoint: str
+    ) -> None:
+        made = sidecar_app.SidecarApp.from_config({
+            "host": host,
+            "zone": "z0",
+            "listen": test_fleet.LOOPBACK,
+            "store": self.fleet.store.address,
+            "fleet_keys": [test_fleet.KEY],
+            "entries": seeds,
+            "endpoint": endpoint,
+            "route": "assistant",
+        })
+        self.fleet.sidecars.append(made)
+
+    def _is_ready(self, entry: entry_app.EntryApp) -> bool:
+        board = entry.board
+        members = 2 + ENGINES
+        return (
+            board.catalog.revision > 0
+            and len(board.members.members) >= members
+            and len(board.served) == ENGINES
+        )
+
+
+async def play(made: PoisonFleet) -> None:
+    beside = [
+        asyncio.create_task(made.send(0, f"b{number}", f"work {number}", 400))
+        for number in range(ENGINES)
+    ]
+    await test_fleet.wait_for(
+        lambda: sum(item.state.running for item in made.engines) == ENGINES
+    )
+    poison = f"poison {generation.CRASH_MARKER}"
+    first = await made.send(0, "k1", poison, 10)
+    assert made.crashes == 2
+    assert msgspec.json.decode(first.body)["run"] != "not_run"
+    # The same request through every entry, each time with another key.
+    for number in range(6):
+        again = await made.send(number % 3, f"again-{number}", poison, 10)
+        body = msgspec.json.decode(again.body)
+        assert (again.status, body["code"], body["run"]) == (
+            422,
+            "quarantined",
+            "not_run",
+        )
+    assert made.crashes == 2
+    answers = await asyncio.gather(*beside)
+    assert [answer.status for answer in answers] == [200] * ENGINES
+    records = await made.ask(2, "list", {})
+    assert len(records) == 1
+    await lift(made, records[0]["fingerprint"], poison)
+
+
+async def lift(made: PoisonFleet, fingerprint: str, poison: str) -> None:
+    asked = {"fingerprint": fingerprint, "author": "ann", "origin": "test"}
+    assert await made.ask(1, "lift", asked) == {"lifted": True}
+    assert await made.ask(1, "lift", asked) == {"lifted": False}
+    assert await made.ask(1, "list", {}) == []
+    await made.send(1, "lifted", poison, 10)
+    assert made.crashes == 4
+
+
+def test_poison_takes_two_endpoints_across_the_fleet() -> None:
+    async def run() -> None:
+        async with test_fleet.open_fleet() as fleet:
+            made = PoisonFleet(fleet)
+            try:
+                await made.start()
+                await play(made)
+            finally:
+                await made.close()
+
+    asyncio.run(run())
