Let operators list and lift the quarantine, on record

Cause: a quarantine could be lifted by a call between processes only. Change: the subcommand `quarantine` with `list` and `lift`; a lift is an act in the audit trail, which is begun before the entry is asked. Figures: the test over HTTP lifts through the subcommand; 0, 0, 1 are the exit codes of list, lift and a second lift. Conclusion: what is held can be seen and ended from any entry.

--- a/src/cyclamenwing/cli/main.py
+++ b/src/cyclamenwing/cli/main.py
@@ -18,6 +18,7 @@
 from cyclamenwing.cli import explain
 from cyclamenwing.cli import protocol
 from cyclamenwing.cli import publish
+from cyclamenwing.cli import quarantine
 from cyclamenwing.cli import replay
 from cyclamenwing.cli import sidecar
 from cyclamenwing.cli import standin
@@ -36,6 +37,7 @@
     status.StatusCommand(),
     topup.TopUpCommand(),
     explain.ExplainCommand(),
+    quarantine.QuarantineCommand(),
     standin.StandinCommand(),
     demo.DemoCommand(),
     replay.ReplayCommand(),
--- a/src/cyclamenwing/routing/quarantine.py
+++ b/src/cyclamenwing/routing/quarantine.py
@@ -285,6 +285,7 @@
 
 
 __all__ = (
+    "CRASHES_TO_QUARANTINE",
     "SPREAD_MS",
     "Claim",
     "QuarantineBoard",
--- a/tests/entry/test_poison.py
+++ b/tests/entry/test_poison.py
@@ -5,10 +5,14 @@
 from typing import Any
 
 import msgspec
+import pytest
 from tests.entry import fleet as test_fleet
 
 from cyclamenwing.budget import payment
+from cyclamenwing.catalog import trail
 from cyclamenwing.catalog import types as catalog_types
+from cyclamenwing.cli import main
+from cyclamenwing.cli import remote
 from cyclamenwing.entry import app as entry_app
 from cyclamenwing.sidecar import app as sidecar_app
 from cyclamenwing.standin import engine
@@ -18,7 +22,6 @@
 
 CALLER_KEY = "poison-test-caller"
 ENGINES = 5
-SHARDS = 4
 FILE: catalog_types.ServiceFile = {
     "service": "assistant",
     "workspaces": [
@@ -63,7 +66,6 @@
         await payment.apply_top_up(
             self.fleet.store_client,
             {"op": "top_up", "id": "1", "budget": "tokens", "amount": 10**6},
-            SHARDS,
         )
         seeds: list[str] = []
         for number in range(3):
@@ -161,15 +163,28 @@
 
 
 async def lift(made: PoisonFleet, fingerprint: str, poison: str) -> None:
-    asked = {"fingerprint": fingerprint, "author": "ann", "origin": "test"}
-    assert await made.ask(1, "lift", asked) == {"lifted": True}
-    assert await made.ask(1, "lift", asked) == {"lifted": False}
+    entry = ["--entry", made.entries[1].peer_address]
+    command = ["quarantine", "lift", fingerprint, *entry, "--author", "ann"]
+    command += ["--store", made.fleet.store.address]
+    listing = ["quarantine", "list", "--json", *entry]
+    codes = [
+        await asyncio.to_thread(main.run, arguments)
+        for arguments in (listing, command, command)
+    ]
+    assert codes == [0, 0, 1]
+    chain = await trail.read_chain(made.fleet.store_client)
+    kinds = {(record["kind"], record["author"]) for record in chain["audit"]}
+    assert kinds == {("lift_quarantine", "ann")}
     assert await made.ask(1, "list", {}) == []
     await made.send(1, "lifted", poison, 10)
     assert made.crashes == 4
 
 
-def test_poison_takes_two_endpoints_across_the_fleet() -> None:
+def test_poison_takes_two_endpoints_across_the_fleet(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setenv(remote.FLEET_KEY_VARIABLE, test_fleet.KEY)
+
     async def run() -> None:
         async with test_fleet.open_fleet() as fleet:
             made = PoisonFleet(fleet)
