Read the host list often enough for drains within their bound

Cause: watchers read the host list every 5 s, so a host that only the list calls leaving was used for up to 5.0 s; the bound is 3 s. Change: they read it every 2 s (`MIN_POLL_S`, two entries a zone); tests of the entry's dispatch: turns, early refusal, each source of a drain, and the drain seen by every entry through list and sidecar.

--- a/src/cyclamenwing/membership/hostlist.py
+++ b/src/cyclamenwing/membership/hostlist.py
@@ -10,7 +10,7 @@
 from cyclamenwing.transport import protocol as transport
 
 TIMEOUT_S = 2.0
-MIN_POLL_S = 5.0
+MIN_POLL_S = 2.0
 POLL_S_A_ENTRY = 0.5
 
 
--- /dev/null
+++ b/tests/entry/test_dispatch.py
@@ -0,0 +1,218 @@
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+from collections.abc import Awaitable
+from collections.abc import Callable
+from typing import Any
+from typing import cast
+
+import pytest
+from tests.entry import fleet as test_fleet
+from tests.routing import samples
+
+from cyclamenwing.budget import account
+from cyclamenwing.entry import blackboard
+from cyclamenwing.entry import dispatch
+from cyclamenwing.entry import quarantine
+from cyclamenwing.membership import types as membership_types
+from cyclamenwing.membership import view
+from cyclamenwing.routing import errors
+from cyclamenwing.routing import scoring
+from cyclamenwing.routing import types
+from cyclamenwing.transport import protocol
+
+DRAIN_BOUND_S = 3.0
+PLACES = 2
+
+
+def make_beat(host: str, leaving: bool = False) -> membership_types.Heartbeat:
+    return {
+        "host": host,
+        "role": "sidecar",
+        "zone": "z1",
+        "address": "127.0.0.1:1",
+        "incarnation": f"{host}/1",
+        "route": "route",
+        "leaving": leaving,
+        "revision": 1,
+        "load": 0,
+        "news": {},
+    }
+
+
+class Entry:
+    def __init__(self, *hosts: str) -> None:
+        self.board = blackboard.EntryBoard(
+            "e", "z1", "e/1", account.HolderBoard("e/1")
+        )
+        held = quarantine.Quarantine(
+            self.board,
+            cast(protocol.Client, None),
+            quarantine.log_lift,
+        )
+        self.dispatch = dispatch.Dispatch(
+            self.board, scoring.ScoringPolicy("z1"), held, random.Random(1)
+        )
+        self.view = view.MemberController()
+        for host in hosts:
+            self.hear(make_beat(host))
+            self.board.served.add(f"{host}/1")
+
+    def hear(self, beat: membership_types.Heartbeat) -> None:
+        self.view.hear(self.board.members, beat, time.monotonic())
+        news = samples.make_news(max_running=PLACES)
+        self.dispatch.hear_news(beat, news)
+
+    def list_hosts(self) -> list[str]:
+        found = self.dispatch.list_candidates("route", time.monotonic())
+        return sorted(item.host for item in found)
+
+    async def begin(self, job: types.Job) -> None:
+        await self.dispatch.enter(job)
+        host = self.dispatch.choose(job, []).host
+        self.dispatch.note_start(job, host)
+
+
+def make_job(name: str, timeout_s: float = 60.0) -> types.Job:
+    return samples.make_job(name, deadline=time.monotonic() + timeout_s)
+
+
+def run(scenario: Callable[[], Awaitable[None]]) -> None:
+    async def play() -> None:
+        async with asyncio.timeout(test_fleet.WAIT_S):
+            await scenario()
+
+    asyncio.run(play())
+
+
+def leave_by_sidecar(entry: Entry) -> None:
+    entry.hear(make_beat("a", leaving=True))
+
+
+def leave_by_list(entry: Entry) -> None:
+    host: membership_types.Host = {
+        "host": "a",
+        "role": "sidecar",
+        "zone": "z1",
+        "address": "127.0.0.1:1",
+        "state": "leaving",
+    }
+    entry.view.adopt_hosts(entry.board.members, [host])
+
+
+def leave_by_refusal(entry: Entry) -> None:
+    entry.dispatch.note_draining("a", "a/1")
+
+
+def leave_session(entry: Entry) -> None:
+    entry.board.served.discard("a/1")
+
+
+@pytest.mark.parametrize(
+    "leave",
+    [leave_by_sidecar, leave_by_list, leave_by_refusal, leave_session],
+)
+def test_leaving_host_is_no_candidate(leave: Callable[[Entry], None]) -> None:
+    entry = Entry("a", "b")
+    assert entry.list_hosts() == ["a", "b"]
+    leave(entry)
+    assert entry.list_hosts() == ["b"]
+    with pytest.raises(errors.NoEndpointError) as caught:
+        entry.dispatch.choose(make_job("r"), ["b"])
+    assert caught.value.run == "not_run"
+
+
+def test_successor_of_a_draining_host_takes_work() -> None:
+    entry = Entry("a")
+    leave_by_refusal(entry)
+    entry.hear({**make_beat("a"), "incarnation": "a/2", "sequence": 1})
+    entry.board.served.add("a/2")
+    assert entry.list_hosts() == ["a"]
+
+
+def test_jobs_wait_for_places_and_get_them_in_turn() -> None:
+    async def scenario() -> None:
+        entry = Entry("a")
+        jobs = [make_job(str(number)) for number in range(5)]
+        tasks = [asyncio.create_task(entry.begin(job)) for job in jobs]
+        await test_fleet.wait_for(tasks[PLACES - 1].done)
+        assert [task.done() for task in tasks] == [True] * 2 + [False] * 3
+        tasks[2].cancel()
+        await asyncio.wait([tasks[2]])
+        entry.dispatch.note_end(jobs[0], "a", True)
+        entry.dispatch.leave(jobs[0])
+        await tasks[3]
+        assert not tasks[4].done()
+        entry.dispatch.note_end(jobs[1], "a", True)
+        entry.dispatch.leave(jobs[1])
+        await tasks[4]
+
+    run(scenario)
+
+
+def test_turn_that_comes_too_late_is_refused_while_waiting() -> None:
+    async def scenario() -> None:
+        entry = Entry("a")
+        for name in ("1", "2"):
+            await entry.begin(make_job(name))
+        entry.dispatch.start()
+        with pytest.raises(errors.OverloadedError) as caught:
+            await entry.begin(make_job("late", timeout_s=0.05))
+        assert caught.value.run == "not_run"
+        assert (caught.value.retry_after_s or 0) >= 1
+        await entry.dispatch.close()
+
+    run(scenario)
+
+
+def test_without_endpoints_a_job_is_refused_at_once() -> None:
+    async def scenario() -> None:
+        with pytest.raises(errors.NoEndpointError) as caught:
+            await Entry().begin(make_job("r"))
+        assert caught.value.retry_after_s is not None
+
+    run(scenario)
+
+
+@pytest.mark.parametrize("source", ["sidecar", "list"])
+def test_every_entry_stops_using_a_leaving_host(source: str) -> None:
+    async def scenario() -> None:
+        async with test_fleet.open_fleet() as made:
+            await made.publish(test_fleet.make_file())
+            seeds: list[str] = []
+            for number in range(3):
+                entry = made.start_entry(f"e{number}", "z0", seeds)
+                seeds.append(entry.peer_address)
+            sidecar = made.start_sidecar("s0", seeds)
+            await test_fleet.wait_for(
+                lambda: all(map(_list_open, made.entries))
+            )
+            if source == "sidecar":
+                closing = asyncio.create_task(made.stop(sidecar))
+            else:
+                made.hosts.state.hosts = [_make_leaving(sidecar)]
+            async with asyncio.timeout(DRAIN_BOUND_S):
+                while any(map(_list_open, made.entries)):
+                    await asyncio.sleep(0.01)
+            if source == "sidecar":
+                await closing
+
+    run(scenario)
+
+
+def _list_open(entry: Any) -> list[membership_types.Heartbeat]:
+    return view.MemberController().list_open(
+        entry.board.members, "records", time.monotonic()
+    )
+
+
+def _make_leaving(sidecar: Any) -> membership_types.Host:
+    return {
+        "host": "s0",
+        "role": "sidecar",
+        "zone": "z0",
+        "address": sidecar.address,
+        "state": "leaving",
+    }
