Give orders to endpoints under a lease and a fencing number

Cause: nothing could order an engine, and an engine that does not check who orders would have obeyed a holder that was paused past its lease. Change: a lease and a number a route in the store; only the holder raises the number; a sidecar confirms number and holder in the store for each order, one at a time, and stands in for engines that don't check; loads take slots of the weight store from one record for the whole fleet; `order` asks an entry, which records the act before and after.

--- a/src/cyclamenwing/cli/main.py
+++ b/src/cyclamenwing/cli/main.py
@@ -14,6 +14,7 @@
 from cyclamenwing.cli import demo
 from cyclamenwing.cli import entry
 from cyclamenwing.cli import explain
+from cyclamenwing.cli import order
 from cyclamenwing.cli import protocol
 from cyclamenwing.cli import publish
 from cyclamenwing.cli import replay
@@ -30,6 +31,7 @@
     sidecar.SidecarCommand(),
     check.CheckCommand(),
     publish.PublishCommand(),
+    order.OrderCommand(),
     audit.AuditCommand(),
     status.StatusCommand(),
     topup.TopUpCommand(),
--- /dev/null
+++ b/src/cyclamenwing/cli/order.py
@@ -0,0 +1,105 @@
+"""Subcommand `order`."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import json
+import uuid
+
+from cyclamenwing.cli import protocol
+from cyclamenwing.cli import remote
+from cyclamenwing.entry import orders as entry_orders
+from cyclamenwing.membership import orders
+from cyclamenwing.transport import protocol as transport
+
+TIMEOUT_S = 5.0
+POLL_S = 0.2
+
+
+class OrderCommand:
+    """Order a route's endpoints to load or to change role."""
+
+    NAME = "order"
+    HELP = "order endpoints to load a model, adapter or version, or a role"
+
+    def add_arguments(self, parser: argparse.ArgumentParser) -> None:
+        """Add the subcommand's arguments."""
+        parser.add_argument("kind", choices=orders.ORDER_KINDS)
+        parser.add_argument("value", help="what to load, or the role")
+        parser.add_argument("--route", required=True)
+        parser.add_argument(
+            "--host",
+            action="append",
+            default=[],
+            help="host of an endpoint (default: all of the route)",
+        )
+        parser.add_argument(
+            "--loads-a-minute",
+            type=float,
+            default=orders.LOADS_A_MINUTE,
+            help="rate that the weight store allows the whole fleet",
+        )
+        parser.add_argument(
+            "--id", default=None, help="id of an earlier attempt"
+        )
+        parser.add_argument("--json", action="store_true")
+        remote.add_entries(parser)
+        remote.add_author(parser)
+
+    def run(self, args: argparse.Namespace) -> int:
+        """Give the order, wait for its end and print each host."""
+        job = remote.run_async(_order(args))
+        if args.json:
+            print(json.dumps(job))
+        else:
+            for line in describe(job):
+                print(line)
+        done = job["state"] == "done"
+        return protocol.EXIT_OK if done else protocol.EXIT_FAILED
+
+
+def describe(job: entry_orders.Job) -> list[str]:
+    """Return lines for a person."""
+    lines = [
+        f"{result['host']} {result['code'] or 'done'} {result['message']}"
+        for result in job["results"]
+    ]
+    code = f" {job['code']}: {job['message']}" if job["code"] else ""
+    state = f"{job['state']} under number {job['number']}{code}"
+    return [line.rstrip() for line in [*lines, f"{job['id']} {state}"]]
+
+
+async def _order(args: argparse.Namespace) -> entry_orders.Job:
+    asked: entry_orders.OrderRequest = {
+        "id": args.id or uuid.uuid4().hex,
+        "route": args.route,
+        "kind": args.kind,
+        "value": args.value,
+        "hosts": args.host,
+        "loads_a_minute": args.loads_a_minute,
+        "author": args.author,
+        "origin": remote.find_origin(),
+    }
+    async with remote.open_client() as client:
+        url = f"http://{args.entry[0]}/peer/order"
+        job = await client.call(url, asked, entry_orders.Job, TIMEOUT_S)
+        while job["state"] == "running":
+            await asyncio.sleep(POLL_S)
+            job = await _find(client, url, asked["id"])
+    return job
+
+
+async def _find(
+    client: transport.Client, url: str, job_id: str
+) -> entry_orders.Job:
+    query: entry_orders.JobQuery = {"id": job_id}
+    return await client.call(
+        f"{url}/state", query, entry_orders.Job, TIMEOUT_S
+    )
+
+
+__all__ = (
+    "OrderCommand",
+    "describe",
+)
--- a/src/cyclamenwing/entry/app.py
+++ b/src/cyclamenwing/entry/app.py
@@ -24,6 +24,7 @@
 from cyclamenwing.entry import limits
 from cyclamenwing.entry import membership
 from cyclamenwing.entry import metrics
+from cyclamenwing.entry import orders
 from cyclamenwing.entry import quarantine
 from cyclamenwing.entry import serving
 from cyclamenwing.entry import sessions
@@ -93,6 +94,7 @@
                 settings.get("hosts"),
             ),
             following,
+            orders.OrderService(self.board, self._store, self._client),
             inquiry.Inquiry(self.board),
             self._claims,
             choice,
--- a/src/cyclamenwing/membership/errors.py
+++ b/src/cyclamenwing/membership/errors.py
@@ -47,11 +47,11 @@
     retry_after_s = 10.0
 
 
-class WeightStoreBusyError(MembershipError):
-    """Report a load that must wait for the weight store's rate limit."""
+class UnknownOrderError(MembershipError):
+    """Report an order or an endpoint that isn't known here."""
 
-    code = "weight_store_busy"
-    status = 429
+    code = "unknown_order"
+    status = 404
 
 
 class EndpointOrderError(MembershipError):
@@ -69,5 +69,5 @@
     "OrderLeaseLapsedError",
     "OrderUnconfirmedError",
     "StaleOrderError",
-    "WeightStoreBusyError",
+    "UnknownOrderError",
 )
--- a/src/cyclamenwing/sidecar/app.py
+++ b/src/cyclamenwing/sidecar/app.py
@@ -14,7 +14,9 @@
 from cyclamenwing.sidecar import handlers
 from cyclamenwing.sidecar import membership
 from cyclamenwing.sidecar import observation
+from cyclamenwing.sidecar import orders
 from cyclamenwing.sidecar import quarantine
+from cyclamenwing.store import client as store_client
 from cyclamenwing.transport import client
 from cyclamenwing.transport import part
 from cyclamenwing.transport import server
@@ -66,6 +68,13 @@
         self._parts: list[part.Part] = [
             handlers.RunService(self.board, self.execution),
             observed,
+            orders.OrderService(
+                self.board,
+                self._rules,
+                store_client.StoreClient(self._client, settings["store"]),
+                self._client,
+                settings["endpoint"],
+            ),
             self._membership,
             operators.OperatorsPort(
                 settings.get("operators"),
