--- a/src/cyclamenwing/entry/attempts.py
+++ b/src/cyclamenwing/entry/attempts.py
@@ -102,11 +102,13 @@
                 {},
                 body,
                 SILENCE_S,
-                progress.resumes > 0,
+                True,
             )
             try:
                 return await task.answer.follow(stream)
             except base_errors.CodedError as err:
+                if task.answer.offset > offset:
+                    self._controller.advance(progress)
                 failure = classify_failure(err)
                 step = self._controller.decide(
                     progress, failure, time.monotonic()
@@ -165,9 +167,12 @@
     ) -> types.Outcome | None:
         """Send and resume; None means to try elsewhere."""
         while True:
+            before = task.answer.offset
             try:
                 return await self._send(task, candidate, permit)
             except base_errors.CodedError as err:
+                if task.answer.offset > before:
+                    self._controller.advance(task.progress)
                 step = self._decide(task, candidate, err)
             if step.error is not None:
                 raise step.error
@@ -200,7 +205,9 @@
             {},
             msgspec.json.encode(order),
             SILENCE_S,
-            resumed,
+            # On a kept connection the library may send twice, and a failed
+            # connect would not show that nothing was sent.
+            True,
         )
         outcome = await task.answer.follow(stream)
         task.progress.sending = False
@@ -217,6 +224,8 @@
         step = self._controller.decide(
             task.progress, failure, time.monotonic()
         )
+        if error.code == "draining":
+            self._dispatch.note_draining(candidate.host, candidate.incarnation)
         if error.code == "endpoint_crashed":
             self._dispatch.note_crash(task.job, candidate.host)
         self._note(
@@ -304,6 +313,7 @@
     (follower.RunRefusedError, _classify_refusal),
     (transport_errors.PeerRefusedError, _classify_peer),
     (transport_errors.ConnectFailedError, lambda _error: "unsent"),
+    (transport_errors.ConnectionSilentError, lambda _error: "silent"),
     (transport_errors.TransportError, lambda _error: "lost"),
     (errors.AnswerGapError, lambda _error: "lost"),
 )
--- a/src/cyclamenwing/transport/client.py
+++ b/src/cyclamenwing/transport/client.py
@@ -48,9 +48,12 @@
     """Read a streamed answer of a curl transfer.
 
     The transfer pauses while `MAX_WAITING_BYTES` wait to be read.
+
+    :param silence_s: longest time without a byte
     """
 
-    def __init__(self) -> None:
+    def __init__(self, silence_s: float) -> None:
+        self._silence_s = silence_s
         self._head: asyncio.Future[protocol.Head] = (
             asyncio.get_running_loop().create_future()
         )
@@ -65,12 +68,14 @@
 
     async def read_head(self) -> protocol.Head:
         """Wait for the status line and headers."""
-        return await self._head
+        async with self._bound_silence():
+            return await asyncio.shield(self._head)
 
     async def read_chunks(self) -> AsyncIterator[bytes]:
         """Yield chunks as they arrive."""
         while True:
-            chunk = await self._chunks.get()
+            async with self._bound_silence():
+                chunk = await self._chunks.get()
             if chunk is None:
                 break
             self._waiting_bytes -= len(chunk)
@@ -116,6 +121,18 @@
             self._head.exception()
         self._chunks.put_nowait(None)
 
+    @contextlib.asynccontextmanager
+    async def _bound_silence(self) -> AsyncIterator[None]:
+        # The library's own bound is an average and takes three times as long.
+        try:
+            async with asyncio.timeout(self._silence_s):
+                yield
+        except TimeoutError as err:
+            self.close()
+            raise errors.ConnectionSilentError(
+                f"nothing within {self._silence_s} s", "unknown"
+            ) from err
+
     def _write(self, chunk: bytes) -> int:
         if self._closed:
             return 0
@@ -208,7 +225,7 @@
 
         A `fresh` one gets a new connection and is sent at most once.
         """
-        stream = CurlStream()
+        stream = CurlStream(silence_s)
         request = self._make_request(
             method, url, headers, body, STREAM_TIMEOUT_S
         )
