Keep the relay's test from learning a way past its proxy

Cause: an entry's reply tells a sidecar the entries that there are, so the sidecar of the silence test reported past the proxy that puts the relay into its path, and no connection fell silent. Change: the proxy takes the directory's digest out of heartbeats, so that the entry tells none. No assertion changed. Conclusion: the test brings the silence about again.

--- a/src/cyclamenwing/sidecar/app.py
+++ b/src/cyclamenwing/sidecar/app.py
@@ -9,8 +9,8 @@
 from cyclamenwing.settings import types as settings_types
 from cyclamenwing.sidecar import accounts
 from cyclamenwing.sidecar import blackboard
-from cyclamenwing.sidecar import closing
 from cyclamenwing.sidecar import catalog
+from cyclamenwing.sidecar import closing
 from cyclamenwing.sidecar import executor
 from cyclamenwing.sidecar import handlers
 from cyclamenwing.sidecar import membership
--- a/tests/process/test_silence.py
+++ b/tests/process/test_silence.py
@@ -23,6 +23,8 @@
     async def post(self) -> None:
         beat = self.decode_body(types.Heartbeat)
         beat["address"] = await self._fleet.find_relay(beat["address"])
+        # The entry must not tell the sidecar of a way past this proxy.
+        beat.pop("directory", None)
         answer = await self._fleet.client.fetch(
             "POST",
             f"http://{self._peer}/peer/heartbeat",
