Record top-ups and lifts of quarantines in the audit trail

Cause: a top-up and a lift left only a line in a log. Change: both are recorded before and after they are carried out; a few lines in the top-up's command and the quarantine's handler. An act that can't be recorded is refused as not carried out.

--- a/src/cyclamenwing/cli/topup.py
+++ b/src/cyclamenwing/cli/topup.py
@@ -4,10 +4,13 @@
 
 import argparse
 import json
+import time
 import uuid
 
 from cyclamenwing.budget import messages
 from cyclamenwing.budget import payment
+from cyclamenwing.catalog import audit
+from cyclamenwing.catalog import trail
 from cyclamenwing.cli import protocol
 from cyclamenwing.cli import remote
 
@@ -24,6 +27,7 @@
         parser.add_argument("amount", type=int)
         parser.add_argument("--id", default=None, help="id of the payment")
         remote.add_store(parser)
+        remote.add_author(parser)
 
     def run(self, args: argparse.Namespace) -> int:
         """Top up and print the budget as it stands."""
@@ -41,8 +45,25 @@
 async def _top_up(
     args: argparse.Namespace, op: messages.TopUp
 ) -> messages.OpResult:
+    results: list[messages.OpResult] = []
+    change = audit.Change(
+        time.time(),
+        args.author,
+        remote.find_origin(),
+        "top-up",
+        op["budget"],
+        "",
+        None,
+        dict(op),
+    )
     async with remote.open_store(args.store) as store:
-        return await payment.apply_top_up(store, op)
+
+        async def carry_out() -> trail.Outcome:
+            results.append(await payment.apply_top_up(store, op))
+            return trail.Outcome(None, dict(results[0]))
+
+        await trail.record_act(store, trail.Act(op["id"], change), carry_out)
+    return results[0]
 
 
 __all__ = ("TopUpCommand",)
--- /dev/null
+++ b/src/cyclamenwing/entry/acts.py
@@ -0,0 +1,48 @@
+"""Operators' acts at an entry, recorded in the audit trail."""
+
+from __future__ import annotations
+
+import time
+import uuid
+from collections.abc import Callable
+
+from cyclamenwing.catalog import audit
+from cyclamenwing.catalog import trail
+from cyclamenwing.entry import quarantine
+from cyclamenwing.store import protocol
+
+
+class LiftRecorder:
+    """Record the lift of a quarantine before and after it is done.
+
+    :param store: the platform's key-value service
+    """
+
+    def __init__(self, store: protocol.Store) -> None:
+        self._store = store
+
+    async def __call__(
+        self, asked: quarantine.Lift, lift: Callable[[], bool]
+    ) -> bool:
+        """Lift and tell whether the request was held."""
+
+        async def carry_out() -> trail.Outcome:
+            lifted = lift()
+            return trail.Outcome(lifted, {"held": False})
+
+        change = audit.Change(
+            time.time(),
+            asked["author"],
+            asked["origin"],
+            "quarantine-lift",
+            asked["fingerprint"],
+            "",
+            None,
+            None,
+        )
+        act = trail.Act(uuid.uuid4().hex, change)
+        outcome = await trail.record_act(self._store, act, carry_out)
+        return bool(outcome.before)
+
+
+__all__ = ("LiftRecorder",)
--- a/src/cyclamenwing/entry/app.py
+++ b/src/cyclamenwing/entry/app.py
@@ -12,6 +12,7 @@
 from cyclamenwing.budget import exchange as budget_exchange
 from cyclamenwing.budget import layout
 from cyclamenwing.budget import sizing
+from cyclamenwing.entry import acts
 from cyclamenwing.entry import blackboard
 from cyclamenwing.entry import callers
 from cyclamenwing.entry import catalog
@@ -69,7 +70,7 @@
         self._transfers = transfers.Transfers(self.board, self._client)
         self._money = self._make_funding()
         held = quarantine.Quarantine(
-            self.board, self._client, quarantine.log_lift
+            self.board, self._client, acts.LiftRecorder(self._store)
         )
         leaving = departures.Departures(self.board)
         choice = dispatch.Dispatch(
--- a/src/cyclamenwing/entry/quarantine.py
+++ b/src/cyclamenwing/entry/quarantine.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import time
+from collections.abc import Awaitable
 from collections.abc import Callable
 from typing import Any
 from typing import TypedDict
@@ -40,7 +41,7 @@
 
     :param board: the entry's state
     :param client: HTTP client
-    :param audit: takes note of what an operator lifted
+    :param record: carries a lift out and records it in the audit trail
     """
 
     NEWS = "quarantine"
@@ -49,11 +50,11 @@
         self,
         board: blackboard.EntryBoard,
         client: transport.Client,
-        audit: Callable[[Lift], None],
+        record: Callable[[Lift, Callable[[], bool]], Awaitable[bool]],
     ) -> None:
         self._board = board
         self._client = client
-        self._audit = audit
+        self._record = record
         self._state = quarantine.QuarantineBoard()
         self._controller = quarantine.QuarantineController()
         self._members = view.MemberController()
@@ -162,14 +163,17 @@
         """Return suspects and quarantined requests."""
         return self._controller.list_records(self._state)
 
-    def lift(self, asked: Lift) -> bool:
+    async def lift(self, asked: Lift) -> bool:
         """Let a request run again; False if it was not held."""
+        return await self._record(asked, lambda: self._clear(asked))
+
+    def _clear(self, asked: Lift) -> bool:
         now_ms = _read_clock_ms()
         lifted = self._controller.clear(
             self._state, asked["fingerprint"], now_ms, now_ms
         )
         if lifted:
-            self._audit(asked)
+            log_lift(asked)
             self._push()
         return lifted
 
@@ -239,7 +243,7 @@
 
     async def post(self) -> None:
         """Lift a request's quarantine."""
-        lifted = self.held.lift(self.decode_body(Lift))
+        lifted = await self.held.lift(self.decode_body(Lift))
         self.write_json({"lifted": lifted})
 
 
--- a/tests/cli/test_control.py
+++ b/tests/cli/test_control.py
@@ -193,6 +193,41 @@
     asyncio.run(run())
 
 
+def test_top_ups_and_lifts_are_in_the_trail(
+    capsys: pytest.CaptureFixture[str],
+) -> None:
+    async def run() -> None:
+        async with fleet.open_fleet() as made:
+            entry = made.start_entry("e0", "z0", [])
+            store = ["--store", made.store.address]
+            words = ["top-up", "b", "5", "--id", "p1", "--author", "ann"]
+            for _ in range(2):
+                code = await asyncio.to_thread(main.run, [*words, *store])
+                assert code == protocol.EXIT_OK
+            lift = {"fingerprint": "f", "author": "bob", "origin": "desk"}
+            url = f"http://{entry.peer_address}/peer/quarantine/lift"
+            found = await made.client.call(url, lift, dict[str, bool], 5.0)
+            assert found == {"lifted": False}
+            # An act that can't be recorded isn't carried out.
+            made.table.faults = [fleet.DOWN]
+            with pytest.raises(base_errors.CodedError):
+                await made.client.call(url, lift, dict[str, bool], 5.0)
+            made.table.faults = []
+            trails = await history.read_history(made.store_client)
+            assert not trails.faults
+            shown = [
+                (record["kind"], record["author"], record["after"]["state"])
+                for record in trails.select(history.Filter())
+            ]
+            assert shown == [
+                *[("top-up", "ann", "begun"), ("top-up", "ann", "done")] * 2,
+                ("quarantine-lift", "bob", "begun"),
+                ("quarantine-lift", "bob", "done"),
+            ]
+
+    asyncio.run(run())
+
+
 @pytest.mark.parametrize("how", ["segment", "record", "revision", "tail"])
 def test_broken_trail_shows(
     how: str, capsys: pytest.CaptureFixture[str]
