--- a/src/cyclamenwing/cli/main.py
+++ b/src/cyclamenwing/cli/main.py
@@ -16,6 +16,7 @@
 from cyclamenwing.cli import entry
 from cyclamenwing.cli import epilogs
 from cyclamenwing.cli import explain
+from cyclamenwing.cli import order
 from cyclamenwing.cli import protocol
 from cyclamenwing.cli import publish
 from cyclamenwing.cli import quarantine
@@ -33,6 +34,7 @@
     sidecar.SidecarCommand(),
     check.CheckCommand(),
     publish.PublishCommand(),
+    order.OrderCommand(),
     audit.AuditCommand(),
     status.StatusCommand(),
     topup.TopUpCommand(),
--- a/src/cyclamenwing/entry/app.py
+++ b/src/cyclamenwing/entry/app.py
@@ -12,6 +12,7 @@
 from cyclamenwing.budget import exchange as budget_exchange
 from cyclamenwing.budget import layout
 from cyclamenwing.budget import sizing
+from cyclamenwing.entry import acts
 from cyclamenwing.entry import blackboard
 from cyclamenwing.entry import callers
 from cyclamenwing.entry import catalog
@@ -24,6 +25,7 @@
 from cyclamenwing.entry import limits
 from cyclamenwing.entry import membership
 from cyclamenwing.entry import metrics
+from cyclamenwing.entry import orders
 from cyclamenwing.entry import quarantine
 from cyclamenwing.entry import recovery
 from cyclamenwing.entry import reports
@@ -67,7 +69,7 @@
         self._transfers = transfers.Transfers(self.board, self._client)
         self._money = self._make_funding()
         held = quarantine.Quarantine(
-            self.board, self._client, quarantine.log_lift
+            self.board, self._client, acts.LiftRecorder(self._store)
         )
         choice = dispatch.Dispatch(
             self.board,
@@ -94,6 +96,7 @@
                 settings.get("hosts"),
             ),
             following,
+            orders.OrderService(self.board, self._store, self._client),
             inquiry.Inquiry(self.board),
             self._claims,
             choice,
--- a/src/cyclamenwing/sidecar/app.py
+++ b/src/cyclamenwing/sidecar/app.py
@@ -15,7 +15,9 @@
 from cyclamenwing.sidecar import handlers
 from cyclamenwing.sidecar import membership
 from cyclamenwing.sidecar import observation
+from cyclamenwing.sidecar import orders
 from cyclamenwing.sidecar import quarantine
+from cyclamenwing.store import client as store_client
 from cyclamenwing.transport import client
 from cyclamenwing.transport import part
 from cyclamenwing.transport import server
@@ -68,6 +70,13 @@
             handlers.RunService(self.board, self.execution),
             closing.Closing(self.accounts),
             observed,
+            orders.OrderService(
+                self.board,
+                self._rules,
+                store_client.StoreClient(self._client, settings["store"]),
+                self._client,
+                settings["endpoint"],
+            ),
             self._membership,
             operators.OperatorsPort(
                 settings.get("operators"),
