--- a/src/cyclamenwing/demo/plan.py
+++ b/src/cyclamenwing/demo/plan.py
@@ -12,6 +12,7 @@
 from cyclamenwing.catalog import types as catalog_types
 from cyclamenwing.settings import documents
 from cyclamenwing.settings import errors
+from cyclamenwing.settings import loader
 
 PLAN_FILE = "demo.json"
 CALLER_KEY = "demo-caller-key"
@@ -53,10 +54,7 @@
         document = documents.read_document(folder / PLAN_FILE)
         found = documents.check_document(document, _SCHEMA, "settings_schema")
         collected = collection.collect_files([folder])
-        faults = [*found, *collected.findings]
-        if faults:
-            text = "\n".join(str(fault) for fault in faults)
-            raise errors.SettingsSchemaError(text)
+        loader.raise_findings([*found, *collected.findings])
         file = cast(PlanFile, document.data)
         return cls(**file, files=[made.file for made in collected.files])
 
--- a/src/cyclamenwing/settings/loader.py
+++ b/src/cyclamenwing/settings/loader.py
@@ -6,6 +6,7 @@
 import pathlib
 from collections.abc import Callable
 from collections.abc import Iterator
+from collections.abc import Sequence
 from typing import Any
 from typing import NamedTuple
 from typing import TypeVar
@@ -62,17 +63,22 @@
         ) from err
 
 
+def raise_findings(found: Sequence[documents.Finding]) -> None:
+    """Raise the first finding's error, with the others below it."""
+    if not found:
+        return
+    first = found[0]
+    kind = _FAULTS.get(first.code, errors.SettingsSchemaError)
+    text = "\n".join([first.message, *(str(item) for item in found[1:])])
+    raise kind(text, first.file, first.line)
+
+
 def _load(path: pathlib.Path, schema: dict[str, Any]) -> documents.Document:
     document = documents.read_document(path)
     found = documents.check_document(document, schema, "settings_schema")
     if not found:
         found = sorted(_check_addresses(document))
-    if found:
-        raise _FAULTS[found[0].code](
-            "\n".join([found[0].message, *(str(item) for item in found[1:])]),
-            found[0].file,
-            found[0].line,
-        )
+    raise_findings(found)
     return document
 
 
@@ -132,4 +138,5 @@
     "bind_role",
     "load_entry",
     "load_sidecar",
+    "raise_findings",
 )
--- /dev/null
+++ b/tests/examples/test_examples.py
@@ -0,0 +1,80 @@
+from __future__ import annotations
+
+import asyncio
+import pathlib
+
+import pytest
+
+from cyclamenwing.catalog import collection
+from cyclamenwing.catalog import findings
+from cyclamenwing.catalog import index
+from cyclamenwing.demo import fleet
+from cyclamenwing.demo import plan as demo_plan
+from cyclamenwing.demo import tour
+from cyclamenwing.settings import loader
+
+ROOT = pathlib.Path(__file__).parents[2] / "examples"
+# Zones, model replicas and service replicas of each user.
+SIZES = {"bundesstelle": (4, 10, 4), "matkaraha": (3, 6, 3)}
+EXAMPLES = sorted(path.name for path in ROOT.iterdir())
+
+
+def test_each_user_has_an_example() -> None:
+    assert set(EXAMPLES) == set(SIZES)
+
+
+@pytest.mark.parametrize("name", EXAMPLES)
+def test_files_are_sound(name: str) -> None:
+    collected = collection.collect_files([ROOT / name])
+    assert collected.findings == []
+    assert findings.find_faults(collected.files, {}) == []
+    settings = ROOT / name / "settings"
+    entries = [
+        loader.load_entry(path).settings
+        for path in settings.glob("entry-*.json")
+    ]
+    sidecars = [
+        loader.load_sidecar(path).settings
+        for path in settings.glob("sidecar-*.json")
+    ]
+    plan = demo_plan.Plan.from_folder(ROOT / name)
+    assert sorted(entry["zone"] for entry in entries) == plan.zones
+    peers = {entry["peers"] for entry in entries}
+    for each in [*entries, *sidecars]:
+        assert set(each["entries"]) == peers
+    for sidecar in sidecars:
+        plan.find_route(sidecar["route"])
+
+
+@pytest.mark.parametrize("name", EXAMPLES)
+def test_sizes_are_those_of_today(name: str) -> None:
+    plan = demo_plan.Plan.from_folder(ROOT / name)
+    replicas = {"chat": 0, "plain": 0}
+    for item in plan.endpoints:
+        protocol = plan.find_route(item["route"])["protocol"]
+        replicas[protocol] += item["replicas"]
+    sizes = (len(plan.zones), *replicas.values())
+    assert sizes == SIZES[name]
+    known = index.Index({
+        "revision": 1,
+        "services": {file["service"]: file for file in plan.files},
+    })
+    assert len(known.workspaces) == 10
+    assert set(plan.paid) == set(known.budgets)
+    for workspace, key in plan.keys.items():
+        found = known.find_workspace(key)
+        assert found is not None
+        assert found["name"] == workspace
+
+
+@pytest.mark.parametrize("name", EXAMPLES)
+def test_example_runs(name: str) -> None:
+    async def run() -> list[str]:
+        plan = demo_plan.Plan.from_folder(ROOT / name)
+        made = await fleet.Fleet.start(plan=plan)
+        try:
+            return await tour.run_routes(made)
+        finally:
+            await made.close()
+
+    assert asyncio.run(run()) == []
