Ship one binary, built without a network

Cause: there was no file to ship. PyInstaller's one file runs as two processes and is ruled out; a plain zip can't hold native modules.

--- a/Makefile
+++ b/Makefile
@@ -13,9 +13,9 @@
 	$(BIN)/python -m pytest
 
 check: $(STAMP)
-	$(BIN)/ruff format --check src tests
-	$(BIN)/ruff check src tests
-	$(BIN)/flake8 src tests
+	$(BIN)/ruff format --check src tests tools
+	$(BIN)/ruff check src tests tools
+	$(BIN)/flake8 src tests tools
 	$(BIN)/mypy
 
 $(STAMP): requirements.lock pyproject.toml
@@ -24,6 +24,18 @@
 	$(BIN)/pip install -q --no-deps --no-build-isolation -e .
 	touch $(STAMP)
 
+binary: $(STAMP)
+	rm -rf build dist
+	mkdir dist
+	$(BIN)/python tools/collect.py requirements-run.lock build/site
+	$(BIN)/pip install -q --no-deps --no-build-isolation --no-index \
+		--no-compile --target build/site .
+	$(BIN)/shiv --site-packages build/site -c cyclamenwing --compressed \
+		--reproducible -o dist/cyclamenwing
+
+smoke: binary
+	$(BIN)/python tools/smoke.py dist/cyclamenwing
+
 lock:
 	$(BIN)/pip-compile $(LOCK_FLAGS) -o requirements.lock requirements-dev.in
 	$(BIN)/pip-compile $(LOCK_FLAGS) -c requirements.lock \
