--- a/src/cyclamenwing/catalog/errors.py
+++ b/src/cyclamenwing/catalog/errors.py
@@ -32,6 +32,13 @@
     status = 500
 
 
+class DeltaMismatchError(CatalogError):
+    """Report a delta that doesn't lead to the stated revision."""
+
+    code = "delta_mismatch"
+    status = 502
+
+
 class MalformedCatalogError(CatalogError):
     """Report a stored revision that can't be read."""
 
@@ -43,6 +50,7 @@
     "AuditBrokenError",
     "CatalogError",
     "CatalogInvalidError",
+    "DeltaMismatchError",
     "MalformedCatalogError",
     "PublishConflictError",
 )
--- a/src/cyclamenwing/entry/app.py
+++ b/src/cyclamenwing/entry/app.py
@@ -16,6 +16,7 @@
 from cyclamenwing.entry import callers
 from cyclamenwing.entry import catalog
 from cyclamenwing.entry import claims
+from cyclamenwing.entry import closing
 from cyclamenwing.entry import departures
 from cyclamenwing.entry import dispatch
 from cyclamenwing.entry import exchange
@@ -25,9 +26,12 @@
 from cyclamenwing.entry import membership
 from cyclamenwing.entry import metrics
 from cyclamenwing.entry import quarantine
+from cyclamenwing.entry import recovery
+from cyclamenwing.entry import reports
 from cyclamenwing.entry import serving
 from cyclamenwing.entry import sessions
 from cyclamenwing.entry import transfers
+from cyclamenwing.entry import witnesses
 from cyclamenwing.membership import news
 from cyclamenwing.metrics import operators
 from cyclamenwing.routing import scoring
@@ -78,6 +82,9 @@
         self._service = serving.Serving(
             self.board, self._money, choice, self._client, self._claims
         )
+        following = catalog.CatalogWatch(
+            self.board, self._store, self._client, settings["entries"]
+        )
         sources: list[news.Source] = [choice, held, leaving]
         self._parts: list[part.Part] = [
             membership.Membership(
@@ -86,8 +93,10 @@
                 settings["entries"],
                 lambda: self.peer_address,
                 sources,
+                following,
+                settings.get("hosts"),
             ),
-            catalog.CatalogWatch(self.board, self._store),
+            following,
             inquiry.Inquiry(self.board),
             self._claims,
             choice,
@@ -95,6 +104,8 @@
             sessions.Sessions(self.board, self._store),
             self._transfers,
             self._money,
+            reports.Reports(self.board, self._client),
+            self._make_recovery(),
             self._open_operators(),
         ]
         self._callers = self._listen_callers()
@@ -130,7 +141,7 @@
         size = sizing.Sizing.from_weight(
             settings.get("budget_weight", sizing.DEFAULT_WEIGHT)
         )
-        ledger = exchange.Exchange(
+        self._ledger = exchange.Exchange(
             self.board,
             budget_exchange.ExchangeController(size),
             coordinator.Coordinator(
@@ -140,7 +151,12 @@
             self._store,
             settings.get("ledger_shards", layout.DEFAULT_SHARDS),
         )
-        return funding.Funding(self.board, ledger, self._transfers, size)
+        return funding.Funding(self.board, self._ledger, self._transfers, size)
+
+    def _make_recovery(self) -> recovery.Recovery:
+        asked = witnesses.Witnesses(self.board, self._client, self._transfers)
+        steps = closing.Closing(self._ledger, self._store, asked)
+        return recovery.Recovery(self.board, self._store, asked, steps)
 
     def _open_operators(self) -> operators.OperatorsPort:
         board = self.board
--- a/src/cyclamenwing/entry/blackboard.py
+++ b/src/cyclamenwing/entry/blackboard.py
@@ -5,6 +5,7 @@
 import dataclasses
 
 from cyclamenwing.budget import account
+from cyclamenwing.catalog import adoption
 from cyclamenwing.catalog import index
 from cyclamenwing.membership import view
 from cyclamenwing.metrics import recorder
@@ -29,6 +30,9 @@
     catalog: index.Index = dataclasses.field(
         default_factory=lambda: index.Index({"revision": 0, "services": {}})
     )
+    adoption: adoption.AdoptionBoard = dataclasses.field(
+        default_factory=adoption.AdoptionBoard
+    )
     members: view.MemberBoard = dataclasses.field(
         default_factory=view.MemberBoard
     )
--- a/src/cyclamenwing/entry/serving.py
+++ b/src/cyclamenwing/entry/serving.py
@@ -26,9 +26,11 @@
 from cyclamenwing.request import types
 from cyclamenwing.routing import prefix
 from cyclamenwing.routing import types as routing_types
+from cyclamenwing.store import errors as store_errors
 from cyclamenwing.transport import protocol as transport
 
 MAX_CLAIM_ROUNDS = 5
+FIND_AGAIN_AFTER_S = 0.05
 
 
 class Serving:
@@ -88,25 +90,47 @@
         self, accepted: admission.Accepted, sink: sinks.Sink
     ) -> None:
         task = self._make_task(accepted, sink)
-        address = await self._finder.find(accepted)
-        if address is not None:
-            self._note(accepted, "found", sidecar=address)
-            if await self._attach(task, address):
-                return
-            task.answer.restart()
-        await self._run(task, tickets.PaidTicket(accepted, self._money))
+        search = await self._finder.find(accepted)
+        if await self._attach(task, search):
+            return
+        try:
+            await self._run(task, tickets.PaidTicket(accepted, self._money))
+        except base_errors.CodedError as err:
+            if err.run != "not_run" or search.whole:
+                raise
+            # An endpoint out of reach may have run the key before.
+            made = errors.OutcomeUnknownError(err.message, "unknown")
+            raise made from err
 
-    async def _attach(self, task: attempts.Task, address: str) -> bool:
+    async def _attach_after_wait(
+        self, task: attempts.Task, entered_at: float
+    ) -> bool:
+        """Look again for a key that another entry may have run meanwhile."""
+        accepted = task.accepted
+        waited_s = time.monotonic() - entered_at
+        if not accepted.keyed or waited_s < FIND_AGAIN_AFTER_S:
+            return False
+        if not accepted.idempotent:
+            return False
+        return await self._attach(task, await self._finder.find(accepted))
+
+    async def _attach(
+        self, task: attempts.Task, search: finder.Search
+    ) -> bool:
         """Follow a run that was found; False means to run it anew."""
+        if search.address is None:
+            return False
         query = attempts.make_query(task.accepted, "", 0)
+        self._note(task.accepted, "found", sidecar=search.address)
         try:
-            await self._attempts.attach(task, address, query)
+            await self._attempts.attach(task, search.address, query)
         except base_errors.CodedError as err:
             failure = attempts.classify_failure(err)
             if failure.kind == "final" and err.code != "run_not_found":
                 raise
+            task.answer.restart()
             return False
-        self._note(task.accepted, "attached", sidecar=address)
+        self._note(task.accepted, "attached", sidecar=search.address)
         return True
 
     async def _serve_claimed(
@@ -119,26 +143,67 @@
             ticket = tickets.ClaimTicket(
                 accepted, self._money, self._claims, self._board, replaces
             )
-            try:
-                await self._run(task, ticket)
-            except tickets.ClaimedError as err:
-                self._note(accepted, "claimed_before", claim=err.claim)
-                replaces = await self._claimed.answer(task, err.claim, copy)
-                if replaces:
-                    continue
-                if err.claim["phase"] == "claimed":
-                    self._record(accepted, err.claim["attempt"], copy)
+            claim = await self._run_claimed(task, ticket, replaces)
+            if claim is None:
+                self._record(accepted, ticket.attempt, copy)
+                return
+            self._note(accepted, "claimed_before", claim=claim)
+            replaces = await self._claimed.answer(task, claim, copy)
+            if not replaces:
+                self._record(accepted, claim["attempt"], copy)
                 return
-            self._record(accepted, ticket.attempt, copy)
-            return
         raise errors.OutcomeUnknownError("the claim keeps moving", "unknown")
 
+    async def _run_claimed(
+        self,
+        task: attempts.Task,
+        ticket: tickets.ClaimTicket,
+        replaces: int,
+    ) -> claims.Claim | None:
+        """Run under a claim; return an earlier one that hinders it."""
+        try:
+            await self._run(task, ticket)
+        except tickets.ClaimedError as err:
+            return err.claim
+        except base_errors.CodedError as err:
+            if err.run != "not_run":
+                raise
+            if await self._attach_without_store(task, err):
+                return None
+            found = await self._find_earlier(task, replaces)
+            if found is None:
+                raise
+            return found
+        return None
+
+    async def _attach_without_store(
+        self, task: attempts.Task, error: base_errors.CodedError
+    ) -> bool:
+        """Answer a repeated key from its sidecar while the store is down."""
+        if not isinstance(error, store_errors.StoreError):
+            return False
+        return await self._attach(task, await self._finder.find(task.accepted))
+
+    async def _find_earlier(
+        self, task: attempts.Task, replaces: int
+    ) -> claims.Claim | None:
+        """Return a claim that makes "not run" untrue, if there is one."""
+        try:
+            claim = await self._claims.find(task.accepted.key)
+        except base_errors.CodedError:
+            return None
+        if claim is None or claim["phase"] == "not_run":
+            return None
+        return None if claim["attempt"] == replaces else claim
+
     def _record(
         self,
         accepted: admission.Accepted,
         attempt: int,
         copy: sinks.RecordingSink,
     ) -> None:
+        if not attempt:
+            return
         self._claims.record({
             "op": "end",
             "key": accepted.key,
@@ -152,36 +217,34 @@
         self, task: attempts.Task, ticket: tickets.PaidTicket
     ) -> None:
         accepted = task.accepted
+        entered_at = time.monotonic()
         await self._dispatch.enter(task.job)
         try:
+            if await self._attach_after_wait(task, entered_at):
+                return
             outcome = await self._attempts.run(task, ticket)
         except base_errors.CodedError as err:
             self._note(accepted, "failed", **err.describe())
             self._settle_failed(task, ticket, err)
             if err.run == "not_run":
-                await self._withdraw(task, ticket, err)
+                await self._withdraw(ticket, err)
             raise
         finally:
             self._dispatch.leave(task.job)
         self._settle(task, ticket, outcome)
 
     async def _withdraw(
-        self,
-        task: attempts.Task,
-        ticket: tickets.PaidTicket,
-        error: base_errors.CodedError,
+        self, ticket: tickets.PaidTicket, error: base_errors.CodedError
     ) -> None:
         """Give the claim back, so that "not run" stays true."""
         if isinstance(error, tickets.ClaimedError):
             return
         try:
-            kept = await ticket.withdraw()
+            await ticket.withdraw()
+        except tickets.ClaimedError:
+            raise
         except base_errors.CodedError as err:
             raise errors.OutcomeUnknownError(err.message, "unknown") from error
-        if not kept:
-            raise errors.OutcomeUnknownError(
-                "another attempt took the request over", "unknown"
-            ) from error
 
     def _settle(
         self,
@@ -226,8 +289,9 @@
         return attempts.Task(accepted, job, answer, progress)
 
     def _make_job(self, accepted: admission.Accepted) -> routing_types.Job:
+        # Two submissions of one key are two jobs.
         return routing_types.Job(
-            accepted.request,
+            accepted.submission,
             accepted.workspace["name"],
             accepted.route["name"],
             accepted.route.get("priority", "interactive"),
