--- a/src/cyclamenwing/cli/epilogs.py
+++ b/src/cyclamenwing/cli/epilogs.py
@@ -47,6 +47,21 @@
 
 Two publishings of different services never conflict; of the same service,
 the later one is refused with the other's author and change.
+""",
+    "audit": """\
+examples:
+  cyclamenwing audit --store 127.0.0.1:2379 --service records
+  cyclamenwing audit --store 127.0.0.1:2379 --json
+
+The records are chained by digests; exit code 1 if one is missing or
+changed.
+""",
+    "status": """\
+examples:
+  cyclamenwing status --entry 127.0.0.1:8081 --entry 127.0.0.1:8181
+  cyclamenwing status --entry 127.0.0.1:8081 --json
+
+Shows which revision is in force where; exit code 1 if a process is missing.
 """,
     "top-up": """\
 examples:
--- a/src/cyclamenwing/transport/client.py
+++ b/src/cyclamenwing/transport/client.py
@@ -70,10 +70,12 @@
         self._error: errors.TransportError | None = None
         self._status = 0
         self._headers: dict[str, str] = {}
+        self._hear()
+        self._watch(self._silence_s)
 
     async def read_head(self) -> protocol.Head:
         """Wait for the status line and headers."""
-        return await self._head
+        return await asyncio.shield(self._head)
 
     async def read_chunks(self) -> AsyncIterator[bytes]:
         """Yield chunks as they arrive."""
@@ -96,7 +98,6 @@
         """Attach this stream to a transfer."""
         self._curl = curl
         self._hear()
-        self._watch(self._silence_s)
         curl.setopt(pycurl.WRITEFUNCTION, self._write)
         curl.setopt(pycurl.NOPROGRESS, 0)
         curl.setopt(pycurl.XFERINFOFUNCTION, self._check_closed)
