--- a/src/cyclamenwing/cli/epilogs.py
+++ b/src/cyclamenwing/cli/epilogs.py
@@ -106,8 +106,8 @@
 """,
     "bench": """\
 examples:
-  cyclamenwing bench capacity --json
-  cyclamenwing bench capacity --save capacity.json
+  cyclamenwing bench latency --json
+  cyclamenwing bench latency --save latency.json
 
 Everything is measured on this machine with stand-ins.
 """,
