Quote the refusal when a measured stream is refused

Cause: a refused stream showed its status only. Change: the error quotes the body. Conclusion: a measurement that can't be made says why.

--- a/src/cyclamenwing/bench/streams.py
+++ b/src/cyclamenwing/bench/streams.py
@@ -81,7 +81,10 @@
         try:
             head = await stream.read_head()
             if head.status != 200:
-                raise errors.BenchError(f"{target.name}: {head.status}")
+                text = [chunk async for chunk in stream.read_chunks()]
+                raise errors.BenchError(
+                    f"{target.name}: {head.status} {b''.join(text)!r}"
+                )
             async for chunk in stream.read_chunks():
                 now = time.perf_counter()
                 arrivals += [now] * chunk.count(EVENT_END)
