--- a/src/cyclamenwing/catalog/findings.py
+++ b/src/cyclamenwing/catalog/findings.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from collections.abc import Collection
 from collections.abc import Iterable
 from collections.abc import Iterator
 from collections.abc import Mapping
@@ -29,14 +30,20 @@
 def find_faults(
     collected: Sequence[collection.Collected],
     in_force: Mapping[str, types.ServiceFile],
+    removals: Collection[str] = (),
 ) -> list[documents.Finding]:
-    """Return the faults that the files bring with them.
+    """Return the faults that the files and removals bring with them.
 
     A fault that the revision in force has already is not reported.
     """
     found = set(_find_duplicate_services(collected))
     found.update(_find_too_large(collected))
-    found.update(_check_items(merge.list_items(collected, in_force)))
+    left = {
+        service: file
+        for service, file in in_force.items()
+        if service not in removals
+    }
+    found.update(_check_items(merge.list_items(collected, left)))
     return sorted(found - _check_items(merge.list_items([], in_force)))
 
 
@@ -221,6 +228,29 @@
                 )
 
 
+def _find_unfunded_routes(items: Items) -> Findings:
+    budgets = {item.name: item.data for item in _select(items, "budgets")}
+    workspaces = _select(items, "workspaces")
+    for item in _select(items, "routes"):
+        if item.data["protocol"] != "chat":
+            continue
+        kind = item.data.get("kind", "completion")
+        admitted = set(item.data["workspaces"])
+        for workspace in workspaces:
+            if not admitted & {index.ANY_WORKSPACE, workspace.name}:
+                continue
+            rules = [budgets.get(name) for name in workspace.data["budgets"]]
+            kinds = [rule.get("kind", kind) for rule in rules if rule]
+            # A budget that is missing is a finding of its own.
+            if kind not in kinds and None not in rules:
+                yield item.make_finding(
+                    "unfunded_route",
+                    f"no budget of workspace {workspace.name!r} in"
+                    f" {workspace.describe()} pays for {kind!r} of route"
+                    f" {item.name!r}",
+                )
+
+
 def _select(items: Items, section: str) -> list[merge.Item]:
     return [item for item in items if item.section == section]
 
@@ -246,6 +276,7 @@
     _find_contradictory_routes,
     _find_contradictory_calls,
     _find_contradictory_budgets,
+    _find_unfunded_routes,
 )
 
 __all__ = (
--- a/src/cyclamenwing/cli/bench.py
+++ b/src/cyclamenwing/cli/bench.py
@@ -8,15 +8,19 @@
 
 from cyclamenwing.bench import budget
 from cyclamenwing.bench import capacity
+from cyclamenwing.bench import latency
 from cyclamenwing.bench import protocol as bench_protocol
 from cyclamenwing.bench import report
+from cyclamenwing.bench import routing
 from cyclamenwing.bench import tables
 from cyclamenwing.cli import protocol
 
 BENCHES: tuple[bench_protocol.Bench, ...] = (
     budget.BudgetBench(),
     capacity.CapacityBench(),
+    latency.LatencyBench(),
     report.ReportBench(),
+    routing.RoutingBench(),
 )
 
 
--- a/src/cyclamenwing/cli/main.py
+++ b/src/cyclamenwing/cli/main.py
@@ -3,21 +3,27 @@
 from __future__ import annotations
 
 import argparse
+import os
 import sys
 from collections.abc import Sequence
 
 import cyclamenwing
 from cyclamenwing import errors
+from cyclamenwing.cli import audit
 from cyclamenwing.cli import bench
 from cyclamenwing.cli import check
 from cyclamenwing.cli import demo
 from cyclamenwing.cli import entry
+from cyclamenwing.cli import epilogs
 from cyclamenwing.cli import explain
+from cyclamenwing.cli import order
 from cyclamenwing.cli import protocol
 from cyclamenwing.cli import publish
+from cyclamenwing.cli import quarantine
 from cyclamenwing.cli import replay
 from cyclamenwing.cli import sidecar
 from cyclamenwing.cli import standin
+from cyclamenwing.cli import status
 from cyclamenwing.cli import topup
 from cyclamenwing.settings import errors as settings_errors
 from cyclamenwing.store import errors as store_errors
@@ -28,8 +34,12 @@
     sidecar.SidecarCommand(),
     check.CheckCommand(),
     publish.PublishCommand(),
+    order.OrderCommand(),
+    audit.AuditCommand(),
+    status.StatusCommand(),
     topup.TopUpCommand(),
     explain.ExplainCommand(),
+    quarantine.QuarantineCommand(),
     standin.StandinCommand(),
     demo.DemoCommand(),
     replay.ReplayCommand(),
@@ -38,6 +48,7 @@
 
 _EXIT_CODES: tuple[tuple[type[errors.CodedError], int], ...] = (
     (settings_errors.SettingsError, protocol.EXIT_INVALID),
+    (transport_errors.BindFailedError, protocol.EXIT_INVALID),
     (store_errors.StoreError, protocol.EXIT_UNAVAILABLE),
     (transport_errors.TransportError, protocol.EXIT_UNAVAILABLE),
 )
@@ -48,6 +59,8 @@
     parser = argparse.ArgumentParser(
         prog="cyclamenwing",
         description="Router fleet for prepaid token budgets.",
+        epilog=epilogs.PROGRAM,
+        formatter_class=argparse.RawDescriptionHelpFormatter,
     )
     parser.add_argument(
         "--version", action="version", version=cyclamenwing.__version__
@@ -55,7 +68,11 @@
     commands = parser.add_subparsers(dest="command", required=True)
     for command in COMMANDS:
         made = commands.add_parser(
-            command.NAME, help=command.HELP, description=command.HELP
+            command.NAME,
+            help=command.HELP,
+            description=f"{command.HELP[0].upper()}{command.HELP[1:]}.",
+            epilog=epilogs.COMMANDS.get(command.NAME),
+            formatter_class=argparse.RawDescriptionHelpFormatter,
         )
         command.add_arguments(made)
         made.set_defaults(run=command.run)
@@ -67,9 +84,22 @@
     args = make_parser().parse_args(arguments)
     try:
         return int(args.run(args))
+    except settings_errors.SettingsError as err:
+        # The message names file, line and code already.
+        print(err.message, file=sys.stderr)
+        return find_exit_code(err)
     except errors.CodedError as err:
         print(f"{err.code}: {err.message}", file=sys.stderr)
         return find_exit_code(err)
+    except BrokenPipeError:
+        # The reader of standard output, such as head, has seen enough.
+        sys.stdout = open(os.devnull, "w")  # noqa: SIM115
+        return protocol.EXIT_FAILED
+    except OSError as err:
+        print(f"system_error: {err}", file=sys.stderr)
+        return protocol.EXIT_FAILED
+    except KeyboardInterrupt:
+        return protocol.EXIT_INTERRUPTED
 
 
 def find_exit_code(error: errors.CodedError) -> int:
--- a/src/cyclamenwing/entry/app.py
+++ b/src/cyclamenwing/entry/app.py
@@ -12,18 +12,20 @@
 from cyclamenwing.budget import exchange as budget_exchange
 from cyclamenwing.budget import layout
 from cyclamenwing.budget import sizing
+from cyclamenwing.entry import acts
 from cyclamenwing.entry import blackboard
 from cyclamenwing.entry import callers
 from cyclamenwing.entry import catalog
 from cyclamenwing.entry import claims
 from cyclamenwing.entry import closing
-from cyclamenwing.entry import departures
 from cyclamenwing.entry import dispatch
 from cyclamenwing.entry import exchange
 from cyclamenwing.entry import funding
 from cyclamenwing.entry import inquiry
+from cyclamenwing.entry import limits
 from cyclamenwing.entry import membership
 from cyclamenwing.entry import metrics
+from cyclamenwing.entry import orders
 from cyclamenwing.entry import quarantine
 from cyclamenwing.entry import recovery
 from cyclamenwing.entry import reports
@@ -37,6 +39,8 @@
 from cyclamenwing.settings import types as settings_types
 from cyclamenwing.store import client as store_client
 from cyclamenwing.transport import client
+from cyclamenwing.transport import gate
+from cyclamenwing.transport import intake
 from cyclamenwing.transport import part
 from cyclamenwing.transport import server
 
@@ -65,21 +69,22 @@
         self._transfers = transfers.Transfers(self.board, self._client)
         self._money = self._make_funding()
         held = quarantine.Quarantine(
-            self.board, self._client, quarantine.log_lift
+            self.board, self._client, acts.LiftRecorder(self._store)
         )
-        leaving = departures.Departures(self.board)
         choice = dispatch.Dispatch(
             self.board,
             scoring.ScoringPolicy(settings["zone"]),
             held,
-            leaving,
             random.Random(),
         )
         self._claims = claims.Claims(self._store)
         self._service = serving.Serving(
             self.board, self._money, choice, self._client, self._claims
         )
-        sources: list[news.Source] = [choice, held, leaving]
+        following = catalog.CatalogWatch(
+            self.board, self._store, self._client, settings["entries"]
+        )
+        sources: list[news.Source] = [choice, held]
         self._parts: list[part.Part] = [
             membership.Membership(
                 self.board,
@@ -87,8 +92,11 @@
                 settings["entries"],
                 lambda: self.peer_address,
                 sources,
+                following,
+                settings.get("hosts"),
             ),
-            catalog.CatalogWatch(self.board, self._store),
+            following,
+            orders.OrderService(self.board, self._store, self._client),
             inquiry.Inquiry(self.board),
             self._claims,
             choice,
@@ -181,6 +189,11 @@
                 (r"/services/([^/]+)(/.*)", callers.PlainHandler, options),
             ]),
             self._settings["listen"],
+            limits.CallerGate(
+                self.board,
+                self._settings.get("max_body_bytes", gate.MAX_BODY_BYTES),
+            ),
+            self._settings.get("body_timeout_s", intake.BODY_TIMEOUT_S),
         )
 
     def _listen_peers(self) -> server.Listener:
--- a/src/cyclamenwing/entry/attempts.py
+++ b/src/cyclamenwing/entry/attempts.py
@@ -5,7 +5,6 @@
 import asyncio
 import functools
 import time
-from collections.abc import Callable
 from typing import NamedTuple
 from typing import Protocol
 
@@ -15,12 +14,12 @@
 from cyclamenwing.entry import admission
 from cyclamenwing.entry import blackboard
 from cyclamenwing.entry import dispatch
+from cyclamenwing.entry import failures
 from cyclamenwing.entry import follower
 from cyclamenwing.request import attempts
 from cyclamenwing.request import errors
 from cyclamenwing.request import types
 from cyclamenwing.routing import types as routing_types
-from cyclamenwing.transport import errors as transport_errors
 from cyclamenwing.transport import protocol as transport
 
 SILENCE_S = 3.0
@@ -102,12 +101,14 @@
                 {},
                 body,
                 SILENCE_S,
-                progress.resumes > 0,
+                True,
             )
             try:
                 return await task.answer.follow(stream)
             except base_errors.CodedError as err:
-                failure = classify_failure(err)
+                if task.answer.offset > offset:
+                    self._controller.advance(progress)
+                failure = failures.classify_failure(err)
                 step = self._controller.decide(
                     progress, failure, time.monotonic()
                 )
@@ -165,9 +166,12 @@
     ) -> types.Outcome | None:
         """Send and resume; None means to try elsewhere."""
         while True:
+            before = task.answer.offset
             try:
                 return await self._send(task, candidate, permit)
             except base_errors.CodedError as err:
+                if task.answer.offset > before:
+                    self._controller.advance(task.progress)
                 step = self._decide(task, candidate, err)
             if step.error is not None:
                 raise step.error
@@ -200,7 +204,9 @@
             {},
             msgspec.json.encode(order),
             SILENCE_S,
-            resumed,
+            # On a kept connection the library may send twice, and a failed
+            # connect would not show that nothing was sent.
+            True,
         )
         outcome = await task.answer.follow(stream)
         task.progress.sending = False
@@ -213,10 +219,12 @@
         error: base_errors.CodedError,
     ) -> attempts.Step:
         task.progress.sending = False
-        failure = classify_failure(error)
+        failure = failures.classify_failure(error)
         step = self._controller.decide(
             task.progress, failure, time.monotonic()
         )
+        if error.code == "draining":
+            self._dispatch.note_draining(candidate.host, candidate.incarnation)
         if error.code == "endpoint_crashed":
             self._dispatch.note_crash(task.job, candidate.host)
         self._note(
@@ -266,53 +274,10 @@
     }
 
 
-def classify_failure(error: base_errors.CodedError) -> attempts.Failure:
-    """Tell what an error means for the attempt."""
-    for kind, classify in _CLASSES:
-        if isinstance(error, kind):
-            return attempts.Failure(classify(error), error)
-    return attempts.Failure("final", error)
-
-
-def _classify_refusal(
-    error: base_errors.CodedError,
-) -> attempts.FailureKind:
-    if error.code in _REFUSALS:
-        return _REFUSALS[error.code]
-    return "refused" if error.run == "not_run" else "final"
-
-
-def _classify_peer(error: base_errors.CodedError) -> attempts.FailureKind:
-    # It says nothing of an order that was sent before.
-    return "replaced" if error.run == "not_run" else "lost"
-
-
-_REFUSALS: dict[str, attempts.FailureKind] = {
-    "endpoint_crashed": "crashed",
-    "endpoint_silent": "crashed",
-    "key_reused": "final",
-    "other_incarnation": "replaced",
-    "run_not_found": "final",
-}
-_CLASSES: tuple[
-    tuple[
-        type[base_errors.CodedError],
-        Callable[[base_errors.CodedError], attempts.FailureKind],
-    ],
-    ...,
-] = (
-    (follower.RunRefusedError, _classify_refusal),
-    (transport_errors.PeerRefusedError, _classify_peer),
-    (transport_errors.ConnectFailedError, lambda _error: "unsent"),
-    (transport_errors.TransportError, lambda _error: "lost"),
-    (errors.AnswerGapError, lambda _error: "lost"),
-)
-
 __all__ = (
     "Attempts",
     "Permit",
     "Task",
     "Ticket",
-    "classify_failure",
     "make_query",
 )
--- a/src/cyclamenwing/routing/queueing.py
+++ b/src/cyclamenwing/routing/queueing.py
@@ -17,9 +17,11 @@
 BATCH_TURN = 8
 # Share of the time to a deadline that a job may spend waiting.
 WAIT_SHARE = 0.8
-RATE_WINDOW_S = 1.0
+RATE_WINDOW_S = 5.0
 RATE_SMOOTHING = 0.3
 REVIEW_INTERVAL_S = 1.0
+# A long queue is reviewed less often, so that reviews cost a bounded share.
+REVIEWED_A_SECOND = 1_000
 MIN_RETRY_AFTER_S = 1.0
 
 
@@ -43,14 +45,18 @@
 
 @dataclasses.dataclass(slots=True)
 class ServiceRate:
-    """Measure the tokens that a route completes a second while busy."""
+    """Measure the tokens completed a second while jobs wait."""
 
     tokens_per_s: float = 0.0
     done_tokens: int = 0
-    since: float = 0.0
+    since: float | None = None
 
     def note_done(self, tokens: int, now: float) -> None:
         """Count a job that left."""
+        if self.since is None:
+            # Until the first job of a busy period leaves, all fill places.
+            self.since = now
+            return
         self.done_tokens += tokens
         length_s = now - self.since
         if length_s < RATE_WINDOW_S:
@@ -61,12 +67,13 @@
                 measured - self.tokens_per_s
             )
         self.tokens_per_s = measured
-        self.restart(now)
+        self.restart()
+        self.since = now
 
-    def restart(self, now: float) -> None:
-        """Begin a new window."""
+    def restart(self) -> None:
+        """Begin anew after a time in which nothing waited."""
         self.done_tokens = 0
-        self.since = now
+        self.since = None
 
 
 class Refused(NamedTuple):
@@ -92,7 +99,10 @@
         self._queued = 0
         self._turn = 0
         self._reviewed_at = -math.inf
-        self._rate = ServiceRate()
+        self._rates = {
+            priority: ServiceRate() for priority in types.PRIORITIES
+        }
+        self._serving: set[str] = set()
 
     @property
     def queued(self) -> int:
@@ -101,12 +111,11 @@
 
     def enter(self, job: types.Job, now: float) -> None:
         """Queue a job; raise `OverloadedError` if it has no chance."""
-        if not self._queued:
-            self._rate.restart(now)
         flow = self._find_flow(job)
-        self._check_bounds(flow)
-        wait_s = self._estimate(job, flow.tokens + job.tokens)
-        _check_wait(job, wait_s, now)
+        self._check_bounds(job.priority, flow)
+        wait_s = self._estimate(job, flow.tokens)
+        if wait_s > (job.deadline - now) * WAIT_SHARE:
+            raise _make_late(job, wait_s, now)
         start = max(self._virtual[job.priority], flow.last_finish)
         flow.last_finish = start + job.tokens
         flow.tokens += job.tokens
@@ -125,11 +134,17 @@
         return None
 
     def note_done(self, job: types.Job, now: float) -> None:
-        """Count a job that left, for the rate of service."""
-        self._rate.note_done(job.tokens, now)
+        """Count a job that left, for the rate of service.
+
+        Jobs that did not wait say nothing of the rate.
+        """
+        if job.request in self._serving:
+            self._serving.remove(job.request)
+            self._rates[job.priority].note_done(job.tokens, now)
 
     def remove(self, job: types.Job) -> None:
-        """Drop a waiting job, since its caller went away."""
+        """Drop a job that waits or did not run, as its caller went away."""
+        self._serving.discard(job.request)
         flow = self._find_flow(job)
         kept = collections.deque(
             row for row in flow.waiting if row.job.request != job.request
@@ -140,7 +155,8 @@
 
     def review(self, now: float) -> list[Refused]:
         """Return the jobs whose turn can't come in time any more."""
-        if now - self._reviewed_at < REVIEW_INTERVAL_S:
+        pause_s = max(REVIEW_INTERVAL_S, self._queued / REVIEWED_A_SECOND)
+        if now - self._reviewed_at < pause_s:
             return []
         self._reviewed_at = now
         return [
@@ -153,19 +169,23 @@
     def _review_flow(
         self, priority: types.Priority, name: str, now: float
     ) -> list[Refused]:
+        rate = self._rates[priority].tokens_per_s
         flow = self._flows[priority][name]
+        others = self._list_others(priority, name)
         kept: collections.deque[Waiting] = collections.deque()
         refused: list[Refused] = []
         ahead = 0
         for row in flow.waiting:
-            tokens = ahead + row.job.tokens
-            try:
-                _check_wait(row.job, self._estimate(row.job, tokens), now)
-            except errors.OverloadedError as err:
-                refused.append(Refused(row.job, err))
-            else:
+            job = row.job
+            wait_s = 0.0
+            if rate:
+                shared = _count_shared(others, ahead + job.tokens)
+                wait_s = (shared + ahead) / rate
+            if wait_s <= (job.deadline - now) * WAIT_SHARE:
                 kept.append(row)
-                ahead = tokens
+                ahead += job.tokens
+            else:
+                refused.append(Refused(job, _make_late(job, wait_s, now)))
         self._replace(priority, name, kept, ahead)
         return refused
 
@@ -182,40 +202,38 @@
         flow.tokens = tokens
         self._end_busy_period(priority)
 
-    def _check_bounds(self, flow: Flow) -> None:
+    def _check_bounds(self, priority: types.Priority, flow: Flow) -> None:
         if (
             self._queued >= MAX_QUEUED
             or len(flow.waiting) >= MAX_QUEUED_BY_WORKSPACE
         ):
             raise errors.OverloadedError.from_wait(
-                "queue is full", max(MIN_RETRY_AFTER_S, self._drain_s())
+                "queue is full",
+                max(MIN_RETRY_AFTER_S, self._drain_s(priority)),
             )
 
-    def _drain_s(self) -> float:
+    def _drain_s(self, priority: types.Priority) -> float:
         # A tenth of the queue gone is room enough to come back.
-        rate = self._rate.tokens_per_s
-        tokens = sum(
-            flow.tokens
-            for flows in self._flows.values()
-            for flow in flows.values()
-        )
+        rate = self._rates[priority].tokens_per_s
+        tokens = sum(flow.tokens for flow in self._flows[priority].values())
         return tokens / rate / 10 if rate else MIN_RETRY_AFTER_S
 
-    def _estimate(self, job: types.Job, tokens: int) -> float:
-        """Return the seconds until a flow's first `tokens` have run."""
-        rate = self._rate.tokens_per_s
+    def _estimate(self, job: types.Job, own: int) -> float:
+        """Return the seconds until a job runs behind `own` tokens."""
+        rate = self._rates[job.priority].tokens_per_s
         if not rate:
             return 0.0
-        ahead = sum(
-            min(flow.tokens, tokens)
-            for name, flow in self._flows[job.priority].items()
-            if name != job.workspace
-        )
-        if job.priority == "batch":
-            ahead += sum(
-                flow.tokens for flow in self._flows["interactive"].values()
-            )
-        return (ahead + tokens - job.tokens) / rate
+        others = self._list_others(job.priority, job.workspace)
+        return (_count_shared(others, own + job.tokens) + own) / rate
+
+    def _list_others(
+        self, priority: types.Priority, workspace: str
+    ) -> list[int]:
+        return [
+            flow.tokens
+            for name, flow in self._flows[priority].items()
+            if name != workspace
+        ]
 
     def _order_priorities(self) -> tuple[types.Priority, ...]:
         if self._turn % BATCH_TURN == BATCH_TURN - 1:
@@ -235,6 +253,7 @@
         row = flow.waiting.popleft()
         flow.tokens -= row.job.tokens
         self._queued -= 1
+        self._serving.add(row.job.request)
         self._virtual[priority] = max(self._virtual[priority], row.start)
         self._end_busy_period(priority)
         return row.job
@@ -247,15 +266,21 @@
         if not any(flow.waiting for flow in flows.values()):
             flows.clear()
             self._virtual[priority] = 0.0
+            self._rates[priority].restart()
+
+
+def _count_shared(others: list[int], tokens: int) -> int:
+    """Return what other workspaces run beside a workspace's `tokens`."""
+    return sum([min(queued, tokens) for queued in others])
 
 
-def _check_wait(job: types.Job, wait_s: float, now: float) -> None:
-    allowed_s = (job.deadline - now) * WAIT_SHARE
-    if wait_s <= allowed_s:
-        return
-    raise errors.OverloadedError.from_wait(
+def _make_late(
+    job: types.Job, wait_s: float, now: float
+) -> errors.OverloadedError:
+    allowed_s = max(0.0, (job.deadline - now) * WAIT_SHARE)
+    return errors.OverloadedError.from_wait(
         f"turn would come in {wait_s:.0f} s, too late",
-        max(MIN_RETRY_AFTER_S, wait_s - max(0.0, allowed_s)),
+        max(MIN_RETRY_AFTER_S, wait_s - allowed_s),
     )
 
 
--- a/src/cyclamenwing/sidecar/app.py
+++ b/src/cyclamenwing/sidecar/app.py
@@ -9,12 +9,15 @@
 from cyclamenwing.settings import types as settings_types
 from cyclamenwing.sidecar import accounts
 from cyclamenwing.sidecar import blackboard
+from cyclamenwing.sidecar import catalog
 from cyclamenwing.sidecar import closing
 from cyclamenwing.sidecar import executor
 from cyclamenwing.sidecar import handlers
 from cyclamenwing.sidecar import membership
 from cyclamenwing.sidecar import observation
+from cyclamenwing.sidecar import orders
 from cyclamenwing.sidecar import quarantine
+from cyclamenwing.store import client as store_client
 from cyclamenwing.transport import client
 from cyclamenwing.transport import part
 from cyclamenwing.transport import server
@@ -37,8 +40,15 @@
         self.accounts = accounts.Accounts(
             accounts.AccountBoard(self.board.incarnation)
         )
+        self._rules = catalog.Rules(
+            self.board, settings.get("orders_checked", False)
+        )
         self.execution = executor.Executor(
-            self.board, self._client, settings["endpoint"], self.accounts
+            self.board,
+            self._client,
+            settings["endpoint"],
+            self.accounts,
+            self._rules,
         )
         observed = observation.Observation(
             self.board, self._client, settings["endpoint"]
@@ -53,11 +63,20 @@
             settings["entries"],
             lambda: self.address,
             sources,
+            self._rules,
+            settings.get("hosts"),
         )
         self._parts: list[part.Part] = [
             handlers.RunService(self.board, self.execution),
             closing.Closing(self.accounts),
             observed,
+            orders.OrderService(
+                self.board,
+                self._rules,
+                store_client.StoreClient(self._client, settings["store"]),
+                self._client,
+                settings["endpoint"],
+            ),
             self._membership,
             operators.OperatorsPort(
                 settings.get("operators"),
