Export bills, and let operators settle what is in doubt

Cause: bills could not be read out, and units in doubt stayed charged for good. Change: `bills` prints a workspace's bills and sums by budget, Reviewer and kind, and says where they differ from the ledger; `settle` lists doubts with reason and age, and bills and returns one with an audit record; budget traces are replayed by `replay`. Figures: tests/entry/test_recovery.py: the bill of a killed entry's run is exported once and adds up to the ledger. Conclusion: both read the shards as they are.

--- a/src/cyclamenwing/budget/account.py
+++ b/src/cyclamenwing/budget/account.py
@@ -96,8 +96,8 @@
     that a repeated one is answered alike; `vouched` holds the sessions
     that the store showed open once this one was open, `barred` those
     whose transfers are no longer taken; `waiting` holds the budgets
-    that requests wait for, `telling` those of transfers that the shard shall count
-    soon; `opened` is set once the session's record is in the
+    that requests wait for, `telling` those of transfers that the shard
+    shall count soon; `opened` is set once the session's record is in the
     store, `stale` once the ledger refuses the session.
 
     :param session: id of the entry's incarnation
--- a/src/cyclamenwing/cli/epilogs.py
+++ b/src/cyclamenwing/cli/epilogs.py
@@ -72,6 +72,17 @@
   cyclamenwing status --entry 127.0.0.1:8081 --json
 
 Shows which revision is in force where; exit code 1 if a process is missing.
+""",
+    "bills": """\
+examples:
+  cyclamenwing bills --workspace panels --since 2026-12-01 \\
+      --until 2027-01-01 --store 10.0.0.9:2379
+""",
+    "settle": """\
+examples:
+  cyclamenwing settle --store 10.0.0.9:2379
+  cyclamenwing settle panels-tokens entry-1/5f0c --spent 1200 \\
+      --workspace panels --store 10.0.0.9:2379
 """,
     "top-up": """\
 examples:
--- a/src/cyclamenwing/cli/main.py
+++ b/src/cyclamenwing/cli/main.py
@@ -11,6 +11,7 @@
 from cyclamenwing import errors
 from cyclamenwing.cli import audit
 from cyclamenwing.cli import bench
+from cyclamenwing.cli import bills
 from cyclamenwing.cli import check
 from cyclamenwing.cli import demo
 from cyclamenwing.cli import entry
@@ -21,6 +22,7 @@
 from cyclamenwing.cli import publish
 from cyclamenwing.cli import quarantine
 from cyclamenwing.cli import replay
+from cyclamenwing.cli import settle
 from cyclamenwing.cli import sidecar
 from cyclamenwing.cli import standin
 from cyclamenwing.cli import status
@@ -38,6 +40,8 @@
     audit.AuditCommand(),
     status.StatusCommand(),
     topup.TopUpCommand(),
+    bills.BillsCommand(),
+    settle.SettleCommand(),
     explain.ExplainCommand(),
     quarantine.QuarantineCommand(),
     standin.StandinCommand(),
--- a/src/cyclamenwing/cli/replay.py
+++ b/src/cyclamenwing/cli/replay.py
@@ -8,11 +8,15 @@
 import msgspec
 
 from cyclamenwing.cli import protocol
+from cyclamenwing.replay import budget
 from cyclamenwing.replay import protocol as replay_protocol
 from cyclamenwing.replay import routing
 from cyclamenwing.settings import errors
 
-REPLAYERS: tuple[replay_protocol.Replayer, ...] = (routing.RoutingReplayer(),)
+REPLAYERS: tuple[replay_protocol.Replayer, ...] = (
+    budget.BudgetReplayer(),
+    routing.RoutingReplayer(),
+)
 
 
 class ReplayCommand:
--- a/tests/entry/test_recovery.py
+++ b/tests/entry/test_recovery.py
@@ -9,6 +9,8 @@
 
 from cyclamenwing.budget import shard as shards
 from cyclamenwing.budget import types
+from cyclamenwing.cli import bills
+from cyclamenwing.cli import settle
 from cyclamenwing.demo import fleet
 from cyclamenwing.demo import tour
 from cyclamenwing.entry import app
@@ -72,6 +74,9 @@
                 return bool(closing) and shards.count_doubt(budget) == 0
 
             elapsed_s = await wait_for(is_back)
+            found, faults = await bills.read_all(made.store_client)
+            assert (len(found), faults) == (1, [])
+            assert await settle.list_doubts(made.store_client, 0.0) == []
             return elapsed_s, await read_budget(made)
         finally:
             await made.close()
