--- a/src/cyclamenwing/cli/bench.py
+++ b/src/cyclamenwing/cli/bench.py
@@ -6,6 +6,7 @@
 import json
 import pathlib
 
+from cyclamenwing.bench import budget
 from cyclamenwing.bench import capacity
 from cyclamenwing.bench import latency
 from cyclamenwing.bench import protocol as bench_protocol
@@ -15,6 +16,7 @@
 from cyclamenwing.cli import protocol
 
 BENCHES: tuple[bench_protocol.Bench, ...] = (
+    budget.BudgetBench(),
     capacity.CapacityBench(),
     latency.LatencyBench(),
     report.ReportBench(),
