Answer a doubtful decision with a time to come back

Cause: a decision whose sidecar was lost was refused under the transport's code and without Retry-After; a takeover after a pause before sending had a test on controllers only. Conclusion: the caller is told when to ask again, and the call runs once.

--- a/src/cyclamenwing/entry/serving.py
+++ b/src/cyclamenwing/entry/serving.py
@@ -152,7 +152,8 @@
             self._note(accepted, "claimed_before", claim=claim)
             replaces = await self._claimed.answer(task, claim, copy)
             if not replaces:
-                self._record(accepted, claim["attempt"], copy)
+                if claim["phase"] == "claimed":
+                    self._record(accepted, claim["attempt"], copy)
                 return
         raise errors.OutcomeUnknownError("the claim keeps moving", "unknown")
 
--- a/src/cyclamenwing/request/attempts.py
+++ b/src/cyclamenwing/request/attempts.py
@@ -157,7 +157,9 @@
         progress.doubtful = True
         if progress.idempotent:
             return self._go_elsewhere(progress, error, now)
-        return Step("fail", 0.0, self.conclude(progress, error))
+        message = f"{error.code}: {error.message}"
+        made = errors.OutcomeUnknownError(message, "unknown")
+        return Step("fail", 0.0, made)
 
     def _decide_final(
         self,
