--- a/src/cyclamenwing/cli/epilogs.py
+++ b/src/cyclamenwing/cli/epilogs.py
@@ -31,6 +31,16 @@
 COMMANDS: dict[str, str] = {
     "entry": _SETTINGS.format(role="entry"),
     "sidecar": _SETTINGS.format(role="sidecar"),
+    "quarantine": """\
+examples:
+  cyclamenwing quarantine list --entry 127.0.0.1:7100
+  cyclamenwing quarantine lift 0f3a5c7e9b1d2468 --entry 127.0.0.1:7100 \\
+      --store 127.0.0.1:2379
+
+A request is held once it was present at two endpoint crashes. A lift holds
+for the whole fleet and is recorded in the audit trail. Exit code 1 if the
+request was not held.
+""",
     "check": """\
 examples:
   cyclamenwing check services/
@@ -47,6 +57,21 @@
 
 Two publishings of different services never conflict; of the same service,
 the later one is refused with the other's author and change.
+""",
+    "audit": """\
+examples:
+  cyclamenwing audit --store 127.0.0.1:2379 --service records
+  cyclamenwing audit --store 127.0.0.1:2379 --json
+
+The records are chained by digests; exit code 1 if one is missing or
+changed.
+""",
+    "status": """\
+examples:
+  cyclamenwing status --entry 127.0.0.1:8081 --entry 127.0.0.1:8181
+  cyclamenwing status --entry 127.0.0.1:8081 --json
+
+Shows which revision is in force where; exit code 1 if a process is missing.
 """,
     "top-up": """\
 examples:
