--- a/src/cyclamenwing/sidecar/handlers.py
+++ b/src/cyclamenwing/sidecar/handlers.py
@@ -10,7 +10,7 @@
 
 from cyclamenwing import errors as base_errors
 from cyclamenwing.request import assembly
-from cyclamenwing.request import runs
+from cyclamenwing.request import held
 from cyclamenwing.request import types
 from cyclamenwing.sidecar import blackboard
 from cyclamenwing.sidecar import executor
@@ -21,6 +21,7 @@
 BEAT_INTERVAL_S = 1.0
 EXPIRY_INTERVAL_S = 5.0
 FOLLOWERS_POLL_S = 0.02
+UNDELIVERED_WAIT_S = 5.0
 FRAME_BYTES = 64 * 1024
 
 
@@ -40,7 +41,7 @@
 class FollowHandler(SidecarHandler):
     """Stream the frames of a run."""
 
-    async def follow(self, run: runs.Run, offset: int) -> None:
+    async def follow(self, run: held.Run, offset: int) -> None:
         """Send a run's frames from an offset to its end."""
         self._board.followers += 1
         run.followers += 1
@@ -66,7 +67,7 @@
             raise transport_errors.MalformedMessageError("bad offset")
         return int(text)
 
-    async def _follow(self, run: runs.Run, offset: int) -> None:
+    async def _follow(self, run: held.Run, offset: int) -> None:
         signal = self._execution.get_signal(run)
         opened = False
         while True:
@@ -81,6 +82,7 @@
             if closing is not None:
                 await self._send(closing)
                 await self.finish()
+                run.delivered = True
                 return
             if not await signal.wait(BEAT_INTERVAL_S):
                 await self._send({"t": "beat"})
@@ -170,7 +172,7 @@
         })
 
 
-def _make_head(run: runs.Run) -> types.Head:
+def _make_head(run: held.Run) -> types.Head:
     return {
         "t": "head",
         "status": run.status,
@@ -179,7 +181,7 @@
     }
 
 
-def _make_closing(run: runs.Run) -> types.End | types.Refusal | None:
+def _make_closing(run: held.Run) -> types.End | types.Refusal | None:
     if run.phase == "failed":
         return run.refusal
     if run.phase != "done":
@@ -227,9 +229,15 @@
         self._task = asyncio.create_task(self._expire())
 
     async def close(self) -> None:
-        """Stop dropping runs once every follower has its end."""
+        """Stop dropping runs once every follower has its end.
+
+        Answers that no entry took wait for a retry, within a bound.
+        """
         while self._board.followers:
             await asyncio.sleep(FOLLOWERS_POLL_S)
+        ends_at = time.monotonic() + UNDELIVERED_WAIT_S
+        while self._execution.has_undelivered and time.monotonic() < ends_at:
+            await asyncio.sleep(FOLLOWERS_POLL_S)
         if self._task is not None:
             self._task.cancel()
 
