--- a/src/cyclamenwing/membership/topology.py
+++ b/src/cyclamenwing/membership/topology.py
@@ -16,7 +16,7 @@
 REPORTERS = 2
 WATCHERS = 2
 MESH_INTERVAL_S = 1.0
-SPARSE_INTERVAL_S = 2.0
+SPARSE_INTERVAL_S = 2.5
 
 
 def is_mesh(entries: int) -> bool:
