Measure control beside watching and polling by every process

Cause: the targets of control (4 s, 1.2% of a core, 32 MB, 3 kB/s, store rates that grow slower than the fleet) had no figures. Change: `bench control`: real entries and sidecars on loopback, messages by the pure controllers up to 340 + 600, two other ways on the same stand-in.

--- a/src/cyclamenwing/cli/bench.py
+++ b/src/cyclamenwing/cli/bench.py
@@ -7,6 +7,7 @@
 import pathlib
 
 from cyclamenwing.bench import capacity
+from cyclamenwing.bench import control
 from cyclamenwing.bench import protocol as bench_protocol
 from cyclamenwing.bench import report
 from cyclamenwing.bench import routing
@@ -15,6 +16,7 @@
 
 BENCHES: tuple[bench_protocol.Bench, ...] = (
     capacity.CapacityBench(),
+    control.ControlBench(),
     report.ReportBench(),
     routing.RoutingBench(),
 )
