--- a/src/cyclamenwing/cli/bench.py
+++ b/src/cyclamenwing/cli/bench.py
@@ -8,6 +8,7 @@
 
 from cyclamenwing.bench import capacity
 from cyclamenwing.bench import control
+from cyclamenwing.bench import latency
 from cyclamenwing.bench import protocol as bench_protocol
 from cyclamenwing.bench import report
 from cyclamenwing.bench import routing
@@ -17,6 +18,7 @@
 BENCHES: tuple[bench_protocol.Bench, ...] = (
     capacity.CapacityBench(),
     control.ControlBench(),
+    latency.LatencyBench(),
     report.ReportBench(),
     routing.RoutingBench(),
 )
--- a/src/cyclamenwing/cli/main.py
+++ b/src/cyclamenwing/cli/main.py
@@ -19,6 +19,7 @@
 from cyclamenwing.cli import order
 from cyclamenwing.cli import protocol
 from cyclamenwing.cli import publish
+from cyclamenwing.cli import quarantine
 from cyclamenwing.cli import replay
 from cyclamenwing.cli import sidecar
 from cyclamenwing.cli import standin
@@ -38,6 +39,7 @@
     status.StatusCommand(),
     topup.TopUpCommand(),
     explain.ExplainCommand(),
+    quarantine.QuarantineCommand(),
     standin.StandinCommand(),
     demo.DemoCommand(),
     replay.ReplayCommand(),
--- a/src/cyclamenwing/entry/app.py
+++ b/src/cyclamenwing/entry/app.py
@@ -12,13 +12,11 @@
 from cyclamenwing.budget import exchange as budget_exchange
 from cyclamenwing.budget import layout
 from cyclamenwing.budget import sizing
-from cyclamenwing.entry import acts
 from cyclamenwing.entry import blackboard
 from cyclamenwing.entry import callers
 from cyclamenwing.entry import catalog
 from cyclamenwing.entry import claims
 from cyclamenwing.entry import closing
-from cyclamenwing.entry import departures
 from cyclamenwing.entry import dispatch
 from cyclamenwing.entry import exchange
 from cyclamenwing.entry import funding
@@ -70,14 +68,12 @@
         self._transfers = transfers.Transfers(self.board, self._client)
         self._money = self._make_funding()
         held = quarantine.Quarantine(
-            self.board, self._client, acts.LiftRecorder(self._store)
+            self.board, self._client, quarantine.log_lift
         )
-        leaving = departures.Departures(self.board)
         choice = dispatch.Dispatch(
             self.board,
             scoring.ScoringPolicy(settings["zone"]),
             held,
-            leaving,
             random.Random(),
         )
         self._claims = claims.Claims(self._store)
@@ -87,7 +83,7 @@
         following = catalog.CatalogWatch(
             self.board, self._store, self._client, settings["entries"]
         )
-        sources: list[news.Source] = [choice, held, leaving]
+        sources: list[news.Source] = [choice, held]
         self._parts: list[part.Part] = [
             membership.Membership(
                 self.board,
--- a/src/cyclamenwing/entry/quarantine.py
+++ b/src/cyclamenwing/entry/quarantine.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import time
-from collections.abc import Awaitable
 from collections.abc import Callable
 from typing import Any
 from typing import TypedDict
@@ -24,6 +23,8 @@
 from cyclamenwing.transport import server
 
 POLL_S = 0.1
+SPREAD_S = quarantine.SPREAD_MS / 1000
+RETRY_AFTER_S = 2.0
 EXPIRY_INTERVAL_S = 1.0
 PUSH_TIMEOUT_S = 1.0
 
@@ -41,7 +42,7 @@
 
     :param board: the entry's state
     :param client: HTTP client
-    :param record: carries a lift out and records it in the audit trail
+    :param audit: takes note of what an operator lifted
     """
 
     NEWS = "quarantine"
@@ -50,11 +51,11 @@
         self,
         board: blackboard.EntryBoard,
         client: transport.Client,
-        record: Callable[[Lift, Callable[[], bool]], Awaitable[bool]],
+        audit: Callable[[Lift], None],
     ) -> None:
         self._board = board
         self._client = client
-        self._record = record
+        self._audit = audit
         self._state = quarantine.QuarantineBoard()
         self._controller = quarantine.QuarantineController()
         self._members = view.MemberController()
@@ -111,7 +112,12 @@
     async def wait_turn(
         self, job: types.Job, run: base_errors.RunState
     ) -> None:
-        """Hold a suspect until no other entry runs it or is first."""
+        """Hold a suspect until no other entry runs it or is first.
+
+        One without time for that is refused at once.
+        """
+        if self.is_suspect(job):
+            _check_time(job, SPREAD_S, run)
         while self.is_suspect(job):
             if self._controller.try_run(
                 self._state,
@@ -122,8 +128,7 @@
             ):
                 return
             self._push()
-            if time.monotonic() + POLL_S > job.deadline:
-                raise errors.QuarantinedError("suspect waits its turn", run)
+            _check_time(job, POLL_S, run)
             await asyncio.sleep(POLL_S)
         self.check(job, run)
 
@@ -163,17 +168,14 @@
         """Return suspects and quarantined requests."""
         return self._controller.list_records(self._state)
 
-    async def lift(self, asked: Lift) -> bool:
+    def lift(self, asked: Lift) -> bool:
         """Let a request run again; False if it was not held."""
-        return await self._record(asked, lambda: self._clear(asked))
-
-    def _clear(self, asked: Lift) -> bool:
         now_ms = _read_clock_ms()
         lifted = self._controller.clear(
             self._state, asked["fingerprint"], now_ms, now_ms
         )
         if lifted:
-            log_lift(asked)
+            self._audit(asked)
             self._push()
         return lifted
 
@@ -243,7 +245,7 @@
 
     async def post(self) -> None:
         """Lift a request's quarantine."""
-        lifted = await self.held.lift(self.decode_body(Lift))
+        lifted = self.held.lift(self.decode_body(Lift))
         self.write_json({"lifted": lifted})
 
 
@@ -257,6 +259,17 @@
     )
 
 
+def _check_time(
+    job: types.Job, needed_s: float, run: base_errors.RunState
+) -> None:
+    if time.monotonic() + needed_s > job.deadline:
+        made = errors.OverloadedError.from_wait(
+            "no time to run this apart from others", RETRY_AFTER_S
+        )
+        made.run = run
+        raise made
+
+
 def _read_clock_ms() -> int:
     return int(time.time() * 1000)
 
