--- a/src/cyclamenwing/cli/bench.py
+++ b/src/cyclamenwing/cli/bench.py
@@ -8,6 +8,7 @@
 
 from cyclamenwing.bench import budget
 from cyclamenwing.bench import capacity
+from cyclamenwing.bench import control
 from cyclamenwing.bench import latency
 from cyclamenwing.bench import protocol as bench_protocol
 from cyclamenwing.bench import report
@@ -18,6 +19,7 @@
 BENCHES: tuple[bench_protocol.Bench, ...] = (
     budget.BudgetBench(),
     capacity.CapacityBench(),
+    control.ControlBench(),
     latency.LatencyBench(),
     report.ReportBench(),
     routing.RoutingBench(),
--- a/src/cyclamenwing/cli/epilogs.py
+++ b/src/cyclamenwing/cli/epilogs.py
@@ -56,6 +56,14 @@
 
 Two publishings of different services never conflict; of the same service,
 the later one is refused with the other's author and change.
+""",
+    "order": """\
+examples:
+  cyclamenwing order load_version v2 --route assistant --entry 127.0.0.1:8081
+  cyclamenwing order set_role drain --route assistant --host endpoint-1 \\
+      --entry 127.0.0.1:8081
+
+An order repeated with the same --id is carried out once at each endpoint.
 """,
     "audit": """\
 examples:
--- a/src/cyclamenwing/entry/quarantine.py
+++ b/src/cyclamenwing/entry/quarantine.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import time
-from collections.abc import Awaitable
 from collections.abc import Callable
 from typing import Any
 from typing import TypedDict
@@ -43,7 +42,7 @@
 
     :param board: the entry's state
     :param client: HTTP client
-    :param record: carries a lift out and records it in the audit trail
+    :param audit: takes note of what an operator lifted
     """
 
     NEWS = "quarantine"
@@ -52,11 +51,11 @@
         self,
         board: blackboard.EntryBoard,
         client: transport.Client,
-        record: Callable[[Lift, Callable[[], bool]], Awaitable[bool]],
+        audit: Callable[[Lift], None],
     ) -> None:
         self._board = board
         self._client = client
-        self._record = record
+        self._audit = audit
         self._state = quarantine.QuarantineBoard()
         self._controller = quarantine.QuarantineController()
         self._members = view.MemberController()
@@ -169,17 +168,14 @@
         """Return suspects and quarantined requests."""
         return self._controller.list_records(self._state)
 
-    async def lift(self, asked: Lift) -> bool:
+    def lift(self, asked: Lift) -> bool:
         """Let a request run again; False if it was not held."""
-        return await self._record(asked, lambda: self._clear(asked))
-
-    def _clear(self, asked: Lift) -> bool:
         now_ms = _read_clock_ms()
         lifted = self._controller.clear(
             self._state, asked["fingerprint"], now_ms, now_ms
         )
         if lifted:
-            log_lift(asked)
+            self._audit(asked)
             self._push()
         return lifted
 
@@ -249,7 +245,7 @@
 
     async def post(self) -> None:
         """Lift a request's quarantine."""
-        lifted = await self.held.lift(self.decode_body(Lift))
+        lifted = self.held.lift(self.decode_body(Lift))
         self.write_json({"lifted": lifted})
 
 
