--- a/src/cyclamenwing/cli/main.py
+++ b/src/cyclamenwing/cli/main.py
@@ -16,8 +16,10 @@
 from cyclamenwing.cli import entry
 from cyclamenwing.cli import epilogs
 from cyclamenwing.cli import explain
+from cyclamenwing.cli import order
 from cyclamenwing.cli import protocol
 from cyclamenwing.cli import publish
+from cyclamenwing.cli import quarantine
 from cyclamenwing.cli import replay
 from cyclamenwing.cli import sidecar
 from cyclamenwing.cli import standin
@@ -32,10 +34,12 @@
     sidecar.SidecarCommand(),
     check.CheckCommand(),
     publish.PublishCommand(),
+    order.OrderCommand(),
     audit.AuditCommand(),
     status.StatusCommand(),
     topup.TopUpCommand(),
     explain.ExplainCommand(),
+    quarantine.QuarantineCommand(),
     standin.StandinCommand(),
     demo.DemoCommand(),
     replay.ReplayCommand(),
--- a/src/cyclamenwing/entry/app.py
+++ b/src/cyclamenwing/entry/app.py
@@ -12,12 +12,12 @@
 from cyclamenwing.budget import exchange as budget_exchange
 from cyclamenwing.budget import layout
 from cyclamenwing.budget import sizing
+from cyclamenwing.entry import acts
 from cyclamenwing.entry import blackboard
 from cyclamenwing.entry import callers
 from cyclamenwing.entry import catalog
 from cyclamenwing.entry import claims
 from cyclamenwing.entry import closing
-from cyclamenwing.entry import departures
 from cyclamenwing.entry import dispatch
 from cyclamenwing.entry import exchange
 from cyclamenwing.entry import funding
@@ -25,6 +25,7 @@
 from cyclamenwing.entry import limits
 from cyclamenwing.entry import membership
 from cyclamenwing.entry import metrics
+from cyclamenwing.entry import orders
 from cyclamenwing.entry import quarantine
 from cyclamenwing.entry import recovery
 from cyclamenwing.entry import reports
@@ -68,14 +69,12 @@
         self._transfers = transfers.Transfers(self.board, self._client)
         self._money = self._make_funding()
         held = quarantine.Quarantine(
-            self.board, self._client, quarantine.log_lift
+            self.board, self._client, acts.LiftRecorder(self._store)
         )
-        leaving = departures.Departures(self.board)
         choice = dispatch.Dispatch(
             self.board,
             scoring.ScoringPolicy(settings["zone"]),
             held,
-            leaving,
             random.Random(),
         )
         self._claims = claims.Claims(self._store)
@@ -85,7 +84,7 @@
         following = catalog.CatalogWatch(
             self.board, self._store, self._client, settings["entries"]
         )
-        sources: list[news.Source] = [choice, held, leaving]
+        sources: list[news.Source] = [choice, held]
         self._parts: list[part.Part] = [
             membership.Membership(
                 self.board,
@@ -97,6 +96,7 @@
                 settings.get("hosts"),
             ),
             following,
+            orders.OrderService(self.board, self._store, self._client),
             inquiry.Inquiry(self.board),
             self._claims,
             choice,
