--- a/src/cyclamenwing/cli/epilogs.py
+++ b/src/cyclamenwing/cli/epilogs.py
@@ -57,6 +57,16 @@
 
 Two publishings of different services never conflict; of the same service,
 the later one is refused with the other's author and change.
+""",
+    "order": """\
+examples:
+  cyclamenwing order load_model review-7b --route summaries \\
+      --entry 127.0.0.1:8081
+  cyclamenwing order set_role prefill --route summaries --host endpoint-3 \\
+      --entry 127.0.0.1:8081 --json
+
+Each order carries a fencing number; one that is overtaken is refused. Repeat
+a failed one with its --id.
 """,
     "audit": """\
 examples:
