--- a/src/cyclamenwing/cli/epilogs.py
+++ b/src/cyclamenwing/cli/epilogs.py
@@ -59,11 +59,13 @@
 """,
     "order": """\
 examples:
-  cyclamenwing order load_version v2 --route assistant --entry 127.0.0.1:8081
-  cyclamenwing order set_role drain --route assistant --host endpoint-1 \\
+  cyclamenwing order load_model review-7b --route summaries \\
       --entry 127.0.0.1:8081
+  cyclamenwing order set_role prefill --route summaries --host endpoint-3 \\
+      --entry 127.0.0.1:8081 --json
 
-An order repeated with the same --id is carried out once at each endpoint.
+Each order carries a fencing number; one that is overtaken is refused. Repeat
+a failed one with its --id.
 """,
     "audit": """\
 examples:
