--- a/src/cyclamenwing/cli/epilogs.py
+++ b/src/cyclamenwing/cli/epilogs.py
@@ -34,8 +34,7 @@
     "quarantine": """\
 examples:
   cyclamenwing quarantine list --entry 127.0.0.1:7100
-  cyclamenwing quarantine lift 0f3a5c7e9b1d2468 --entry 127.0.0.1:7100 \\
-      --store 127.0.0.1:2379
+  cyclamenwing quarantine lift 0f3a5c7e9b1d2468 --entry 127.0.0.1:7100
 
 A request is held once it was present at two endpoint crashes. A lift holds
 for the whole fleet and is recorded in the audit trail. Exit code 1 if the
--- a/src/cyclamenwing/cli/quarantine.py
+++ b/src/cyclamenwing/cli/quarantine.py
@@ -4,12 +4,8 @@
 
 import argparse
 import json
-import time
-import uuid
 from typing import TypedDict
 
-from cyclamenwing.catalog import audit
-from cyclamenwing.catalog import trail
 from cyclamenwing.cli import protocol
 from cyclamenwing.cli import remote
 from cyclamenwing.routing import quarantine
@@ -39,7 +35,6 @@
         lifting = actions.add_parser("lift", help="let a request run again")
         lifting.add_argument("fingerprint", help="as `list` prints it")
         remote.add_entries(lifting)
-        remote.add_store(lifting)
         remote.add_author(lifting)
         lifting.set_defaults(act=run_lift)
 
@@ -88,36 +83,20 @@
 
 
 async def _lift(args: argparse.Namespace) -> bool:
-    change = audit.Change(
-        time.time(),
-        args.author,
-        remote.find_origin(),
-        "lift_quarantine",
-        args.fingerprint,
-        "",
-        None,
-        None,
-    )
     asked = {
         "fingerprint": args.fingerprint,
         "author": args.author,
-        "origin": change.origin,
+        "origin": remote.find_origin(),
     }
-
-    async def carry_out() -> trail.Outcome:
-        async with remote.open_client() as client:
-            reply = await client.call(
-                f"http://{args.entry[0]}/peer/quarantine/lift",
-                asked,
-                LiftReply,
-                TIMEOUT_S,
-            )
-        return trail.Outcome(None, reply["lifted"])
-
-    async with remote.open_store(args.store) as store:
-        act = trail.Act(uuid.uuid4().hex, change)
-        outcome = await trail.record_act(store, act, carry_out)
-    return bool(outcome.after)
+    async with remote.open_client() as client:
+        # The entry records the act in the audit trail.
+        reply = await client.call(
+            f"http://{args.entry[0]}/peer/quarantine/lift",
+            asked,
+            LiftReply,
+            TIMEOUT_S,
+        )
+    return reply["lifted"]
 
 
 __all__ = (
