--- a/src/cyclamenwing/cli/epilogs.py
+++ b/src/cyclamenwing/cli/epilogs.py
@@ -127,16 +127,6 @@
   cyclamenwing demo --example matkaraha
 
 With --once the exit code is 1 if a promise was broken.
-""",
-    "order": """\
-examples:
-  cyclamenwing order load_model assistant-v2 --route assistant \\
-      --entry 127.0.0.1:8081
-  cyclamenwing order set_role prefill --route assistant --host endpoint-3 \\
-      --entry 127.0.0.1:8081
-
-Repeat a command that lost its answer with the same --id. Exit code 1 if an
-endpoint did not carry the order out.
 """,
     "replay": """\
 examples:
--- a/src/cyclamenwing/cli/quarantine.py
+++ b/src/cyclamenwing/cli/quarantine.py
@@ -8,7 +8,6 @@
 
 from cyclamenwing.cli import protocol
 from cyclamenwing.cli import remote
-from cyclamenwing.entry import quarantine as entry_quarantine
 from cyclamenwing.routing import quarantine
 
 TIMEOUT_S = 3.0
@@ -84,13 +83,13 @@
 
 
 async def _lift(args: argparse.Namespace) -> bool:
-    # The entry records the lift in the audit trail before it carries it out.
-    asked: entry_quarantine.Lift = {
+    asked = {
         "fingerprint": args.fingerprint,
         "author": args.author,
         "origin": remote.find_origin(),
     }
     async with remote.open_client() as client:
+        # The entry records the act in the audit trail.
         reply = await client.call(
             f"http://{args.entry[0]}/peer/quarantine/lift",
             asked,
--- a/tests/entry/test_dispatch.py
+++ b/tests/entry/test_dispatch.py
@@ -42,10 +42,10 @@
     }
 
 
-async def skip_record(
-    asked: quarantine.Lift, lift: Callable[[], bool]
+async def record_nothing(
+    asked: quarantine.Lift, carry_out: Callable[[], bool]
 ) -> bool:
-    return lift()
+    return carry_out()
 
 
 class Entry:
@@ -56,7 +56,7 @@
         held = quarantine.Quarantine(
             self.board,
             cast(protocol.Client, None),
-            skip_record,
+            record_nothing,
         )
         self.dispatch = dispatch.Dispatch(
             self.board, scoring.ScoringPolicy("z1"), held, random.Random(1)
