--- a/src/cyclamenwing/bench/capacity.py
+++ b/src/cyclamenwing/bench/capacity.py
@@ -9,6 +9,7 @@
 from cyclamenwing.bench import catalogprobes
 from cyclamenwing.bench import memberprobes
 from cyclamenwing.bench import requestprobes
+from cyclamenwing.bench import scale
 from cyclamenwing.bench import slopes
 from cyclamenwing.bench import tables
 
@@ -32,7 +33,8 @@
     def run(self, args: argparse.Namespace) -> dict[str, Any]:
         """Measure every slope."""
         found = [slopes.run_probe(probe) for probe in PROBES]
-        return {"slopes": found, "tables": [make_table(found)]}
+        shown = [make_table(found), scale.estimate_all(found)]
+        return {"slopes": found, "tables": shown}
 
 
 def make_table(found: list[slopes.Slope]) -> tables.Table:
--- a/src/cyclamenwing/bench/latency.py
+++ b/src/cyclamenwing/bench/latency.py
@@ -10,6 +10,7 @@
 import uuid
 from typing import Any
 
+from cyclamenwing.bench import errors
 from cyclamenwing.bench import processes
 from cyclamenwing.bench import streams
 from cyclamenwing.bench import tables
@@ -151,7 +152,7 @@
         try:
             for target in targets:
                 await load.send(target)
-        except (transport_errors.TransportError, RuntimeError):
+        except (transport_errors.TransportError, errors.BenchError):
             return False
         return True
 
--- /dev/null
+++ b/src/cyclamenwing/bench/scale.py
@@ -0,0 +1,282 @@
+"""State and work of each role at the size expected in two years."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+from cyclamenwing.bench import slopes
+from cyclamenwing.bench import tables
+from cyclamenwing.membership import topology
+
+ENTRIES = 340
+SIDECARS = 600
+ZONES = 7
+BUDGETS = 120_000
+WORKSPACES = 32_000
+REQUESTS_PER_S = 7_100
+TOKENS_PER_S = 1_700_000
+CHANGES_PER_DAY = 2_000
+HOSTS_REPLACED_PER_DAY = 130
+DAY_S = 86_400
+MB = 1_000_000
+PERCENT = 100
+US_PER_S = 1_000_000
+CONTROL_BYTES = 32 * MB
+STORE_READS_PER_S = 2_000
+SHARD_BYTES = 50_000
+ANSWERS_KEPT_S = 600
+KEYS_KEPT_S = 3_600
+RUN_BYTES = 64 * 1024 * 1024
+SCAN_INTERVAL_S = 2
+SIDECAR_NAME_BYTES = 36
+BILL_BYTES = 350
+
+
+class Estimate(NamedTuple):
+    """Hold one figure at size; `bound` is the target, None without one."""
+
+    role: str
+    what: str
+    mechanism: str
+    origin: slopes.Origin
+    unit: str
+    bound: float | None
+    compute: Callable[[slopes.Lines], float]
+
+
+def estimate_all(found: list[slopes.Slope]) -> tables.Table:
+    """Return every estimate as a table."""
+    lines: slopes.Lines = {slope["name"]: slope for slope in found}
+    return {
+        "title": "At the size expected in two years",
+        "columns": [
+            "role",
+            "what",
+            "value",
+            "target",
+            "within",
+            "origin",
+            "carried by",
+        ],
+        "rows": [_make_row(item, lines) for item in ESTIMATES],
+    }
+
+
+def _make_row(item: Estimate, lines: slopes.Lines) -> list[str]:
+    value = item.compute(lines)
+    bound = item.bound
+    within = "" if bound is None else ("yes" if value <= bound else "NO")
+    return [
+        item.role,
+        item.what,
+        f"{value:.3g} {item.unit}",
+        "" if bound is None else f"{bound:g} {item.unit}",
+        within,
+        item.origin,
+        item.mechanism,
+    ]
+
+
+def _read(lines: slopes.Lines, name: str, size: float) -> float:
+    return slopes.extrapolate(lines[name], size)
+
+
+def _grow(lines: slopes.Lines, name: str) -> float:
+    return lines[name]["slope"]
+
+
+def _index_mb(lines: slopes.Lines) -> float:
+    return _read(lines, "memory of a revision and its index", WORKSPACES) / MB
+
+
+def _view_mb(lines: slopes.Lines) -> float:
+    return _read(lines, "memory of the member view", ENTRIES + SIDECARS) / MB
+
+
+def _hear_percent(lines: slopes.Lines) -> float:
+    interval_s = topology.find_interval_s(ENTRIES)
+    senders = topology.FINGERS + SIDECARS * topology.REPORTERS / ENTRIES
+    cost_us = _grow(lines, "processor time to hear heartbeats")
+    return senders / interval_s * cost_us / US_PER_S * PERCENT
+
+
+def _all_accounts_mb(lines: slopes.Lines) -> float:
+    return _read(lines, "memory of a holder's accounts", BUDGETS) / MB
+
+
+def _home_accounts_mb(lines: slopes.Lines) -> float:
+    homes = BUDGETS * ZONES / ENTRIES
+    return _read(lines, "memory of a holder's accounts", homes) / MB
+
+
+def _count_shards(lines: slopes.Lines) -> float:
+    return BUDGETS * _budget_bytes(lines) / SHARD_BYTES
+
+
+def _budget_bytes(lines: slopes.Lines) -> float:
+    return _grow(lines, "shard value, four grants a budget")
+
+
+def _sidecar_answers_mb(lines: slopes.Lines) -> float:
+    runs = REQUESTS_PER_S / SIDECARS * ANSWERS_KEPT_S
+    name = "memory of ended runs, 2 kB prompt and 200 tokens"
+    return _read(lines, name, runs) / MB
+
+
+def _sidecar_keys_mb(lines: slopes.Lines) -> float:
+    keys = REQUESTS_PER_S / SIDECARS * KEYS_KEPT_S
+    return _read(lines, "memory of tombstones of runs", keys) / MB
+
+
+def _token_percent(lines: slopes.Lines) -> float:
+    meter_us = _grow(lines, "processor time to meter tokens")
+    frame_us = _grow(lines, "processor time to frame and assemble tokens")
+    rate = TOKENS_PER_S / SIDECARS
+    return rate * (meter_us + frame_us) / US_PER_S * PERCENT
+
+
+def _scan_bytes(lines: slopes.Lines) -> float:
+    record = SIDECARS * SIDECAR_NAME_BYTES
+    return ENTRIES * ENTRIES * record / SCAN_INTERVAL_S / MB
+
+
+def _claims_a_day(lines: slopes.Lines) -> float:
+    claim = _grow(lines, "size of a claim shard, 200 B answers")
+    return 64 * 450_000 / claim / DAY_S
+
+
+ESTIMATES = (
+    Estimate(
+        "entry",
+        "configuration and its index",
+        "`catalog/index.py`, whole revision decoded",
+        "extrapolated",
+        "MB",
+        CONTROL_BYTES / MB,
+        _index_mb,
+    ),
+    Estimate(
+        "entry",
+        "view of all members",
+        "`membership/view.py`, spread as deltas",
+        "extrapolated",
+        "MB",
+        CONTROL_BYTES / MB,
+        _view_mb,
+    ),
+    Estimate(
+        "entry",
+        "hearing heartbeats, share of a core",
+        "`membership/topology.py`: ring of entries, two reporters a sidecar",
+        "extrapolated",
+        "%",
+        1.2,
+        _hear_percent,
+    ),
+    Estimate(
+        "entry",
+        "accounts, every entry a home of every budget (today's form)",
+        "`budget/holder.py`",
+        "extrapolated",
+        "MB",
+        CONTROL_BYTES / MB,
+        _all_accounts_mb,
+    ),
+    Estimate(
+        "entry",
+        "accounts, one home a zone",
+        "homes by rendezvous hash (not built)",
+        "extrapolated",
+        "MB",
+        CONTROL_BYTES / MB,
+        _home_accounts_mb,
+    ),
+    Estimate(
+        "store",
+        "ledger shards of 50 kB, four grants a budget",
+        "`budget/layout.py`",
+        "extrapolated",
+        "shards",
+        None,
+        _count_shards,
+    ),
+    Estimate(
+        "store",
+        "reads for session scans",
+        "`entry/recovery.py`: each entry lists all sessions",
+        "assumed",
+        "/s",
+        STORE_READS_PER_S,
+        lambda _lines: ENTRIES / SCAN_INTERVAL_S,
+    ),
+    Estimate(
+        "store",
+        "bytes for session scans",
+        "`entry/recovery.py`",
+        "assumed",
+        "MB/s",
+        None,
+        _scan_bytes,
+    ),
+    Estimate(
+        "store",
+        "writes to name replaced sidecars in sessions",
+        "`entry/sessions.py`: one commit a session and sidecar",
+        "assumed",
+        "/s",
+        300,
+        lambda _lines: HOSTS_REPLACED_PER_DAY * ENTRIES / DAY_S,
+    ),
+    Estimate(
+        "store",
+        "billing records",
+        "`budget/segments.py`: one record a request and budget",
+        "assumed",
+        "MB/s",
+        None,
+        lambda _lines: REQUESTS_PER_S * BILL_BYTES / MB,
+    ),
+    Estimate(
+        "store",
+        "claims that 64 half-full shards keep for a day",
+        "`request/claims.py`",
+        "extrapolated",
+        "/s",
+        None,
+        _claims_a_day,
+    ),
+    Estimate(
+        "sidecar",
+        "answers kept 600 s, 2 kB prompts and 200 tokens",
+        "`request/runs.py`, oldest dropped at the bound",
+        "extrapolated",
+        "MB",
+        RUN_BYTES / MB,
+        _sidecar_answers_mb,
+    ),
+    Estimate(
+        "sidecar",
+        "tombstones kept 3,600 s, if every request has a key",
+        "`request/retention.py`",
+        "extrapolated",
+        "MB",
+        RUN_BYTES / MB,
+        _sidecar_keys_mb,
+    ),
+    Estimate(
+        "sidecar",
+        "metering and framing tokens, share of a core",
+        "`sidecar/meter.py`, `request/assembly.py`; without HTTP",
+        "extrapolated",
+        "%",
+        None,
+        _token_percent,
+    ),
+)
+
+__all__ = (
+    "ESTIMATES",
+    "Estimate",
+    "estimate_all",
+)
--- a/src/cyclamenwing/bench/slopes.py
+++ b/src/cyclamenwing/bench/slopes.py
@@ -4,6 +4,7 @@
 
 import statistics
 from collections.abc import Callable
+from collections.abc import Mapping
 from collections.abc import Sequence
 from typing import Literal
 from typing import NamedTuple
@@ -39,6 +40,9 @@
     fit: float
 
 
+Lines = Mapping[str, Slope]
+
+
 def run_probe(probe: Probe) -> Slope:
     """Measure all points of a probe and fit a line."""
     points = [[float(size), probe.measure(size)] for size in probe.sizes]
@@ -70,6 +74,7 @@
 
 
 __all__ = (
+    "Lines",
     "Origin",
     "Probe",
     "Slope",
