--- a/src/cyclamenwing/bench/plots.py
+++ b/src/cyclamenwing/bench/plots.py
@@ -12,8 +12,8 @@
 
 PlotKind = Literal["bars", "line"]
 DOTS_PER_INCH = 110
-WIDTH_IN = 8.0
-HEIGHT_IN = 4.2
+WIDTH_IN = 11.0
+HEIGHT_IN = 4.8
 
 
 class Series(TypedDict):
@@ -81,7 +81,9 @@
             for place in range(len(labels))
         ]
         axes.bar(places, item["values"], width, label=item["name"])
-    axes.set_xticks(range(len(labels)), labels, rotation=20, ha="right")
+    axes.set_xticks(
+        range(len(labels)), labels, rotation=30, ha="right", fontsize="small"
+    )
 
 
 def _draw_line(plot: Plot, axes: Any) -> None:
