Bill a reused key's other request

Cause: the ledger folded bills by key alone. After a sidecar's restart a key sent again with another body ran, and its bill was taken for the first one's and refunded, so a request was not billed. Change: a bill is named by key and fingerprint, at the entry and at the sidecar alike. Figures: the row with another fingerprint fails on the old name and passes on the new; the tests of budgets, sidecars and demo pass. Conclusion: retries of one request still fold to one bill, other requests don't.

--- a/src/cyclamenwing/budget/billing.py
+++ b/src/cyclamenwing/budget/billing.py
@@ -99,9 +99,13 @@
     ]
 
 
-def find_key(key: str, request: str) -> str:
-    """Return a request's key, empty if the caller gave none."""
-    return "" if key.endswith(f"/{request}") else key
+def find_key(key: str, request: str, fingerprint: str) -> str:
+    """Return what names a request's bill, empty if the caller gave no key.
+
+    The fingerprint is part of it: another request under the same key, at a
+    sidecar that has forgotten the first, is billed too.
+    """
+    return "" if key.endswith(f"/{request}") else f"{key}/{fingerprint}"
 
 
 def digest_key(budget: str, key: str) -> str:
--- a/src/cyclamenwing/entry/funding.py
+++ b/src/cyclamenwing/entry/funding.py
@@ -239,7 +239,9 @@
 ) -> types.Bill:
     return {
         "request": accepted.request,
-        "key": billing.find_key(accepted.key, accepted.request),
+        "key": billing.find_key(
+            accepted.key, accepted.request, accepted.fingerprint
+        ),
         "workspace": accepted.workspace["name"],
         "budget": reservation.budget,
         "session": reservation.session,
--- a/src/cyclamenwing/sidecar/accounts.py
+++ b/src/cyclamenwing/sidecar/accounts.py
@@ -141,7 +141,9 @@
 ) -> budget_types.RunRecord:
     return {
         "request": order["request"],
-        "key": billing.find_key(order["key"], order["request"]),
+        "key": billing.find_key(
+            order["key"], order["request"], order["fingerprint"]
+        ),
         "workspace": order["workspace"],
         "budget": charge["budget"],
         "sequence": charge["sequence"],
--- /dev/null
+++ b/tests/budget/test_billing.py
@@ -0,0 +1,23 @@
+from __future__ import annotations
+
+import pytest
+
+from cyclamenwing.budget import billing
+
+
+@pytest.mark.parametrize(
+    ("first", "second", "same"),
+    [
+        (("w/k", "r", "f1"), ("w/k", "r", "f1"), True),
+        (("w/k", "r", "f1"), ("w/k", "r", "f2"), False),
+        (("w/k", "r", "f1"), ("v/k", "r", "f1"), False),
+    ],
+)
+def test_bills_fold_by_key_and_content(
+    first: tuple[str, str, str], second: tuple[str, str, str], same: bool
+) -> None:
+    assert (billing.find_key(*first) == billing.find_key(*second)) == same
+
+
+def test_request_without_key_never_folds() -> None:
+    assert billing.find_key("w/r1", "r1", "f") == ""
--- a/tests/budget/world.py
+++ b/tests/budget/world.py
@@ -539,6 +539,7 @@
     return {
         "request": "r",
         "key": "w/r",
+        "fingerprint": "f",
         "sidecar": incarnation,
         "workspace": "w",
         "kind": "k",
