Make every figure by one command

Cause: the page's figures came from five commands and a paste. Conclusion: the page follows its data.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 LOCK_FLAGS := -q --allow-unsafe --no-emit-index-url --no-emit-trusted-host \
 	--no-emit-find-links --no-header --no-annotate --strip-extras
 
-.PHONY: demo test check lock binary smoke
+.PHONY: demo test check figures lock binary smoke
 
 demo: $(STAMP)
 	$(BIN)/cyclamenwing demo --once
@@ -36,6 +36,17 @@
 smoke: binary
 	$(BIN)/python tools/smoke.py dist/cyclamenwing
 
+figures: $(STAMP)
+	$(BIN)/cyclamenwing bench capacity --save docs/data/capacity.json
+	$(BIN)/cyclamenwing bench budget --save docs/data/budget.json
+	$(BIN)/cyclamenwing bench routing --save docs/data/routing.json
+	$(BIN)/cyclamenwing bench control --fleet 3,6 --fleet 12,20 \
+		--changes 10 --idle 10 --save docs/data/control.json
+	$(BIN)/cyclamenwing bench latency --seconds 8 --rounds 3 \
+		--save docs/data/latency.json
+	$(BIN)/cyclamenwing bench report
+	$(BIN)/python tools/tables.py
+
 lock:
 	$(BIN)/pip-compile $(LOCK_FLAGS) -o requirements.lock requirements-dev.in
 	$(BIN)/pip-compile $(LOCK_FLAGS) -c requirements.lock \
