--- /dev/null
+++ b/tests/budget/test_peers.py
@@ -0,0 +1,83 @@
+from __future__ import annotations
+
+import pytest
+
+from cyclamenwing.budget import account
+from cyclamenwing.budget import messages
+from cyclamenwing.budget import peers
+from cyclamenwing.budget import types
+
+CONTROLLER = peers.PeerController()
+
+
+def make_board(session: str, granted: int) -> account.HolderBoard:
+    board = account.HolderBoard(session)
+    board.get_account("b").granted = granted
+    board.vouched = {"s1", "s2"}
+    return board
+
+
+def make_transfer(
+    donor: str = "s1", receiver: str = "s2", number: int = 1
+) -> types.Transfer:
+    return {
+        "budget": "b",
+        "donor": donor,
+        "number": number,
+        "receiver": receiver,
+        "amount": 40,
+    }
+
+
+def make_ask(ask: str, needed: int) -> messages.TransferRequest:
+    return {
+        "ask": ask,
+        "budget": "b",
+        "session": "s2",
+        "needed": needed,
+        "wanted": needed,
+    }
+
+
+@pytest.mark.parametrize(
+    ("transfers", "available"),
+    [
+        ([make_transfer()], 40),
+        ([make_transfer(), make_transfer()], 40),
+        ([make_transfer(), make_transfer(number=2)], 80),
+        ([make_transfer(receiver="s3")], 0),
+        ([make_transfer(donor="s9")], 0),
+    ],
+)
+def test_receiver_takes_each_transfer_once(
+    transfers: list[types.Transfer], available: int
+) -> None:
+    board = make_board("s2", 0)
+    for transfer in transfers:
+        CONTROLLER.take(board, transfer)
+    assert board.get_account("b").count_available() == available
+
+
+def test_transfer_counted_by_the_ledger_is_not_taken_again() -> None:
+    board = make_board("s2", 40)
+    board.get_account("b").seen["s1", 1] = None
+    CONTROLLER.take(board, make_transfer())
+    assert board.get_account("b").count_available() == 40
+
+
+def test_transfer_of_a_closing_session_is_not_taken() -> None:
+    board = make_board("s2", 0)
+    CONTROLLER.tell_transfers(board, "s1")
+    CONTROLLER.take(board, make_transfer())
+    assert board.get_account("b").count_available() == 0
+
+
+def test_donor_deducts_first_and_once_an_ask() -> None:
+    board = make_board("s1", 100)
+    first = CONTROLLER.give(board, make_ask("a1", 60))
+    again = CONTROLLER.give(board, make_ask("a1", 60))
+    assert first == again
+    assert board.get_account("b").count_available() == 40
+    more = CONTROLLER.give(board, make_ask("a2", 60))
+    given = sum(item["amount"] for item in more["transfers"])
+    assert board.get_account("b").count_available() == 40 - given >= 0
--- /dev/null
+++ b/tests/budget/test_session.py
@@ -0,0 +1,42 @@
+from __future__ import annotations
+
+import pytest
+
+from cyclamenwing.budget import errors
+from cyclamenwing.budget import session
+
+SIDECAR: session.ServingSidecar = {
+    "incarnation": "i1",
+    "host": "h1",
+    "address": "127.0.0.1:1",
+}
+
+
+def make_record(state: session.SessionState) -> session.SessionRecord:
+    record = session.SessionCodec("s1", "e1").decode(None)
+    session.mark_session(record, state, "c0")
+    return record
+
+
+@pytest.mark.parametrize(
+    ("state", "extended"), [("open", True), ("closing", False), ("closed", 0)]
+)
+def test_only_open_sessions_name_further_sidecars(
+    state: session.SessionState, extended: bool
+) -> None:
+    record = make_record(state)
+    if extended:
+        session.extend_session(record, [SIDECAR, SIDECAR], "c1")
+        session.extend_session(record, [SIDECAR], "c2")
+    else:
+        with pytest.raises(errors.StaleSessionError):
+            session.extend_session(record, [SIDECAR], "c1")
+    assert bool(record["sidecars"]) == bool(extended)
+    assert session.SessionCodec("s1", "e1").contains(record, "c0")
+
+
+def test_closed_session_never_opens() -> None:
+    record = make_record("closed")
+    session.mark_session(record, "closing", "c1")
+    session.mark_session(record, "open", "c2")
+    assert record["state"] == "closed"
