Keep the life of a looping part in one place

Cause: four parts of the roles held the same start, close and empty list of handlers. Change: `LoopPart` has them; the capacity page names the module that lists the sessions, which is not the recovery but the sessions' own. Conclusion: parts with further duties at their close keep their own.

--- a/src/cyclamenwing/bench/scale.py
+++ b/src/cyclamenwing/bench/scale.py
@@ -204,7 +204,7 @@
     Estimate(
         "store",
         "reads for session scans",
-        "`entry/recovery.py`: each entry lists all sessions",
+        "`entry/sessions.py`: each entry lists them to know its donors",
         "assumed",
         "/s",
         STORE_READS_PER_S,
@@ -213,7 +213,7 @@
     Estimate(
         "store",
         "bytes for session scans",
-        "`entry/recovery.py`",
+        "`entry/sessions.py`",
         "assumed",
         "MB/s",
         None,
--- a/src/cyclamenwing/entry/recovery.py
+++ b/src/cyclamenwing/entry/recovery.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import time
-from typing import Any
 
 import eliot
 
@@ -17,6 +16,7 @@
 from cyclamenwing.membership import view
 from cyclamenwing.store import keys
 from cyclamenwing.store import protocol as store_protocol
+from cyclamenwing.transport import part
 
 SCAN_INTERVAL_S = 1.0
 DEAD_AFTER_S = 1.0
@@ -24,7 +24,7 @@
 MEMBER_MEMORY_S = 600.0
 
 
-class Recovery:
+class Recovery(part.LoopPart):
     """Have sessions that are gone closed, by one entry at a time.
 
     :param board: the entry's state
@@ -47,20 +47,6 @@
         self._members = view.MemberController()
         self._missing_since: dict[str, float] = {}
         self._orphans_at = 0.0
-        self._task: asyncio.Task[None] | None = None
-
-    def list_handlers(self) -> list[Any]:
-        """Return handlers for other processes, by path."""
-        return []
-
-    def start(self) -> None:
-        """Start looking for sessions that are gone."""
-        self._task = asyncio.create_task(self._run())
-
-    async def close(self) -> None:
-        """Stop looking."""
-        if self._task is not None:
-            self._task.cancel()
 
     async def scan(self, now: float) -> None:
         """Close the sessions that are gone, as far as it goes now."""
--- a/src/cyclamenwing/entry/reports.py
+++ b/src/cyclamenwing/entry/reports.py
@@ -16,6 +16,7 @@
 from cyclamenwing.entry import blackboard
 from cyclamenwing.membership import types as member_types
 from cyclamenwing.membership import view
+from cyclamenwing.transport import part
 from cyclamenwing.transport import protocol as transport
 
 REPORT_INTERVAL_S = 2.0
@@ -25,7 +26,7 @@
 T = TypeVar("T")
 
 
-class Reports:
+class Reports(part.LoopPart):
     """Tell sidecars what the ledger holds, and settle unknown runs.
 
     :param board: the entry's state
@@ -39,20 +40,6 @@
         self._client = client
         self._controller = holder.HolderController()
         self._members = view.MemberController()
-        self._task: asyncio.Task[None] | None = None
-
-    def list_handlers(self) -> list[Any]:
-        """Return handlers for other processes, by path."""
-        return []
-
-    def start(self) -> None:
-        """Start telling and asking."""
-        self._task = asyncio.create_task(self._run())
-
-    async def close(self) -> None:
-        """Stop telling and asking."""
-        if self._task is not None:
-            self._task.cancel()
 
     async def resolve_doubts(self) -> None:
         """Ask the sidecars about reservations whose run is unknown.
--- a/src/cyclamenwing/entry/sessions.py
+++ b/src/cyclamenwing/entry/sessions.py
@@ -5,7 +5,6 @@
 import asyncio
 import time
 import uuid
-from typing import Any
 
 import eliot
 
@@ -18,12 +17,13 @@
 from cyclamenwing.store import commits
 from cyclamenwing.store import keys
 from cyclamenwing.store import protocol
+from cyclamenwing.transport import part
 
 EXTEND_INTERVAL_S = 0.2
 VOUCH_INTERVAL_S = 2.0
 
 
-class Sessions:
+class Sessions(part.LoopPart):
     """Keep the session open and named sidecars in `board.served`.
 
     :param board: the entry's state
@@ -37,20 +37,6 @@
         self._store = store
         self._members = view.MemberController()
         self._vouched_at = 0.0
-        self._task: asyncio.Task[None] | None = None
-
-    def list_handlers(self) -> list[Any]:
-        """Return handlers for other processes, by path."""
-        return []
-
-    def start(self) -> None:
-        """Start extending the session to the sidecars that report."""
-        self._task = asyncio.create_task(self._run())
-
-    async def close(self) -> None:
-        """Stop extending the session."""
-        if self._task is not None:
-            self._task.cancel()
 
     async def extend(self, now: float) -> None:
         """Name the live sidecars that the session does not name yet."""
--- a/src/cyclamenwing/sidecar/observation.py
+++ b/src/cyclamenwing/sidecar/observation.py
@@ -14,6 +14,7 @@
 from cyclamenwing.sidecar import blackboard
 from cyclamenwing.sidecar import errors
 from cyclamenwing.transport import errors as transport_errors
+from cyclamenwing.transport import part
 from cyclamenwing.transport import protocol as transport
 
 POLL_INTERVAL_S = 0.5
@@ -21,7 +22,7 @@
 MAX_ANSWER_BYTES = 1024 * 1024
 
 
-class Observation:
+class Observation(part.LoopPart):
     """Poll an engine's reports and add their summary to heartbeats.
 
     Plain services have no such reports; polling starts with the first
@@ -46,20 +47,6 @@
         self._reports = reports.ReportBoard()
         self._controller = reports.ReportController()
         self._polling = False
-        self._task: asyncio.Task[None] | None = None
-
-    def list_handlers(self) -> list[Any]:
-        """Return handlers for other processes, by path."""
-        return []
-
-    def start(self) -> None:
-        """Start polling."""
-        self._task = asyncio.create_task(self._run())
-
-    async def close(self) -> None:
-        """Stop polling."""
-        if self._task is not None:
-            self._task.cancel()
 
     def tell_news(self) -> types.EndpointNews | None:
         """Return the endpoint's report for a heartbeat."""
--- a/src/cyclamenwing/transport/part.py
+++ b/src/cyclamenwing/transport/part.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import Any
 from typing import Protocol
 
@@ -19,4 +20,30 @@
         """Stop background work."""
 
 
-__all__ = ("Part",)
+class LoopPart:
+    """Run one loop in the background; has no handlers of its own."""
+
+    _task: asyncio.Task[None] | None = None
+
+    def list_handlers(self) -> list[Any]:
+        """Return handlers for other processes, by path."""
+        return []
+
+    def start(self) -> None:
+        """Start the loop."""
+        self._task = asyncio.create_task(self._run())
+
+    async def close(self) -> None:
+        """Stop the loop."""
+        if self._task is not None:
+            self._task.cancel()
+
+    async def _run(self) -> None:
+        """Work until cancelled."""
+        raise NotImplementedError
+
+
+__all__ = (
+    "LoopPart",
+    "Part",
+)
