Hold chat bodies to their route's limit

Cause: the gate knows a plain route from its path, but a chat route only from the body, so a chat route's max_body_bytes was never enforced. Change: admission refuses a larger body as too_large, not run. Conclusion: every route's limit is enforced.

--- a/src/cyclamenwing/entry/admission.py
+++ b/src/cyclamenwing/entry/admission.py
@@ -109,6 +109,8 @@
     )
     if route is None:
         raise errors.UnknownRouteError(f"no route for model {model!r}")
+    if len(caller.body) > route.get("max_body_bytes", len(caller.body)):
+        raise errors.TooLargeError(f"beyond the limit of {route['name']!r}")
     wanted = _read_count(body, "max_tokens", DEFAULT_MAX_TOKENS)
     wanted = _read_count(body, "max_completion_tokens", wanted)
     choices = _read_count(body, "n", 1)
--- a/tests/entry/test_admission.py
+++ b/tests/entry/test_admission.py
@@ -13,7 +13,7 @@
 BODY = {"model": "m", "messages": [{"role": "user", "content": "x"}]}
 
 
-def make_index(budgets: list[Any]) -> index.Index:
+def make_index(budgets: list[Any], max_body_bytes: int = 1_000) -> index.Index:
     names = [budget["name"] for budget in budgets]
     return index.Index({
         "revision": 1,
@@ -35,6 +35,7 @@
                         "model": "m",
                         "workspaces": ["w"],
                         "kind": "summary",
+                        "max_body_bytes": max_body_bytes,
                     }
                 ],
             }
@@ -68,3 +69,9 @@
     with pytest.raises(errors.NoBudgetError) as caught:
         admission.admit_chat(catalog, make_caller("ann"))
     assert caught.value.run == "not_run"
+
+
+def test_body_beyond_the_route_limit_is_refused() -> None:
+    catalog = make_index([{"name": "b", "unit": "tokens"}], 10)
+    with pytest.raises(errors.TooLargeError):
+        admission.admit_chat(catalog, make_caller("ann"))
