--- /dev/null
+++ b/src/cyclamenwing/cli/gateway.py
@@ -0,0 +1,96 @@
+"""Subcommand `gateway`."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import os
+import pathlib
+import signal
+import sys
+
+import eliot
+
+from cyclamenwing.gateway import app
+from cyclamenwing.gateway import follower
+from cyclamenwing.gateway import logs
+from cyclamenwing.gateway import settings as gateway_settings
+from cyclamenwing.platform import configuration
+from cyclamenwing.platform import endpoints
+from cyclamenwing.platform import messages
+from cyclamenwing.platform import store
+from cyclamenwing.settings import errors
+
+SETTINGS_VARIABLE = "CYCLAMENWING_CONFIG"
+
+CODEC = follower.Codec(
+    configuration_prefix=configuration.KEY_PREFIX,
+    configuration_key=configuration.KEY,
+    endpoints_prefix=endpoints.KEY_PREFIX,
+    read_configuration=configuration.read_configuration,
+    read_endpoint=endpoints.read_endpoint,
+    read_endpoint_name=endpoints.read_name,
+)
+
+
+class GatewayCommand:
+    """Run an entry that reaches endpoints directly, on the platform."""
+
+    NAME = "gateway"
+    HELP = "run a gateway on the users' platform"
+
+    def add_arguments(self, parser: argparse.ArgumentParser) -> None:
+        """Add the subcommand's arguments."""
+        parser.add_argument(
+            "settings",
+            type=pathlib.Path,
+            nargs="?",
+            help=f"settings file; else the one that {SETTINGS_VARIABLE} names",
+        )
+
+    def run(self, args: argparse.Namespace) -> int:
+        """Run a gateway until it is told to stop."""
+        path = args.settings or os.environ.get(SETTINGS_VARIABLE)
+        if path is None:
+            raise errors.SettingsSyntaxError(
+                f"no settings file given, nor {SETTINGS_VARIABLE} set"
+            )
+        settings = gateway_settings.load_settings(pathlib.Path(path))
+        log = logs.BoundedLog(
+            sys.stdout.fileno(),
+            settings.log_lines_per_s,
+            settings.log_line_bytes,
+        )
+        log.start()
+        try:
+            return asyncio.run(_run(pathlib.Path(path), settings))
+        finally:
+            log.flush()
+
+
+async def _run(
+    path: pathlib.Path, settings: gateway_settings.GatewaySettings
+) -> int:
+    stopped = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopped.set)
+    loop.add_signal_handler(signal.SIGHUP, _reload, path)
+    made = app.Gateway.from_config(
+        settings, store.KeyValueStore, CODEC, messages
+    )
+    await stopped.wait()
+    await made.close()
+    return 0
+
+
+def _reload(path: pathlib.Path) -> None:
+    """Check a changed settings file; addresses need a new process."""
+    try:
+        gateway_settings.load_settings(path)
+        eliot.log_message("settings:reloaded", path=str(path))
+    except errors.SettingsError as err:
+        eliot.log_message("settings:unreadable", reason=err.message)
+
+
+__all__ = ("GatewayCommand",)
--- /dev/null
+++ b/src/cyclamenwing/gateway/admission.py
@@ -0,0 +1,78 @@
+"""Checks of a request before anything is reserved or sent."""
+
+from __future__ import annotations
+
+import random
+
+from cyclamenwing import errors as base_errors
+from cyclamenwing.gateway import blackboard
+from cyclamenwing.gateway import calls
+from cyclamenwing.gateway import clock
+from cyclamenwing.gateway import configuration
+from cyclamenwing.gateway import errors
+from cyclamenwing.gateway import ticket
+from cyclamenwing.routing import placement
+from cyclamenwing.transport import h1
+
+# A request without a deadline is bound by this.
+DEFAULT_WAIT_S = 60.0
+
+
+def admit(
+    board: blackboard.Blackboard,
+    dialect: calls.Dialect,
+    request: h1.Request,
+    started_s: float,
+) -> ticket.Ticket:
+    """Return a request's ticket; raise a `GatewayError` to refuse it."""
+    known = board.configuration
+    if known is None:
+        raise errors.NoConfigurationError("no configuration yet")
+    try:
+        call = dialect.read_call(request)
+    except base_errors.CodedError as err:
+        raise errors.UnreadableRequestError(err.message) from err
+    route = known.find_route(call.virtual_host, call.path)
+    if route is None:
+        raise errors.UnknownRouteError(call.path)
+    workspace = None
+    if not route.public and known.workspaces:
+        workspace = known.find_workspace(call.key)
+        if workspace is None:
+            raise errors.UnknownKeyError("no workspace holds the key")
+    service = _choose_service(known, route)
+    wait_s = call.wait_s if call.wait_s is not None else DEFAULT_WAIT_S
+    if route.timeout_s is not None:
+        wait_s = min(wait_s, route.timeout_s)
+    now_s = clock.read_time()
+    if started_s + wait_s <= now_s:
+        raise errors.DeadlineError("the deadline has passed")
+    return ticket.Ticket(
+        request=request,
+        call=call,
+        route=route,
+        workspace=workspace,
+        demand=placement.Demand(
+            call.parts, call.size.prompt_tokens if call.size else 0
+        ),
+        service=service,
+        started_s=started_s,
+        limit_s=started_s + wait_s,
+    )
+
+
+def _choose_service(
+    known: configuration.Configuration, route: configuration.Route
+) -> configuration.Service:
+    names = [share.service for share in route.shares]
+    weights = [max(share.weight, 0.0) for share in route.shares]
+    if not names or not any(weights):
+        raise errors.NoEndpointError(f"route {route.name} has no service")
+    name = random.choices(names, weights)[0]
+    service = known.services.get(name)
+    if service is None:
+        return configuration.Service(name, "", 0, None)
+    return service
+
+
+__all__ = ("admit",)
--- /dev/null
+++ b/src/cyclamenwing/gateway/blackboard.py
@@ -0,0 +1,78 @@
+"""State that a gateway's controllers read and write."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import NamedTuple
+
+from cyclamenwing.budget import escrow
+from cyclamenwing.gateway import configuration
+from cyclamenwing.gateway import settings as gateway_settings
+from cyclamenwing.metrics import recorder
+from cyclamenwing.routing import allowance
+from cyclamenwing.routing import endpoints
+from cyclamenwing.routing import placement
+
+# A peer that was silent for longer takes no share of pools and allowances.
+PEER_LIFE_S = 3.0
+
+
+class Peer(NamedTuple):
+    """Hold what another gateway last said of itself."""
+
+    host: str
+    address: str
+    holder: str
+    version: int
+    available: dict[str, int]
+    seen_s: float
+
+
+@dataclasses.dataclass(slots=True)
+class Blackboard:
+    """Hold a gateway's state."""
+
+    settings: gateway_settings.GatewaySettings
+    incarnation: str
+    escrow: escrow.Escrow
+    placement: placement.Placement
+    allowance: allowance.RetryAllowance
+    metrics: recorder.Recorder
+    configuration: configuration.Configuration | None = None
+    directory: endpoints.Directory = dataclasses.field(
+        default_factory=endpoints.Directory
+    )
+    endpoints_known: bool = False
+    peers: dict[str, Peer] = dataclasses.field(default_factory=dict)
+    members: dict[str, str] = dataclasses.field(default_factory=dict)
+    store_seen_s: float = 0.0
+    leaving_s: float | None = None
+    active: int = 0
+
+    @property
+    def ready(self) -> bool:
+        """Tell whether new clients should come here."""
+        return (
+            self.configuration is not None
+            and self.endpoints_known
+            and self.leaving_s is None
+        )
+
+    def list_peers(self, now_s: float) -> list[Peer]:
+        """Return the peers heard of lately."""
+        return [
+            peer
+            for peer in self.peers.values()
+            if now_s - peer.seen_s < PEER_LIFE_S
+        ]
+
+    def count_entries(self, now_s: float) -> int:
+        """Return the gateways that share pools, this one included."""
+        return 1 + len(self.list_peers(now_s))
+
+
+__all__ = (
+    "PEER_LIFE_S",
+    "Blackboard",
+    "Peer",
+)
--- /dev/null
+++ b/src/cyclamenwing/gateway/events.py
@@ -0,0 +1,40 @@
+"""Events of a stream, cut out of its bytes."""
+
+from __future__ import annotations
+
+import re
+
+_END = re.compile(rb"\r\n\r\n|\n\n|\r\r")
+_ID = re.compile(rb"^id:[ ]?([^\r\n]*)", re.MULTILINE)
+
+
+class EventReader:
+    """Split a stream's bytes into whole events."""
+
+    def __init__(self) -> None:
+        self.rest = b""
+        self.last_id: bytes | None = None
+        self.count = 0
+
+    def feed(self, data: bytes) -> bytes:
+        """Return the whole events that are there, as they came."""
+        self.rest += data
+        end = 0
+        for match in _END.finditer(self.rest):
+            self._note(self.rest[end : match.end()])
+            end = match.end()
+        whole, self.rest = self.rest[:end], self.rest[end:]
+        return whole
+
+    def restart(self) -> None:
+        """Drop the part of an event that a broken stream left."""
+        self.rest = b""
+
+    def _note(self, event: bytes) -> None:
+        self.count += 1
+        found = _ID.findall(event)
+        if found:
+            self.last_id = found[-1]
+
+
+__all__ = ("EventReader",)
--- /dev/null
+++ b/src/cyclamenwing/gateway/logs.py
@@ -0,0 +1,104 @@
+"""Structured log lines, bounded in rate and size, that never block."""
+
+from __future__ import annotations
+
+import collections
+import json
+import os
+import threading
+from typing import Any
+
+import eliot
+import msgspec
+
+from cyclamenwing.gateway import clock
+
+MAX_WAITING = 2000
+
+
+class BoundedLog:
+    """Write messages as lines by a thread of its own.
+
+    Lines beyond the rate, or while the reader has stopped reading, are left
+    out; the next line that fits says how many.
+
+    :param lines_per_s: lines a second, at the most
+    :param line_bytes: bytes of a line, at the most
+    """
+
+    def __init__(
+        self, descriptor: int, lines_per_s: int, line_bytes: int
+    ) -> None:
+        self._descriptor = descriptor
+        self._lines_per_s = lines_per_s
+        self._line_bytes = line_bytes
+        self._lines: collections.deque[bytes] = collections.deque()
+        self._wake = threading.Event()
+        self._second = 0
+        self._count = 0
+        self.dropped = 0
+
+    def start(self) -> None:
+        """Start the writer and take eliot's messages."""
+        threading.Thread(target=self._write, daemon=True).start()
+        eliot.add_destinations(self.take)
+
+    def take(self, message: dict[str, Any]) -> None:
+        """Queue a message, or leave it out."""
+        second = int(clock.read_time())
+        if second != self._second:
+            self._second, self._count = second, 0
+        self._count += 1
+        if (
+            self._count > self._lines_per_s
+            or len(self._lines) >= MAX_WAITING
+        ):
+            self.dropped += 1
+            return
+        fields = {
+            key: value
+            for key, value in message.items()
+            if key not in ("task_uuid", "task_level")
+        }
+        if self.dropped:
+            fields["dropped_before"], self.dropped = self.dropped, 0
+        self._lines.append(self._encode(fields))
+        self._wake.set()
+
+    def flush(self) -> None:
+        """Write what waits, as far as the reader takes it."""
+        self._write_waiting()
+
+    def _encode(self, fields: dict[str, Any]) -> bytes:
+        try:
+            line = msgspec.json.encode(fields)
+        except TypeError:
+            line = json.dumps(fields, default=str).encode()
+        if len(line) > self._line_bytes:
+            short = {
+                "message_type": fields.get("message_type"),
+                "request": fields.get("request"),
+                "cut": line[: self._line_bytes // 2].decode("latin-1"),
+            }
+            line = msgspec.json.encode(short)
+        return line + b"\n"
+
+    def _write(self) -> None:
+        while True:
+            self._wake.wait()
+            self._wake.clear()
+            self._write_waiting()
+
+    def _write_waiting(self) -> None:
+        while self._lines:
+            try:
+                data = self._lines.popleft()
+                while data:
+                    data = data[os.write(self._descriptor, data) :]
+            except (OSError, IndexError):
+                # The reader has gone; logs must not stop the service.
+                self.dropped += 1
+                return
+
+
+__all__ = ("BoundedLog",)
--- /dev/null
+++ b/src/cyclamenwing/gateway/settings.py
@@ -0,0 +1,72 @@
+"""Settings of a gateway, read from JSON with comments and checked."""
+
+from __future__ import annotations
+
+import pathlib
+
+import msgspec
+
+from cyclamenwing.settings import comments
+from cyclamenwing.settings import errors
+
+
+class Bounds(msgspec.Struct, kw_only=True):
+    """Hold the deployment's bounds."""
+
+    drain_ms: float = 2000.0
+    grace_s: float = 8.0
+    config_ms: float = 2000.0
+    retry_ratio: float = 0.2
+    retry_window_s: float = 10.0
+    retry_slack: float = 50.0
+    settle_ms: float = 1500.0
+
+
+class Limits(msgspec.Struct, kw_only=True):
+    """Hold what the host grants the process."""
+
+    memory_mb: float = 150.0
+    max_fds: int = 1024
+
+
+class GatewaySettings(msgspec.Struct, kw_only=True):
+    """Hold a gateway's settings; addresses are ``ip:port``."""
+
+    host: str
+    availability_zone: str
+    listen: str
+    ready: str
+    control: str
+    store: str
+    metrics: str = ""
+    seeds: list[str] = []
+    limits: Limits = msgspec.field(default_factory=Limits)
+    bounds: Bounds = msgspec.field(default_factory=Bounds)
+    log_lines_per_s: int = 200
+    log_line_bytes: int = 2000
+
+
+def load_settings(path: pathlib.Path) -> GatewaySettings:
+    """Read a settings file.
+
+    :raises SettingsError: naming the file and the fault
+    """
+    try:
+        text = path.read_text()
+    except (OSError, UnicodeDecodeError) as err:
+        raise errors.SettingsSyntaxError(str(err), str(path)) from err
+    plain = comments.blank_comments(text).encode()
+    try:
+        return msgspec.json.decode(plain, type=GatewaySettings)
+    except msgspec.ValidationError as err:
+        raise errors.SettingsSchemaError(str(err), str(path)) from err
+    except msgspec.DecodeError as err:
+        raise errors.SettingsSyntaxError(str(err), str(path)) from err
+
+
+__all__ = (
+    "Bounds",
+    "GatewaySettings",
+    "Limits",
+    "load_settings",
+)
--- /dev/null
+++ b/src/cyclamenwing/platform/messages.py
@@ -0,0 +1,140 @@
+"""Headers of requests and answers, read and written."""
+
+from __future__ import annotations
+
+import re
+
+from cyclamenwing.gateway import calls
+from cyclamenwing.platform import errors
+from cyclamenwing.transport import h1
+
+MS_PER_S = 1000.0
+
+_NOT_PASSED = h1.HOP_BY_HOP | {
+    # The caller's secret, and what only the system may set.
+    b"key",
+    b"tenant",
+    b"deadline-ms",
+    b"expect-replica",
+    b"expect-version",
+    b"urgency",
+    b"kv-hold",
+    b"kv-backup",
+    b"kv-from",
+    b"kv-fetch",
+    b"pin-ms",
+}
+_REQUEST_ID = re.compile(rb"[\x21-\x7e]{1,128}")
+
+
+def read_call(request: h1.Request) -> calls.Call:
+    """Read what a client's headers ask for.
+
+    :raises RequestUnreadableError: for headers that can't be read
+    """
+    find = dict(reversed(request.headers)).get
+    request_id = find(b"request-id")
+    if request_id is not None and not _REQUEST_ID.fullmatch(request_id):
+        raise errors.RequestUnreadableError("the request id can't be read")
+    try:
+        return calls.Call(
+            request_id=request_id,
+            virtual_host=_read_host(find(b"host", b"")),
+            path=request.target.partition(b"?")[0].decode("ascii"),
+            key=find(b"key", b"").decode("ascii"),
+            wait_s=_read_wait(find(b"deadline-ms")),
+            size=_read_size(find(b"token-counts")),
+            parts=_read_parts(find(b"prompt-prefix", b"")),
+            last_event_id=find(b"last-event-id"),
+        )
+    except ValueError as err:
+        raise errors.RequestUnreadableError(str(err)) from err
+
+
+def write_call(
+    request: h1.Request, call: calls.Call, terms: calls.Terms
+) -> h1.Request:
+    """Return a client's request as an endpoint gets it."""
+    headers = [h for h in request.headers if h[0] not in _NOT_PASSED]
+    if terms.resume_after is not None:
+        headers = [h for h in headers if h[0] != b"last-event-id"]
+        headers.append((b"Last-Event-Id", terms.resume_after))
+    headers += [
+        (b"Deadline-Ms", b"%d" % max(int(terms.wait_s * MS_PER_S), 1)),
+        (b"Expect-Replica", terms.endpoint.encode()),
+    ]
+    if terms.workspace is not None:
+        headers.append((b"Tenant", terms.workspace.encode()))
+    return h1.Request(
+        request.method, request.target, tuple(headers), request.body
+    )
+
+
+def read_answer(head: h1.Head) -> calls.AnswerMarks:
+    """Read what an endpoint's headers say of its answer."""
+    find = dict(head.headers).get
+    keep_alive = re.search(rb"timeout=(\d+)", find(b"keep-alive", b""))
+    return calls.AnswerMarks(
+        request_id=find(b"request-id"),
+        signed=b"replica-stamp" in dict(head.headers),
+        not_run=b"not-executed" in dict(head.headers) or head.status == 421,
+        closes=b"close" in find(b"connection", b"").lower(),
+        keep_alive_s=float(keep_alive[1]) if keep_alive else None,
+        encoded=b"content-encoding" in dict(head.headers),
+    )
+
+
+def write_refusal(
+    refusal: calls.Refusal, request_id: bytes | None
+) -> tuple[int, list[tuple[bytes, bytes]], bytes]:
+    """Return status, headers and body of a refusal of our own."""
+    headers = [(b"Content-Type", b"application/json")]
+    if request_id is not None:
+        headers.append((b"Request-Id", request_id))
+    if refusal.retry_after_s is not None:
+        headers.append((b"Retry-After", b"%.2f" % refusal.retry_after_s))
+    body = b'{"code":"%s","run":"%s"}' % (
+        refusal.code.encode(),
+        refusal.run.encode(),
+    )
+    return refusal.status, headers, body
+
+
+def _read_host(value: bytes) -> str:
+    return value.decode("ascii").partition(":")[0].lower()
+
+
+def _read_wait(value: bytes | None) -> float | None:
+    if value is None:
+        return None
+    wait_s = float(value) / MS_PER_S
+    if not 0 <= wait_s < 86_400:
+        raise ValueError("the deadline is out of range")
+    return wait_s
+
+
+def _read_size(value: bytes | None) -> calls.Size | None:
+    if value is None:
+        return None
+    prompt, _, output = value.partition(b",")
+    size = calls.Size(int(prompt), int(output))
+    if size.prompt_tokens < 0 or size.output_tokens < 0:
+        raise ValueError("token counts are below zero")
+    return size
+
+
+def _read_parts(value: bytes) -> tuple[calls.Part, ...]:
+    parts = []
+    for item in value.decode("ascii").split(","):
+        if item.strip():
+            name, _, tokens = item.strip().partition(":")
+            parts.append(calls.Part(name, int(tokens)))
+    return tuple(parts)
+
+
+__all__ = (
+    "read_answer",
+    "read_call",
+    "write_call",
+    "write_refusal",
+)
--- /dev/null
+++ b/src/cyclamenwing/routing/allowance.py
@@ -0,0 +1,52 @@
+"""Bound on repeated requests, a service and window, shared by all entries."""
+
+from __future__ import annotations
+
+import collections
+
+
+class RetryAllowance:
+    """Allow repeats in proportion to recent requests.
+
+    :param ratio: repeats a request in a window
+    :param slack: repeats beyond that, of all entries together
+    :param window_s: length of the sliding window
+    """
+
+    # The fleet's bound counts all entries, whose windows don't align.
+    SAFETY = 0.7
+
+    def __init__(self, ratio: float, slack: float, window_s: float) -> None:
+        self._ratio = ratio
+        self._slack = slack
+        self._window_s = window_s
+        self._requests: dict[str, collections.deque[float]] = {}
+        self._repeats: dict[str, collections.deque[float]] = {}
+
+    def note_request(self, service: str, now_s: float) -> None:
+        """Count a client's request for a service."""
+        self._trim(self._requests, service, now_s).append(now_s)
+
+    def take(self, service: str, entries: int, now_s: float) -> bool:
+        """Take the right to send one more time, if it is there."""
+        requests = self._trim(self._requests, service, now_s)
+        repeats = self._trim(self._repeats, service, now_s)
+        allowed = self._ratio * len(requests) + self._slack / max(entries, 1)
+        if len(repeats) + 1 > allowed * self.SAFETY:
+            return False
+        repeats.append(now_s)
+        return True
+
+    def _trim(
+        self,
+        times: dict[str, collections.deque[float]],
+        service: str,
+        now_s: float,
+    ) -> collections.deque[float]:
+        found = times.setdefault(service, collections.deque())
+        while found and found[0] <= now_s - self._window_s:
+            found.popleft()
+        return found
+
+
+__all__ = ("RetryAllowance",)
--- /dev/null
+++ b/src/cyclamenwing/routing/placement.py
@@ -0,0 +1,272 @@
+"""Choice of an endpoint from loads and caches that all entries share.
+
+Answers two load patterns: many requests with long shared prompt parts (a
+part is read once and its later requests follow it), and bursts that several
+entries see at once (each counts what its peers have sent, by their news).
+"""
+
+from __future__ import annotations
+
+import dataclasses
+from collections.abc import Iterable
+from collections.abc import Sequence
+from typing import NamedTuple
+
+import xxhash
+
+from cyclamenwing.routing import endpoints
+
+# Reading speed of the engines on the deployments' sheets, in tokens a ms.
+PREFILL_TOKENS_PER_MS = 61.4
+# Share of a cache that is trusted to outlast running requests.
+CACHE_PART = 0.85
+# A running request slows each step of the others; over its own length that
+# is about this much, from the sheets' step times.
+RUNNING_COST_MS = 8.0
+# Reading a part again costs others too, which wait between its chunks.
+REREAD_WEIGHT = 2.0
+# Added for a request that leaves its availability zone.
+ZONE_COST_MS = 4.0
+# The home of a part is left only for a gain above this.
+HOME_GAIN_MS = 30.0
+# Added for a failure, halved after each `FAILURE_HALF_LIFE_S`.
+FAILURE_COST_MS = 400.0
+FAILURE_HALF_LIFE_S = 1.0
+MAX_FAILURE_COST_MS = 8000.0
+# A plain service works on one request in about this time.
+PLAIN_COST_MS = 30.0
+# News of a peer that is silent for longer no longer counts.
+NEWS_LIFE_S = 2.0
+
+
+class Demand(NamedTuple):
+    """Describe what a request asks of an endpoint.
+
+    :param parts: names and tokens of the prompt's parts, in order
+    """
+
+    parts: Sequence[tuple[str, int]]
+    prompt_tokens: int
+
+
+@dataclasses.dataclass(slots=True)
+class Job:
+    """Hold a request that this entry has sent to an endpoint."""
+
+    prefill_tokens: int
+    sent_s: float
+    answering: bool = False
+
+
+class RemoteLoad(NamedTuple):
+    """Hold what a peer runs at an endpoint."""
+
+    running: int
+    prefill_tokens: int
+    seen_s: float
+
+
+@dataclasses.dataclass(slots=True)
+class Site:
+    """Hold what is known of one incarnation of an endpoint."""
+
+    cache_tokens: int = 0
+    jobs: dict[int, Job] = dataclasses.field(default_factory=dict)
+    remote: dict[str, RemoteLoad] = dataclasses.field(default_factory=dict)
+    parts: dict[str, int] = dataclasses.field(default_factory=dict)
+    held_tokens: int = 0
+    failure_cost_ms: float = 0.0
+    failed_s: float = 0.0
+
+    def keep_parts(self, parts: Iterable[tuple[str, int]]) -> None:
+        """Count parts as read; the least recently used yield."""
+        for name, tokens in parts:
+            self.held_tokens -= self.parts.pop(name, 0)
+            self.parts[name] = tokens
+            self.held_tokens += tokens
+        while self.held_tokens > self.cache_tokens * CACHE_PART and (
+            len(self.parts) > 1
+        ):
+            oldest = next(iter(self.parts))
+            self.held_tokens -= self.parts.pop(oldest)
+
+    def count_unread(self, demand: Demand) -> int:
+        """Return the tokens that the endpoint must read."""
+        left = demand.prompt_tokens
+        for name, tokens in demand.parts:
+            if name not in self.parts:
+                break
+            left -= tokens
+        return max(left, 0)
+
+    def count_running(self, now_s: float) -> int:
+        """Return the requests that all entries run here."""
+        return len(self.jobs) + sum(
+            load.running
+            for load in self.remote.values()
+            if now_s - load.seen_s < NEWS_LIFE_S
+        )
+
+    def count_own(self, now_s: float) -> float:
+        """Return the prompt tokens of our own that wait to be read."""
+        return sum(
+            max(
+                job.prefill_tokens
+                - (now_s - job.sent_s) * 1000 * PREFILL_TOKENS_PER_MS,
+                0,
+            )
+            for job in self.jobs.values()
+            if not job.answering
+        )
+
+    def count_backlog(self, now_s: float) -> float:
+        """Return the prompt tokens that wait to be read, estimated."""
+        others = sum(
+            load.prefill_tokens
+            for load in self.remote.values()
+            if now_s - load.seen_s < NEWS_LIFE_S
+        )
+        return self.count_own(now_s) + others
+
+    def note_failure(self, now_s: float) -> None:
+        """Add the cost of a failure."""
+        cost_ms = self.measure_failure(now_s) + FAILURE_COST_MS
+        self.failure_cost_ms = min(cost_ms, MAX_FAILURE_COST_MS)
+        self.failed_s = now_s
+
+    def note_success(self) -> None:
+        """Halve the cost of earlier failures."""
+        self.failure_cost_ms /= 2
+
+    def measure_failure(self, now_s: float) -> float:
+        """Return what is left of the cost of failures."""
+        if not self.failure_cost_ms:
+            return 0.0
+        age = (now_s - self.failed_s) / FAILURE_HALF_LIFE_S
+        return float(self.failure_cost_ms * 0.5 ** max(age, 0.0))
+
+
+class Placement:
+    """Choose endpoints and remember what was sent where."""
+
+    def __init__(self, zone: str) -> None:
+        self._zone = zone
+        self.sites: dict[tuple[str, int, str], Site] = {}
+        self._names: dict[str, tuple[str, int, str]] = {}
+        self._next_job = 0
+
+    def open_site(
+        self, endpoint: endpoints.Endpoint, cache_tokens: int = 0
+    ) -> Site:
+        """Return what is known of an endpoint, a new one if it restarted."""
+        key = endpoint.incarnation
+        site = self.sites.get(key)
+        if site is None:
+            self.sites.pop(self._names.get(endpoint.name, key), None)
+            self._names[endpoint.name] = key
+            site = self.sites[key] = Site()
+        if cache_tokens:
+            site.cache_tokens = cache_tokens
+        return site
+
+    def find_site(self, name: str) -> Site | None:
+        """Return what is known of an endpoint by its name."""
+        key = self._names.get(name)
+        return None if key is None else self.sites.get(key)
+
+    def forget(self, known: Iterable[str]) -> None:
+        """Drop what is known of endpoints that are gone."""
+        kept = set(known)
+        for name, key in list(self._names.items()):
+            site = self.sites.get(key)
+            if name not in kept and (site is None or not site.jobs):
+                del self._names[name]
+                self.sites.pop(key, None)
+
+    def choose(
+        self,
+        candidates: Sequence[endpoints.Endpoint],
+        demand: Demand,
+        cache_tokens: int,
+        now_s: float,
+    ) -> endpoints.Endpoint | None:
+        """Return the endpoint with the least predicted cost."""
+        if not candidates:
+            return None
+        home = (
+            find_home(candidates, demand.parts[0][0])
+            if len(demand.parts) > 1
+            else ""
+        )
+        return min(
+            candidates,
+            key=lambda e: (
+                self.predict_cost(e, demand, cache_tokens, now_s)
+                - (HOME_GAIN_MS if e.name == home else 0.0),
+                e.name,
+            ),
+        )
+
+    def predict_cost(
+        self,
+        endpoint: endpoints.Endpoint,
+        demand: Demand,
+        cache_tokens: int,
+        now_s: float,
+    ) -> float:
+        """Return the predicted cost of a request in milliseconds."""
+        site = self.open_site(endpoint, cache_tokens)
+        running = site.count_running(now_s)
+        cost_ms = site.measure_failure(now_s)
+        if endpoint.zone != self._zone:
+            cost_ms += ZONE_COST_MS
+        if not cache_tokens:
+            return cost_ms + running * PLAIN_COST_MS
+        unread = site.count_unread(demand)
+        reading = unread * REREAD_WEIGHT + site.count_backlog(now_s)
+        cost_ms += reading / PREFILL_TOKENS_PER_MS
+        return cost_ms + running * RUNNING_COST_MS
+
+    def start(
+        self, endpoint: endpoints.Endpoint, demand: Demand, now_s: float
+    ) -> int:
+        """Count a request as sent; return its number."""
+        site = self.open_site(endpoint)
+        self._next_job += 1
+        site.jobs[self._next_job] = Job(site.count_unread(demand), now_s)
+        site.keep_parts(demand.parts)
+        return self._next_job
+
+    def mark_answering(
+        self, endpoint: endpoints.Endpoint, number: int
+    ) -> None:
+        """Count a request's prompt as read."""
+        job = self.open_site(endpoint).jobs.get(number)
+        if job is not None:
+            job.answering = True
+
+    def end(self, endpoint: endpoints.Endpoint, number: int) -> None:
+        """Count a request as over."""
+        site = self.sites.get(endpoint.incarnation)
+        if site is not None:
+            site.jobs.pop(number, None)
+
+
+def find_home(candidates: Sequence[endpoints.Endpoint], part: str) -> str:
+    """Return the endpoint that all entries prefer for a prompt part."""
+    return max(
+        candidates,
+        key=lambda e: xxhash.xxh64_intdigest(
+            f"{part} {e.name}".encode()
+        ),
+    ).name
+
+
+__all__ = (
+    "Demand",
+    "Job",
+    "Placement",
+    "RemoteLoad",
+    "Site",
+    "find_home",
+)
--- a/src/cyclamenwing/store/errors.py
+++ b/src/cyclamenwing/store/errors.py
@@ -31,6 +31,12 @@
     retry_after_s = 1.0
 
 
+class StoreHistoryLostError(StoreUnavailableError):
+    """Report that changes were missed and all must be read again."""
+
+    code = "store_history_lost"
+
+
 class StoreRefusedError(StoreError):
     """Report a call that the service will never take, such as a large value.
 
@@ -58,6 +64,7 @@
     "StoreAnswerLostError",
     "StoreBusyError",
     "StoreError",
+    "StoreHistoryLostError",
     "StoreMalformedError",
     "StoreRefusedError",
     "StoreUnavailableError",
--- a/src/cyclamenwing/store/protocol.py
+++ b/src/cyclamenwing/store/protocol.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import AsyncIterator
+from collections.abc import Sequence
 from typing import NamedTuple
 from typing import Protocol
 
@@ -17,6 +18,62 @@
     revision: int
 
 
+class Snapshot(NamedTuple):
+    """Hold the keys below a prefix, as of a revision or newer."""
+
+    entries: list[Entry]
+    revision: int
+
+
+class Change(NamedTuple):
+    """Hold a write, or a removal where the value is None."""
+
+    key: str
+    value: bytes | None
+    revision: int
+
+
+class Changes(NamedTuple):
+    """Hold changes; the next ones follow after `revision`."""
+
+    changes: list[Change]
+    revision: int
+
+
+class Committed(NamedTuple):
+    """Report a commit that took effect."""
+
+    revision: int
+
+
+class Conflict(NamedTuple):
+    """Report a commit without effect; a missing key is absent."""
+
+    entries: list[Entry]
+
+
+class Journal(Protocol):
+    """Read, follow and commit several keys at once.
+
+    Errors are those of `Store`; `StoreHistoryLostError` asks for a new read.
+    """
+
+    async def read(self, prefix: str) -> Snapshot:
+        """Read all keys below a prefix."""
+
+    async def follow(
+        self, prefix: str, revision: int, wait_s: float
+    ) -> Changes:
+        """Wait for changes after a revision."""
+
+    async def commit(
+        self,
+        expected: Sequence[tuple[str, int]],
+        writes: Sequence[tuple[str, bytes]],
+    ) -> Committed | Conflict:
+        """Write keys at once if all expected revisions hold; 0 is absent."""
+
+
 class Store(Protocol):
     """Read, compare-and-swap, lease and watch keys.
 
@@ -57,6 +114,12 @@
 
 __all__ = (
     "MAX_VALUE_BYTES",
+    "Change",
+    "Changes",
+    "Committed",
+    "Conflict",
     "Entry",
+    "Journal",
+    "Snapshot",
     "Store",
 )
--- /dev/null
+++ b/src/gateway.py
@@ -0,0 +1,25 @@
+"""Start a gateway without loading the other commands."""
+
+from __future__ import annotations
+
+import argparse
+import sys
+
+from cyclamenwing import errors
+from cyclamenwing.cli import gateway
+
+
+def main() -> int:
+    """Run the gateway's command line."""
+    command = gateway.GatewayCommand()
+    parser = argparse.ArgumentParser(description=command.HELP)
+    command.add_arguments(parser)
+    try:
+        return command.run(parser.parse_args())
+    except errors.CodedError as err:
+        print(f"{err.code}: {err.message}", file=sys.stderr)
+        return 2
+
+
+if __name__ == "__main__":
+    sys.exit(main())
