Hold budgets for an outage and free what dead processes held (trial)

Cause: holdings of 2% of the pool ran dry within a second of an outage; larger ones were lost with each kill. Change: a record bounds the use of what is held, growing with its age; the next process on the host frees the rest once boot clock, a peer or agreeing clocks bound that age.

--- a/src/cyclamenwing/budget/escrow.py
+++ b/src/cyclamenwing/budget/escrow.py
@@ -5,8 +5,13 @@
 it holds, so neither a partition nor a pause can overspend. Entries also hand
 tokens to each other, which leaves the pool's sum as it is.
 
-A commit whose answer is lost counts against its entry until the store has
-shown which way it went.
+An entry also promises, in a record beside the pools, a bound on its use that
+grows with the age of the record. When its process has died, the next one on
+the same host frees what the bound leaves, once it knows how old the record
+was.
+
+A commit whose answer is lost counts against its entry, pool and promise
+both, until the store has shown which way it went.
 """
 
 from __future__ import annotations
@@ -14,26 +19,65 @@
 import dataclasses
 import math
 from collections.abc import Mapping
+from typing import NamedTuple
 
 # Holdings cover an outage of the store of this length at the recent rate.
-AHEAD_S = 10.0
-# A draw is due once holdings cover less than this.
-LOW_S = 6.0
+AHEAD_S = 14.0
+# A draw is due once holdings cover less than this part of their target.
+REFILL_PART = 0.8
+# Holdings above this multiple of their target are returned.
+RETURN_FACTOR = 1.5
 # Window of the spending rate; long enough to see a large batch twice.
-RATE_WINDOW_S = 6.0
-# An entry without spending of its own holds this part of the free pool.
-IDLE_PART = 0.02
-# Holdings below this part of the target are filled up again.
-REFILL_PART = 0.6
+RATE_WINDOW_S = 8.0
+# Entries without spending of their own hold this part of the free pool,
+# all together.
+IDLE_PART = 0.3
+# Entries hold this part of what is left, all together: the rest survives a
+# loss of all of them.
+HOLD_PART = 0.85
 # A draw leaves others their part of a pool that runs dry.
 MAX_PART = 0.5
+# A promise starts above the present use by this much of the rate, in
+# seconds, and at least by this part of the holdings.
+START_S = 0.8
+START_PART = 0.08
+# It first grows by this multiple of the rate, so that little is lost with a
+# process that dies while the store is in reach.
+EARLY_FACTOR = 1.15
+EARLY_PART = 0.04
+# Later it lets the holdings be used up, for an outage of the store.
+EARLY_S = 5.0
+LATE_S = 4.0
+# Pools list what dead incarnations have used under this name.
+CLOSED = "closed"
+
+
+class Promise(NamedTuple):
+    """Bound an account's use: `ceiling` at `since_s`, then growing.
+
+    :param early: growth in the first `EARLY_S`, in tokens a second
+    :param late: growth after that
+    """
+
+    ceiling: int
+    early: float
+    late: float
+    since_s: float
+
+    def allow(self, now_s: float) -> int:
+        """Return the most that may be in use at a time."""
+        age_s = max(now_s - self.since_s, 0.0)
+        early = self.early * min(age_s, EARLY_S)
+        late = self.late * max(age_s - EARLY_S, 0.0)
+        return self.ceiling + int(early + late)
 
 
 @dataclasses.dataclass(slots=True)
 class Account:
-    """Count what this entry holds and spends of one workspace's tokens.
+    """Count what this entry holds and uses of one workspace's tokens.
 
-    `floor` is the least that commits on their way may leave of `drawn`.
+    `floor` is the least that commits on their way may leave of `drawn`;
+    `promises` are those that the store may hold.
     """
 
     drawn: int = 0
@@ -43,18 +87,32 @@
     spent: int = 0
     reserved: int = 0
     wanted: int = 0
+    largest: float = 0.0
     rate: float = 0.0
     rate_at_s: float = 0.0
+    promises: list[Promise] = dataclasses.field(default_factory=list)
 
     @property
-    def available(self) -> int:
-        """Return the tokens that may be reserved now."""
+    def used(self) -> int:
+        """Return what counts against holdings and promises."""
+        return self.spent + self.reserved + self.given - self.received
+
+    @property
+    def held(self) -> int:
+        """Return the tokens that are held and not used."""
         sure = self.drawn if self.floor is None else self.floor
-        return sure + self.received - self.given - self.spent - self.reserved
+        return sure - self.used
+
+    def count_available(self, now_s: float) -> int:
+        """Return the tokens that may be reserved now."""
+        if not self.promises:
+            return min(self.held, 0)
+        promised = min(item.allow(now_s) for item in self.promises)
+        return min(self.held, promised - self.used)
 
-    def reserve(self, tokens: int) -> bool:
+    def reserve(self, tokens: int, now_s: float) -> bool:
         """Set tokens aside for a request if they are there."""
-        if tokens > self.available:
+        if tokens > self.count_available(now_s):
             return False
         self.reserved += tokens
         return True
@@ -65,10 +123,12 @@
         self.spent += spent
 
     def give(self, tokens: int, now_s: float) -> int:
-        """Hand tokens to another entry; return how many."""
-        spare = self.available
-        keep = min(self.measure_rate(now_s) * LOW_S, spare / 2)
-        granted = max(min(tokens, int(spare - keep)), 0)
+        """Hand tokens to another entry; return how many.
+
+        Half of the holdings stay, or less if little is asked for.
+        """
+        spare = self.count_available(now_s)
+        granted = max(min(tokens, spare - min(spare // 2, tokens)), 0)
         self.given += granted
         return granted
 
@@ -78,6 +138,7 @@
 
     def note_demand(self, tokens: int, now_s: float) -> None:
         """Count a request's tokens towards the rate."""
+        self.largest = max(self.largest * 0.9, tokens)
         self.rate = self.measure_rate(now_s) + tokens / RATE_WINDOW_S
         self.rate_at_s = now_s
 
@@ -86,25 +147,36 @@
         idle_s = max(now_s - self.rate_at_s, 0.0)
         return self.rate * math.exp(-idle_s / RATE_WINDOW_S)
 
-    def plan_draw(self, free: int, entries: int, now_s: float) -> int:
-        """Return the tokens to draw from the pool.
+    def plan_change(self, free: int, entries: int, now_s: float) -> int:
+        """Return the tokens to draw from the pool, below 0 to return some.
 
         :param free: tokens of the pool that no entry holds
         :param entries: entries that draw from the pool
         """
-        if free <= 0:
-            return 0
         rate = self.measure_rate(now_s)
-        target = max(rate * AHEAD_S + self.wanted, free * IDLE_PART)
-        if self.available >= max(
-            rate * LOW_S + self.wanted, target * REFILL_PART
-        ):
+        shared = (free + max(self.held, 0) * entries) / entries
+        target = max(rate * AHEAD_S, free * IDLE_PART / entries)
+        target = min(target, shared * HOLD_PART) + self.wanted
+        if self.held > target * RETURN_FACTOR and self.floor is None:
+            return int(target) - self.held
+        if free <= 0 or self.held >= target * REFILL_PART:
             return 0
-        fair = free * MAX_PART / max(entries, 1)
-        least = self.wanted - self.available
-        wish = min(target - self.available, max(fair, least))
+        fair = free * MAX_PART / entries
+        least = self.wanted - self.held
+        wish = min(target - self.held, max(fair, least))
         return max(min(int(wish), free), 0)
 
+    def plan_promise(self, change: int, now_s: float) -> Promise:
+        """Return the promise to commit together with a change."""
+        rate = self.measure_rate(now_s)
+        held = max(self.held + change, 0)
+        start = max(
+            rate * START_S, held * START_PART, self.largest + self.wanted
+        )
+        early = max(rate * EARLY_FACTOR, held * EARLY_PART)
+        late = max(early, held / LATE_S)
+        return Promise(self.used + int(start), early, late, now_s)
+
 
 @dataclasses.dataclass(slots=True)
 class Pool:
@@ -158,30 +230,72 @@
         account.drawn = pool.holders.get(self.holder, 0)
         account.floor = None
 
-    def begin(self, workspace: str, change: int) -> dict[str, int]:
-        """Start a commit; return the pool's holders that it writes."""
-        account = self.open_account(workspace)
-        holders = dict(self.open_pool(workspace).holders)
-        holders[self.holder] = account.drawn + change
-        floor = account.drawn if account.floor is None else account.floor
-        account.floor = min(floor, holders[self.holder])
-        return holders
-
-    def cancel(self, workspace: str) -> None:
-        """Record that a commit had no effect and never will.
+    def begin(
+        self, changes: Mapping[str, int], now_s: float
+    ) -> tuple[dict[str, dict[str, int]], dict[str, Promise]]:
+        """Start a commit; return the holders and promises to write."""
+        written = {}
+        for workspace, change in changes.items():
+            account = self.open_account(workspace)
+            holders = dict(self.open_pool(workspace).holders)
+            holders[self.holder] = account.drawn + change
+            floor = account.drawn if account.floor is None else account.floor
+            account.floor = min(floor, holders[self.holder])
+            written[workspace] = holders
+        promises = {}
+        for workspace, account in self.accounts.items():
+            made = account.plan_promise(changes.get(workspace, 0), now_s)
+            account.promises.append(made)
+            promises[workspace] = made
+        return written, promises
+
+    def finish(
+        self,
+        revision: int,
+        written: Mapping[str, Mapping[str, int]],
+        promises: Mapping[str, Promise],
+    ) -> None:
+        """Record a commit that took effect; it voids all before it."""
+        for workspace, holders in written.items():
+            self.see_pool(workspace, revision, holders)
+        for workspace, made in promises.items():
+            self.accounts[workspace].promises = [made]
+
+    def cancel(
+        self, changes: Mapping[str, int], promises: Mapping[str, Promise]
+    ) -> None:
+        """Record a commit that had no effect and never will.
 
-        An older one may still be on its way, so the floor stays until the
-        pool is seen anew.
+        An older one may still be on its way, so a lowered floor stays until
+        the pool is seen anew.
         """
-        account = self.open_account(workspace)
-        if account.floor == account.drawn:
-            account.floor = None
+        for workspace in changes:
+            account = self.open_account(workspace)
+            if account.floor == account.drawn:
+                account.floor = None
+        for workspace, made in promises.items():
+            account = self.accounts[workspace]
+            account.promises = [p for p in account.promises if p is not made]
+
+
+def close_holder(
+    holders: Mapping[str, int], holder: str, bound: int
+) -> dict[str, int]:
+    """Return a pool's holders without one that is dead.
+
+    What it may have used stays counted; the rest is free again.
+    """
+    left = {name: drawn for name, drawn in holders.items() if name != holder}
+    used = min(holders.get(holder, 0), max(bound, 0))
+    left[CLOSED] = left.get(CLOSED, 0) + used
+    return left
 
 
 __all__ = (
-    "AHEAD_S",
-    "LOW_S",
+    "CLOSED",
     "Account",
     "Escrow",
     "Pool",
+    "Promise",
+    "close_holder",
 )
--- a/src/cyclamenwing/gateway/app.py
+++ b/src/cyclamenwing/gateway/app.py
@@ -20,6 +20,7 @@
 from cyclamenwing.gateway import funds
 from cyclamenwing.gateway import peers
 from cyclamenwing.gateway import settings as gateway_settings
+from cyclamenwing.gateway import succession
 from cyclamenwing.metrics import recorder
 from cyclamenwing.routing import allowance
 from cyclamenwing.routing import placement
@@ -39,6 +40,9 @@
 LAST_REQUEST_S = 3.0
 RELEASE_TIMEOUT_S = 0.4
 POLL_S = 0.05
+# An earlier process's holdings are looked after for this long.
+SUCCESSION_S = 12.0
+SUCCESSION_PAUSE_S = 0.2
 
 
 class Gateway:
@@ -65,6 +69,7 @@
                 bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_s
             ),
             metrics=recorder.Recorder(),
+            began_s=clock.read_time(),
         )
         self._configurations = follower.ConfigurationFollower(board, codec)
         self._endpoints = follower.EndpointFollower(board, codec)
@@ -123,6 +128,7 @@
             self._peers.register(self._store),
             self._peers.run(),
             self._funds.run(),
+            self._succeed(),
             self._sweep(),
         ):
             self._start_task(work)
@@ -157,6 +163,30 @@
             task.cancel()
         eliot.log_message("gateway:stopped", active=board.active)
 
+    async def _succeed(self) -> None:
+        """Free what the host's earlier process left, if its age is known."""
+        until_s = clock.read_time() + SUCCESSION_S
+        while clock.read_time() < until_s:
+            await asyncio.sleep(SUCCESSION_PAUSE_S)
+            dead = self.board.predecessor
+            if dead is None:
+                continue
+            statements = await self._peers.ask_statements(dead.holder)
+            age_s = succession.bound_age(
+                dead, len(self.board.members), statements
+            )
+            if age_s is None:
+                continue
+            try:
+                await self._funds.close_predecessor(age_s)
+            except store_errors.StoreError as err:
+                eliot.log_message("funds:close_failed", code=err.code)
+        if self.board.predecessor is not None:
+            eliot.log_message(
+                "funds:predecessor_kept",
+                holder=self.board.predecessor.holder,
+            )
+
     async def _release(self) -> None:
         try:
             async with asyncio.timeout(RELEASE_TIMEOUT_S):
--- a/src/cyclamenwing/gateway/blackboard.py
+++ b/src/cyclamenwing/gateway/blackboard.py
@@ -8,6 +8,7 @@
 from cyclamenwing.budget import escrow
 from cyclamenwing.gateway import configuration
 from cyclamenwing.gateway import settings as gateway_settings
+from cyclamenwing.gateway import succession
 from cyclamenwing.metrics import recorder
 from cyclamenwing.routing import allowance
 from cyclamenwing.routing import endpoints
@@ -26,6 +27,7 @@
     version: int
     available: dict[str, int]
     seen_s: float
+    record_age_s: float
 
 
 @dataclasses.dataclass(slots=True)
@@ -47,6 +49,10 @@
     members: dict[str, str] = dataclasses.field(default_factory=dict)
     store_seen_s: float = 0.0
     leaving_s: float | None = None
+    predecessor: succession.Predecessor | None = None
+    began_s: float = 0.0
+    record_at_s: float = 0.0
+    wall_age_s: float | None = None
     active: int = 0
 
     @property
--- a/src/cyclamenwing/gateway/funds.py
+++ b/src/cyclamenwing/gateway/funds.py
@@ -4,31 +4,40 @@
 
 import asyncio
 import contextlib
+import pathlib
+import time
 from collections.abc import Awaitable
 from collections.abc import Callable
 
 import eliot
 import msgspec
 
+from cyclamenwing.budget import escrow
 from cyclamenwing.gateway import blackboard
 from cyclamenwing.gateway import clock
 from cyclamenwing.gateway import errors
+from cyclamenwing.gateway import succession
 from cyclamenwing.store import errors as store_errors
 from cyclamenwing.store import protocol
 
 POOL_PREFIX = "cyclamenwing/pools/"
-# A transaction takes 32 entries, two a pool.
+HOLDER_PREFIX = "cyclamenwing/holders/"
+BOOT_ID = pathlib.Path("/proc/sys/kernel/random/boot_id")
+# A transaction takes 32 entries, two a key; one key is the own record.
 MAX_POOLS = 15
-# Draws that nobody waits for come at this interval.
-DRAW_INTERVAL_S = 0.5
+# Promises are renewed at this interval while tokens are used.
+RENEW_INTERVAL_S = 1.0
 # Draws that a request waits for follow each other no faster.
 URGENT_INTERVAL_S = 0.02
-BUSY_PAUSE_S = 0.5
+BUSY_PAUSE_S = 0.3
 # A request waits this part of its goal for the pool and for peers.
 WAIT_PART = 0.3
 MIN_WAIT_S = 0.05
 # A draw answers within a few round trips; peers are asked after that.
 DRAW_WAIT_S = 0.04
+GATHER_PAUSE_S = 0.03
+# The store has answered this lately, so that asking it makes sense.
+NEAR_S = 3.0
 # The pool was seen this lately for a refusal to be final.
 FRESH_S = 2.0
 
@@ -41,6 +50,27 @@
     drawn: dict[str, int] = {}
 
 
+class PromiseRecord(msgspec.Struct, array_like=True):
+    """Hold a bound on use: tokens, and tokens a second."""
+
+    ceiling: int
+    early: float
+    late: float
+
+
+class HolderRecord(msgspec.Struct):
+    """Hold what a gateway promises, by the boot clock of its host.
+
+    `wall_s` is the time of day, in Unix seconds.
+    """
+
+    holder: str
+    boot_id: str
+    since_s: float
+    wall_s: float
+    promises: dict[str, PromiseRecord]
+
+
 class Funds:
     """Keep what this gateway holds of each workspace's tokens.
 
@@ -60,6 +90,13 @@
         self._drawn = asyncio.Condition()
         self._asking: dict[str, asyncio.Lock] = {}
         self._seen_s: dict[str, float] = {}
+        self._started_s = clock.read_time()
+        self._started_wall_s = time.time()
+        self._boot_id = read_boot_id()
+        self._record_key = HOLDER_PREFIX + board.settings.host
+        self._record_revision: int | None = None
+        self._renewed_s = 0.0
+        self._renewed_used: dict[str, int] = {}
 
     async def reserve(
         self, workspace: str, prepaid: int, tokens: int, goal_s: float
@@ -72,7 +109,7 @@
         now_s = clock.read_time()
         account = self._board.escrow.open_account(workspace)
         account.note_demand(tokens, now_s)
-        if account.reserve(tokens):
+        if account.reserve(tokens, now_s):
             return
         if tokens > prepaid:
             raise errors.BudgetSpentError("larger than the whole budget")
@@ -81,9 +118,9 @@
             wait_s = max(goal_s * WAIT_PART, MIN_WAIT_S)
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(wait_s):
-                    if await self._gather(workspace, prepaid, tokens):
-                        return
-            if account.reserve(tokens):
+                    await self._gather(workspace, prepaid, tokens)
+                    return
+            if account.reserve(tokens, clock.read_time()):
                 return
         finally:
             account.wanted -= tokens
@@ -99,62 +136,72 @@
             self._urgent.clear()
             pause_s = URGENT_INTERVAL_S
             try:
-                await self._draw()
-            except store_errors.StoreBusyError as err:
-                eliot.log_message("funds:store_busy", reason=err.message)
-                pause_s = BUSY_PAUSE_S
+                if self._record_revision is None:
+                    await self._take_over()
+                else:
+                    await self._renew()
             except store_errors.StoreError as err:
-                eliot.log_message("funds:draw_failed", code=err.code)
+                eliot.log_message("funds:commit_failed", code=err.code)
                 pause_s = BUSY_PAUSE_S
             async with self._drawn:
                 self._drawn.notify_all()
             await asyncio.sleep(pause_s)
             with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(DRAW_INTERVAL_S):
+                async with asyncio.timeout(RENEW_INTERVAL_S):
                     await self._urgent.wait()
 
     async def release(self) -> None:
         """Return to the pools what this gateway holds and doesn't use."""
-        accounts = self._board.escrow.accounts
         changes = {
-            name: -account.available
-            for name, account in accounts.items()
-            if account.available > 0
+            name: -account.held
+            for name, account in self._board.escrow.accounts.items()
+            if account.held > 0
         }
         for _ in range(3):
-            if await self._commit(changes):
+            if not changes or await self._commit(changes):
                 return
 
     async def _gather(
         self, workspace: str, prepaid: int, tokens: int
-    ) -> bool:
-        account = self._board.escrow.open_account(workspace)
+    ) -> None:
+        """Return once the tokens are set aside; the caller bounds it."""
         board = self._board
-        now_s = clock.read_time()
-        store_near = now_s - board.store_seen_s < FRESH_S * 2
-        free = board.escrow.count_free(workspace, prepaid)
-        if store_near and (free > 0 or workspace not in self._seen_s):
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(DRAW_WAIT_S), self._drawn:
-                    self._urgent.set()
-                    await self._drawn.wait()
-            if account.reserve(tokens):
-                return True
-        lock = self._asking.setdefault(workspace, asyncio.Lock())
-        async with lock:
-            if account.reserve(tokens):
+        account = board.escrow.open_account(workspace)
+        while True:
+            now_s = clock.read_time()
+            short = account.held < account.wanted
+            free = board.escrow.count_free(workspace, prepaid)
+            useful = free > 0 or not short or workspace not in self._seen_s
+            if now_s - board.store_seen_s < NEAR_S and useful:
+                with contextlib.suppress(TimeoutError):
+                    async with asyncio.timeout(DRAW_WAIT_S), self._drawn:
+                        self._urgent.set()
+                        await self._drawn.wait()
+                if account.reserve(tokens, clock.read_time()):
+                    return
+            lock = self._asking.setdefault(workspace, asyncio.Lock())
+            async with lock:
+                if await self._ask_peers(workspace, account, tokens):
+                    return
+            # A promise grows, and reservations of others end.
+            await asyncio.sleep(GATHER_PAUSE_S)
+
+    async def _ask_peers(
+        self, workspace: str, account: escrow.Account, tokens: int
+    ) -> bool:
+        if account.reserve(tokens, clock.read_time()):
+            return True
+        peers = sorted(
+            self._board.list_peers(clock.read_time()),
+            key=lambda p: -p.available.get(workspace, 0),
+        )
+        for peer in peers:
+            available = account.count_available(clock.read_time())
+            lack = max(account.wanted, tokens) - available
+            if lack > 0 and peer.available.get(workspace, 0) > 0:
+                account.receive(await self._ask_peer(peer, workspace, lack))
+            if account.reserve(tokens, clock.read_time()):
                 return True
-            for peer in sorted(
-                board.list_peers(clock.read_time()),
-                key=lambda p: -p.available.get(workspace, 0),
-            ):
-                lack = account.wanted - account.available
-                if lack > 0 and peer.available.get(workspace, 0) > 0:
-                    account.receive(
-                        await self._ask_peer(peer, workspace, lack)
-                    )
-                if account.reserve(tokens):
-                    return True
         return False
 
     def _make_refusal(
@@ -162,6 +209,7 @@
     ) -> errors.GatewayError:
         now_s = clock.read_time()
         board = self._board
+        account = board.escrow.open_account(workspace)
         pool = board.escrow.open_pool(workspace)
         free = prepaid - pool.drawn
         seen_s = now_s - self._seen_s.get(workspace, 0.0)
@@ -174,7 +222,8 @@
             "funds:refused",
             workspace=workspace,
             tokens=tokens,
-            held=board.escrow.open_account(workspace).available,
+            held=account.held,
+            available=account.count_available(now_s),
             free=free,
             pool_age_s=round(seen_s, 2),
             peers=len(live) - 1,
@@ -184,7 +233,109 @@
             return errors.BudgetSpentError(f"{tokens} tokens are not left")
         return errors.BudgetUnreachableError(f"{tokens} tokens not in reach")
 
-    async def _draw(self) -> None:
+    async def _take_over(self) -> None:
+        """Read the pools and replace the record of an earlier process."""
+        ledger = self._board.escrow
+        found = await self._store.read(POOL_PREFIX)
+        for entry in found.entries:
+            record = msgspec.json.decode(entry.value, type=PoolRecord)
+            name = entry.key.removeprefix(POOL_PREFIX)
+            ledger.see_pool(name, entry.revision, record.drawn)
+        records = await self._store.read(self._record_key)
+        before = next(
+            (e for e in records.entries if e.key == self._record_key), None
+        )
+        record = HolderRecord(
+            ledger.holder,
+            self._boot_id,
+            clock.read_time(),
+            time.time(),
+            {},
+        )
+        outcome = await self._store.commit(
+            [(self._record_key, before.revision if before else 0)],
+            [(self._record_key, msgspec.json.encode(record))],
+        )
+        if not isinstance(outcome, protocol.Committed):
+            return
+        # From here on a commit of the earlier process can't take effect.
+        self._record_revision = outcome.revision
+        self._board.store_seen_s = clock.read_time()
+        self._urgent.set()
+        self._board.record_at_s = record.since_s
+        if before is not None:
+            dead = self._read_predecessor(before.value)
+            self._board.predecessor = dead
+            self._board.wall_age_s = dead.wall_elapsed_s
+
+    def _read_predecessor(self, value: bytes) -> succession.Predecessor:
+        record = msgspec.json.decode(value, type=HolderRecord)
+        same_boot = record.boot_id == self._boot_id != ""
+        elapsed_s = self._started_s - record.since_s
+        return succession.Predecessor(
+            holder=record.holder,
+            promises={
+                name: escrow.Promise(made.ceiling, made.early, made.late, 0.0)
+                for name, made in record.promises.items()
+            },
+            boot_elapsed_s=(
+                elapsed_s if same_boot and elapsed_s >= 0 else None
+            ),
+            wall_elapsed_s=self._started_wall_s - record.wall_s,
+        )
+
+    async def close_predecessor(self, elapsed_s: float) -> bool:
+        """Free what the host's earlier process can't have used.
+
+        :param elapsed_s: age of its record when this process began, at most
+        """
+        ledger = self._board.escrow
+        dead = self._board.predecessor
+        if dead is None:
+            return True
+        names = [
+            name
+            for name, pool in ledger.pools.items()
+            if dead.holder in pool.holders
+        ][:MAX_POOLS]
+        expected = []
+        writes = []
+        for name in names:
+            pool = ledger.pools[name]
+            drawn = pool.holders[dead.holder]
+            promise = dead.promises.get(name)
+            bound = promise.allow(elapsed_s) if promise else drawn
+            holders = escrow.close_holder(pool.holders, dead.holder, bound)
+            eliot.log_message(
+                "funds:predecessor_closed",
+                holder=dead.holder,
+                workspace=name,
+                drawn=drawn,
+                bound=bound,
+                elapsed_s=round(elapsed_s, 2),
+            )
+            expected.append((POOL_PREFIX + name, pool.revision))
+            writes.append((
+                POOL_PREFIX + name,
+                msgspec.json.encode(PoolRecord(holders)),
+            ))
+        if not names:
+            self._board.predecessor = None
+            return True
+        outcome = await self._store.commit(expected, writes)
+        if isinstance(outcome, protocol.Conflict):
+            self._see_entries(outcome.entries)
+            return False
+        for key, value in writes:
+            ledger.see_pool(
+                key.removeprefix(POOL_PREFIX),
+                outcome.revision,
+                msgspec.json.decode(value, type=PoolRecord).drawn,
+            )
+        self._urgent.set()
+        return False
+
+    async def _renew(self) -> None:
         board = self._board
         known = board.configuration
         if known is None:
@@ -197,25 +348,45 @@
                 continue
             account = board.escrow.open_account(name)
             free = board.escrow.count_free(name, workspace.prepaid_tokens)
-            change = account.plan_draw(free, entries, now_s)
-            if change > 0 or (
+            change = account.plan_change(free, entries, now_s)
+            if change or (
                 account.wanted and now_s - self._seen_s.get(name, 0) > FRESH_S
             ):
                 changes[name] = change
-        if changes:
+        if changes or self._is_renewal_due(now_s):
             await self._commit(changes)
 
-    async def _commit(self, changes: dict[str, int]) -> bool:
-        names = sorted(
-            changes, key=lambda n: -abs(changes[n])
-        )[:MAX_POOLS]
-        if not names:
+    def _is_renewal_due(self, now_s: float) -> bool:
+        accounts = self._board.escrow.accounts
+        if any(
+            account.wanted and account.held >= account.wanted
+            for account in accounts.values()
+        ):
             return True
+        if now_s - self._renewed_s < RENEW_INTERVAL_S:
+            return False
+        used = {name: account.used for name, account in accounts.items()}
+        return used != self._renewed_used
+
+    async def _commit(self, changes: dict[str, int]) -> bool:
+        names = sorted(changes, key=lambda n: -abs(changes[n]))[:MAX_POOLS]
+        chosen = {name: changes[name] for name in names}
         ledger = self._board.escrow
-        expected = []
-        writes = []
-        for name in names:
-            holders = ledger.begin(name, changes[name])
+        now_s = clock.read_time()
+        written, promises = ledger.begin(chosen, now_s)
+        record = HolderRecord(
+            ledger.holder,
+            self._boot_id,
+            now_s,
+            time.time(),
+            {
+                name: PromiseRecord(made.ceiling, made.early, made.late)
+                for name, made in promises.items()
+            },
+        )
+        expected = [(self._record_key, self._record_revision or 0)]
+        writes = [(self._record_key, msgspec.json.encode(record))]
+        for name, holders in written.items():
             key = POOL_PREFIX + name
             expected.append((key, ledger.pools[name].revision))
             writes.append((key, msgspec.json.encode(PoolRecord(holders))))
@@ -225,38 +396,62 @@
             eliot.log_message("funds:commit_in_doubt", workspaces=names)
             raise
         except store_errors.StoreError:
-            for name in names:
-                ledger.cancel(name)
+            ledger.cancel(chosen, promises)
             raise
-        now_s = clock.read_time()
-        self._board.store_seen_s = now_s
-        self._seen_s.update(dict.fromkeys(names, now_s))
+        self._board.store_seen_s = clock.read_time()
+        self._seen_s.update(dict.fromkeys(names, self._board.store_seen_s))
         if isinstance(outcome, protocol.Conflict):
-            self._see_pools(names, outcome.entries)
+            ledger.cancel(chosen, promises)
+            self._see_entries(outcome.entries)
             self._urgent.set()
             return False
-        for name, (_, value) in zip(names, writes, strict=True):
-            holders = msgspec.json.decode(value, type=PoolRecord).drawn
-            ledger.see_pool(name, outcome.revision, holders)
-        eliot.log_message(
-            "funds:committed",
-            changes={n: changes[n] for n in names},
-            revision=outcome.revision,
-        )
+        ledger.finish(outcome.revision, written, promises)
+        self._record_revision = outcome.revision
+        self._renewed_s = now_s
+        self._board.record_at_s = now_s
+        self._renewed_used = {
+            name: account.used for name, account in ledger.accounts.items()
+        }
+        if chosen:
+            eliot.log_message(
+                "funds:committed", changes=chosen, revision=outcome.revision
+            )
         return True
 
-    def _see_pools(
-        self, names: list[str], entries: list[protocol.Entry]
-    ) -> None:
+    def _see_entries(self, entries: list[protocol.Entry]) -> None:
+        ledger = self._board.escrow
         for entry in entries:
+            if entry.key == self._record_key:
+                self._see_record(entry)
+                continue
             name = entry.key.removeprefix(POOL_PREFIX)
             record = msgspec.json.decode(entry.value, type=PoolRecord)
-            self._board.escrow.see_pool(name, entry.revision, record.drawn)
-        for name in names:
-            self._board.escrow.cancel(name)
+            ledger.see_pool(name, entry.revision, record.drawn)
+
+    def _see_record(self, entry: protocol.Entry) -> None:
+        record = msgspec.json.decode(entry.value, type=HolderRecord)
+        if record.holder != self._board.escrow.holder:
+            # Another process took over this host's record: it has counted
+            # this one as dead, so nothing may be spent any more.
+            eliot.log_message("funds:record_taken", holder=record.holder)
+            for account in self._board.escrow.accounts.values():
+                account.promises = [escrow.Promise(-(10**18), 0.0, 0.0, 0.0)]
+            return
+        self._record_revision = entry.revision
+
+
+def read_boot_id() -> str:
+    """Return what names this start of the host, empty if it is unknown."""
+    try:
+        return BOOT_ID.read_text().strip()
+    except OSError as err:
+        eliot.log_message("funds:no_boot_id", reason=str(err))
+        return ""
 
 
 __all__ = (
+    "HOLDER_PREFIX",
     "POOL_PREFIX",
     "Funds",
+    "read_boot_id",
 )
--- a/src/cyclamenwing/gateway/peers.py
+++ b/src/cyclamenwing/gateway/peers.py
@@ -18,6 +18,7 @@
 from cyclamenwing import errors
 from cyclamenwing.gateway import blackboard
 from cyclamenwing.gateway import clock
+from cyclamenwing.gateway import succession
 from cyclamenwing.routing import placement
 from cyclamenwing.store import errors as store_errors
 from cyclamenwing.store import protocol
@@ -27,12 +28,16 @@
 NEWS_PATH = "/peers/news"
 TRANSFER_PATH = "/peers/transfer"
 CONFIGURATION_PATH = "/peers/configuration"
+STATEMENT_PATH = "/peers/statement"
 HOSTS_PREFIX = "cyclamenwing/hosts/"
 
 NEWS_INTERVAL_S = 0.2
 NEWS_TIMEOUT_S = 0.5
 TRANSFER_TIMEOUT_S = 0.1
 CONFIGURATION_TIMEOUT_S = 1.0
+STATEMENT_TIMEOUT_S = 0.3
+# A process that began this lately speaks of its own predecessor.
+RESTART_LIFE_S = 10.0
 # A gateway that did not answer is tried again this much later.
 SILENT_PAUSE_S = 1.0
 # Parts sent within this time are named in the news.
@@ -69,6 +74,21 @@
     sites: list[SiteNews]
     sent: list[SentNews]
     available: dict[str, int]
+    # Age of the record that bounds the use of budgets.
+    record_age_s: float
+
+
+class StatementRequest(msgspec.Struct):
+    """Ask what is known of a process that has died."""
+
+    holder: str
+
+
+class StatementReply(msgspec.Struct):
+    """Say how old its record is; see `succession.Statement`."""
+
+    elapsed_s: float | None
+    restart_age_s: float | None
 
 
 class TransferRequest(msgspec.Struct):
@@ -114,6 +134,7 @@
         )
         self._number = 0
         self._heard: dict[str, int] = {}
+        self._former: dict[str, blackboard.Peer] = {}
         self._called_s: dict[str, float] = {}
         self._silent_s: dict[str, float] = {}
         self._joined_s = clock.read_time()
@@ -199,6 +220,34 @@
         )
         return max(reply.tokens, 0)
 
+    async def ask_statements(
+        self, holder: str
+    ) -> list[succession.Statement]:
+        """Ask all members what they know of a process that has died."""
+        body = msgspec.json.encode(StatementRequest(holder))
+        answers = await asyncio.gather(
+            *(
+                self._caller.call(
+                    address, "POST", STATEMENT_PATH, body, STATEMENT_TIMEOUT_S
+                )
+                for address in self._board.members.values()
+            ),
+            return_exceptions=True,
+        )
+        found = []
+        for answer in answers:
+            if isinstance(answer, BaseException):
+                eliot.log_message("peers:no_statement", reason=repr(answer))
+                continue
+            if answer[0] == 200:
+                reply = msgspec.json.decode(answer[1], type=StatementReply)
+                found.append(
+                    succession.Statement(
+                        reply.elapsed_s, reply.restart_age_s
+                    )
+                )
+        return found
+
     def write_news(self) -> News:
         """Return this gateway's news."""
         board = self._board
@@ -226,10 +275,11 @@
                 if now_s - item.sent_s < SENT_LIFE_S
             ],
             available={
-                name: account.available
+                name: account.count_available(now_s)
                 for name, account in board.escrow.accounts.items()
-                if account.available > 0
+                if account.count_available(now_s) > 0
             },
+            record_age_s=now_s - board.record_at_s,
         )
 
     def read_news(self, news: News) -> None:
@@ -243,6 +293,7 @@
         before = board.peers.get(news.host)
         if before is not None and before.holder != news.holder:
             self._heard.pop(news.host, None)
+            self._former[before.holder] = before
         board.peers[news.host] = blackboard.Peer(
             news.host,
             news.address,
@@ -250,6 +301,7 @@
             news.version,
             news.available,
             now_s,
+            news.record_age_s,
         )
         board.members[news.host] = news.address
         for host, address in news.members.items():
@@ -365,10 +417,29 @@
             workspace=request.workspace,
             asked=request.tokens,
             tokens=tokens,
-            left=account.available,
+            left=account.held,
         )
         return msgspec.json.encode(TransferReply(tokens))
 
+    def _answer_statement(self, body: bytes) -> bytes:
+        request = msgspec.json.decode(body, type=StatementRequest)
+        board = self._board
+        now_s = clock.read_time()
+        known = self._former.get(request.holder) or next(
+            (p for p in board.peers.values() if p.holder == request.holder),
+            None,
+        )
+        elapsed_s = known and known.record_age_s + now_s - known.seen_s
+        fresh = now_s - board.began_s < RESTART_LIFE_S
+        reply = StatementReply(elapsed_s, board.wall_age_s if fresh else None)
+        eliot.log_message(
+            "peers:statement_given",
+            holder=request.holder,
+            elapsed_s=reply.elapsed_s,
+            restart_age_s=reply.restart_age_s,
+        )
+        return msgspec.json.encode(reply)
+
     def _answer_configuration(self, _: bytes) -> bytes:
         known = self._board.configuration
         return known.source if known else b""
@@ -378,6 +449,7 @@
     NEWS_PATH: Peers._answer_news,
     TRANSFER_PATH: Peers._answer_transfer,
     CONFIGURATION_PATH: Peers._answer_configuration,
+    STATEMENT_PATH: Peers._answer_statement,
 }
 
 __all__ = (
@@ -385,6 +457,8 @@
     "Peers",
     "SentNews",
     "SiteNews",
+    "StatementReply",
+    "StatementRequest",
     "TransferReply",
     "TransferRequest",
 )
--- /dev/null
+++ b/src/cyclamenwing/gateway/succession.py
@@ -0,0 +1,79 @@
+"""How long ago an earlier process of this host wrote its last record.
+
+What that process may have used grows with the age of its record, so its
+holdings are freed only once this age has an upper bound:
+
+- the boot clock, if the host has not restarted;
+- a peer that heard the process and has run ever since;
+- the times of day of all hosts, if all of them restarted and agree.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from typing import NamedTuple
+
+from cyclamenwing.budget import escrow
+
+# Times of day prove nothing with fewer hosts than this.
+MIN_HOSTS = 3
+# Records are renewed each second, so agreeing hosts differ by little more;
+# a clock that was set shows as a larger difference.
+MAX_SPREAD_S = 2.5
+# Ages beyond this hint at an outage of the store before the loss.
+MAX_WALL_AGE_S = 6.0
+# Clocks drift and differ a little even if none was set.
+WALL_SLACK_S = 1.0
+
+
+class Predecessor(NamedTuple):
+    """Describe the process that held this host's record before."""
+
+    holder: str
+    promises: dict[str, escrow.Promise]
+    boot_elapsed_s: float | None
+    wall_elapsed_s: float
+
+
+class Statement(NamedTuple):
+    """Hold what another host says.
+
+    :param elapsed_s: age of the record, by a peer that heard the process
+    :param restart_age_s: age of the peer's own predecessor's record by its
+        time of day, if the peer itself has just begun
+    """
+
+    elapsed_s: float | None
+    restart_age_s: float | None
+
+
+def bound_age(
+    dead: Predecessor, hosts: int, statements: Sequence[Statement]
+) -> float | None:
+    """Return the record's age at the most, None if nothing bounds it.
+
+    :param hosts: hosts of the fleet besides this one
+    """
+    if dead.boot_elapsed_s is not None:
+        return dead.boot_elapsed_s
+    heard = [s.elapsed_s for s in statements if s.elapsed_s is not None]
+    if heard:
+        return min(heard)
+    ages = [
+        s.restart_age_s for s in statements if s.restart_age_s is not None
+    ]
+    if len(ages) < hosts or len(ages) + 1 < MIN_HOSTS:
+        return None
+    ages.append(dead.wall_elapsed_s)
+    if max(ages) - min(ages) > MAX_SPREAD_S or min(ages) < 0:
+        return None
+    if max(ages) > MAX_WALL_AGE_S:
+        return None
+    return max(ages) + WALL_SLACK_S
+
+
+__all__ = (
+    "Predecessor",
+    "Statement",
+    "bound_age",
+)
