Bound the use of held budgets by promises that peers witness

Cause: holdings that last through an outage were lost with each kill. Ruled out: smaller holdings (outages refuse a fifth), leases as proof that an entry was in touch (a store that is down may pause them). Change: promises grow fast only after a peer has taken notice; pool views travel in the news; 402 as soon as pool and holdings together are too little; records are renewed twice a second.

--- a/src/cyclamenwing/budget/escrow.py
+++ b/src/cyclamenwing/budget/escrow.py
@@ -6,9 +6,10 @@
 tokens to each other, which leaves the pool's sum as it is.
 
 An entry also promises, in a record beside the pools, a bound on its use that
-grows with the age of the record. When its process has died, the next one on
-the same host frees what the bound leaves, once it knows how old the record
-was.
+grows with the age of the record: slowly at first, then, once a peer has
+taken notice, fast enough to use up the holdings in an outage of the store.
+When its process has died, the next one on the same host frees what the bound
+leaves.
 
 A commit whose answer is lost counts against its entry, pool and promise
 both, until the store has shown which way it went.
@@ -39,15 +40,19 @@
 MAX_PART = 0.5
 # A promise starts above the present use by this much of the rate, in
 # seconds, and at least by this part of the holdings.
-START_S = 0.8
-START_PART = 0.08
+START_S = 0.5
+START_PART = 0.04
 # It first grows by this multiple of the rate, so that little is lost with a
 # process that dies while the store is in reach.
-EARLY_FACTOR = 1.15
-EARLY_PART = 0.04
-# Later it lets the holdings be used up, for an outage of the store.
-EARLY_S = 5.0
+EARLY_FACTOR = 1.1
+EARLY_PART = 0.03
+# Records are renewed twice a second; one that is this old tells of an outage
+# of the store, which may use up the holdings within `LATE_S`.
+EARLY_S = 3.0
 LATE_S = 4.0
+# A request waits this long at most for a promise to grow.
+MAX_WAIT_S = 5.0
+WAIT_STEP_S = 0.1
 # Pools list what dead incarnations have used under this name.
 CLOSED = "closed"
 
@@ -56,7 +61,7 @@
     """Bound an account's use: `ceiling` at `since_s`, then growing.
 
     :param early: growth in the first `EARLY_S`, in tokens a second
-    :param late: growth after that
+    :param late: growth after that, if a peer knows of it
     """
 
     ceiling: int
@@ -64,12 +69,13 @@
     late: float
     since_s: float
 
-    def allow(self, now_s: float) -> int:
+    def allow(self, now_s: float, late: bool) -> int:
         """Return the most that may be in use at a time."""
         age_s = max(now_s - self.since_s, 0.0)
-        early = self.early * min(age_s, EARLY_S)
-        late = self.late * max(age_s - EARLY_S, 0.0)
-        return self.ceiling + int(early + late)
+        allowed = self.early * min(age_s, EARLY_S)
+        if late:
+            allowed += self.late * max(age_s - EARLY_S, 0.0)
+        return self.ceiling + int(allowed)
 
 
 @dataclasses.dataclass(slots=True)
@@ -87,10 +93,10 @@
     spent: int = 0
     reserved: int = 0
     wanted: int = 0
-    largest: float = 0.0
     rate: float = 0.0
     rate_at_s: float = 0.0
     promises: list[Promise] = dataclasses.field(default_factory=list)
+    late: bool = False
 
     @property
     def used(self) -> int:
@@ -107,9 +113,31 @@
         """Return the tokens that may be reserved now."""
         if not self.promises:
             return min(self.held, 0)
-        promised = min(item.allow(now_s) for item in self.promises)
+        promised = min(p.allow(now_s, self.late) for p in self.promises)
         return min(self.held, promised - self.used)
 
+    def predict_wait(self, tokens: int, now_s: float) -> float | None:
+        """Return after how long the promises allow a request.
+
+        None means not within `MAX_WAIT_S`, or that too little is held.
+        """
+        if tokens > self.held or not self.promises:
+            return None
+        steps = round(MAX_WAIT_S / WAIT_STEP_S)
+        return next(
+            (
+                step * WAIT_STEP_S
+                for step in range(steps)
+                if tokens
+                <= min(
+                    p.allow(now_s + step * WAIT_STEP_S, True)
+                    for p in self.promises
+                )
+                - self.used
+            ),
+            None,
+        )
+
     def reserve(self, tokens: int, now_s: float) -> bool:
         """Set tokens aside for a request if they are there."""
         if tokens > self.count_available(now_s):
@@ -123,12 +151,8 @@
         self.spent += spent
 
     def give(self, tokens: int, now_s: float) -> int:
-        """Hand tokens to another entry; return how many.
-
-        Half of the holdings stay, or less if little is asked for.
-        """
-        spare = self.count_available(now_s)
-        granted = max(min(tokens, spare - min(spare // 2, tokens)), 0)
+        """Hand tokens to another entry; return how many."""
+        granted = max(min(tokens, self.count_available(now_s)), 0)
         self.given += granted
         return granted
 
@@ -138,7 +162,6 @@
 
     def note_demand(self, tokens: int, now_s: float) -> None:
         """Count a request's tokens towards the rate."""
-        self.largest = max(self.largest * 0.9, tokens)
         self.rate = self.measure_rate(now_s) + tokens / RATE_WINDOW_S
         self.rate_at_s = now_s
 
@@ -170,9 +193,7 @@
         """Return the promise to commit together with a change."""
         rate = self.measure_rate(now_s)
         held = max(self.held + change, 0)
-        start = max(
-            rate * START_S, held * START_PART, self.largest + self.wanted
-        )
+        start = max(rate * START_S, held * START_PART) + self.wanted
         early = max(rate * EARLY_FACTOR, held * EARLY_PART)
         late = max(early, held / LATE_S)
         return Promise(self.used + int(start), early, late, now_s)
@@ -180,16 +201,36 @@
 
 @dataclasses.dataclass(slots=True)
 class Pool:
-    """Hold one workspace's pool as last seen in the store."""
+    """Hold one workspace's pool as last seen in the store.
+
+    `told_drawn` is a peer's newer view, without the holders.
+    """
 
     revision: int = 0
     holders: dict[str, int] = dataclasses.field(default_factory=dict)
+    told_revision: int = 0
+    told_drawn: int = 0
+
+    @property
+    def latest_revision(self) -> int:
+        """Return the newest revision that is known of."""
+        return max(self.revision, self.told_revision)
 
     @property
     def drawn(self) -> int:
         """Return what all incarnations hold or have spent."""
+        if self.told_revision > self.revision:
+            return self.told_drawn
         return sum(self.holders.values())
 
+    def hear(self, revision: int, drawn: int) -> bool:
+        """Take over a peer's view; tell whether it is newer."""
+        if revision <= self.latest_revision:
+            return False
+        self.told_revision = revision
+        self.told_drawn = drawn
+        return True
+
 
 class Escrow:
     """Keep the accounts of one incarnation of an entry.
@@ -260,6 +301,12 @@
             self.see_pool(workspace, revision, holders)
         for workspace, made in promises.items():
             self.accounts[workspace].promises = [made]
+            self.accounts[workspace].late = False
+
+    def allow_late(self) -> None:
+        """Let promises grow fast: a peer has taken notice."""
+        for account in self.accounts.values():
+            account.late = True
 
     def cancel(
         self, changes: Mapping[str, int], promises: Mapping[str, Promise]
--- a/src/cyclamenwing/gateway/app.py
+++ b/src/cyclamenwing/gateway/app.py
@@ -172,13 +172,13 @@
             if dead is None:
                 continue
             statements = await self._peers.ask_statements(dead.holder)
-            age_s = succession.bound_age(
+            age = succession.bound_age(
                 dead, len(self.board.members), statements
             )
-            if age_s is None:
+            if age is None:
                 continue
             try:
-                await self._funds.close_predecessor(age_s)
+                await self._funds.close_predecessor(age)
             except store_errors.StoreError as err:
                 eliot.log_message("funds:close_failed", code=err.code)
         if self.board.predecessor is not None:
--- a/src/cyclamenwing/gateway/blackboard.py
+++ b/src/cyclamenwing/gateway/blackboard.py
@@ -19,13 +19,18 @@
 
 
 class Peer(NamedTuple):
-    """Hold what another gateway last said of itself."""
+    """Hold what another gateway last said of itself.
+
+    :param available: tokens that it may use or hand over now
+    :param held: tokens that it holds, also those its promise withholds
+    """
 
     host: str
     address: str
     holder: str
     version: int
     available: dict[str, int]
+    held: dict[str, int]
     seen_s: float
     record_age_s: float
 
@@ -48,6 +53,7 @@
     peers: dict[str, Peer] = dataclasses.field(default_factory=dict)
     members: dict[str, str] = dataclasses.field(default_factory=dict)
     store_seen_s: float = 0.0
+    pools_seen_s: dict[str, float] = dataclasses.field(default_factory=dict)
     leaving_s: float | None = None
     predecessor: succession.Predecessor | None = None
     began_s: float = 0.0
--- a/src/cyclamenwing/gateway/exchange.py
+++ b/src/cyclamenwing/gateway/exchange.py
@@ -145,6 +145,7 @@
                 workspace.prepaid_tokens,
                 item.most_tokens,
                 item.route.goal_s,
+                item.limit_s - clock.read_time(),
             )
 
     def _settle(self, item: ticket.Ticket) -> None:
@@ -152,8 +153,7 @@
         if workspace is None or workspace.prepaid_tokens is None:
             return
         if item.most_tokens:
-            engine = item.service.engine
-            spent = item.count_spent(engine.tokens_per_event if engine else 1)
+            spent = item.count_spent(_count_event_tokens(item))
             self._funds.settle(workspace.name, item.most_tokens, spent)
 
     async def _try_endpoints(
@@ -438,6 +438,7 @@
             ran=item.ran,
             events=item.events,
             tokens=item.most_tokens,
+            spent=item.count_spent(_count_event_tokens(item)),
             first_ms=first_ms,
             ms=round((now_s - item.started_s) * 1000, 1),
             version=known.version if known else 0,
@@ -516,6 +517,11 @@
             self._item.status = head.status
 
 
+def _count_event_tokens(item: ticket.Ticket) -> int:
+    engine = item.service.engine
+    return engine.tokens_per_event if engine else 1
+
+
 def _name(request_id: bytes | None) -> str | None:
     return None if request_id is None else request_id.decode("latin-1")
 
--- a/src/cyclamenwing/gateway/funds.py
+++ b/src/cyclamenwing/gateway/funds.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import pathlib
+import random
 import time
 from collections.abc import Awaitable
 from collections.abc import Callable
@@ -26,7 +27,7 @@
 # A transaction takes 32 entries, two a key; one key is the own record.
 MAX_POOLS = 15
 # Promises are renewed at this interval while tokens are used.
-RENEW_INTERVAL_S = 1.0
+RENEW_INTERVAL_S = 0.5
 # Draws that a request waits for follow each other no faster.
 URGENT_INTERVAL_S = 0.02
 BUSY_PAUSE_S = 0.3
@@ -89,17 +90,22 @@
         self._urgent = asyncio.Event()
         self._drawn = asyncio.Condition()
         self._asking: dict[str, asyncio.Lock] = {}
-        self._seen_s: dict[str, float] = {}
         self._started_s = clock.read_time()
         self._started_wall_s = time.time()
         self._boot_id = read_boot_id()
         self._record_key = HOLDER_PREFIX + board.settings.host
         self._record_revision: int | None = None
+        self._before: protocol.Entry | None = None
         self._renewed_s = 0.0
         self._renewed_used: dict[str, int] = {}
 
     async def reserve(
-        self, workspace: str, prepaid: int, tokens: int, goal_s: float
+        self,
+        workspace: str,
+        prepaid: int,
+        tokens: int,
+        goal_s: float,
+        left_s: float,
     ) -> None:
         """Set tokens aside, from peers or the pool if need be.
 
@@ -111,15 +117,18 @@
         account.note_demand(tokens, now_s)
         if account.reserve(tokens, now_s):
             return
-        if tokens > prepaid:
-            raise errors.BudgetSpentError("larger than the whole budget")
+        if self._is_hopeless(workspace, prepaid, tokens):
+            raise self._make_refusal(workspace, prepaid, tokens)
         account.wanted += tokens
         try:
             wait_s = max(goal_s * WAIT_PART, MIN_WAIT_S)
+            growth_s = account.predict_wait(tokens, now_s)
+            if growth_s is not None:
+                wait_s = min(max(wait_s, growth_s + wait_s), left_s * 0.5)
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(wait_s):
-                    await self._gather(workspace, prepaid, tokens)
-                    return
+                    if await self._gather(workspace, prepaid, tokens):
+                        return
             if account.reserve(tokens, clock.read_time()):
                 return
         finally:
@@ -163,28 +172,29 @@
 
     async def _gather(
         self, workspace: str, prepaid: int, tokens: int
-    ) -> None:
-        """Return once the tokens are set aside; the caller bounds it."""
+    ) -> bool:
+        """Set tokens aside, sooner or later; False if there is no hope."""
         board = self._board
         account = board.escrow.open_account(workspace)
-        while True:
+        while not self._is_hopeless(workspace, prepaid, tokens):
             now_s = clock.read_time()
             short = account.held < account.wanted
             free = board.escrow.count_free(workspace, prepaid)
-            useful = free > 0 or not short or workspace not in self._seen_s
+            useful = free > 0 or not short or workspace not in board.pools_seen_s
             if now_s - board.store_seen_s < NEAR_S and useful:
                 with contextlib.suppress(TimeoutError):
                     async with asyncio.timeout(DRAW_WAIT_S), self._drawn:
                         self._urgent.set()
                         await self._drawn.wait()
                 if account.reserve(tokens, clock.read_time()):
-                    return
+                    return True
             lock = self._asking.setdefault(workspace, asyncio.Lock())
             async with lock:
                 if await self._ask_peers(workspace, account, tokens):
-                    return
+                    return True
             # A promise grows, and reservations of others end.
             await asyncio.sleep(GATHER_PAUSE_S)
+        return False
 
     async def _ask_peers(
         self, workspace: str, account: escrow.Account, tokens: int
@@ -195,6 +205,9 @@
             self._board.list_peers(clock.read_time()),
             key=lambda p: -p.available.get(workspace, 0),
         )
+        offered = sum(p.available.get(workspace, 0) for p in peers)
+        if offered + account.count_available(clock.read_time()) < tokens:
+            return False
         for peer in peers:
             available = account.count_available(clock.read_time())
             lack = max(account.wanted, tokens) - available
@@ -204,29 +217,39 @@
                 return True
         return False
 
+    def _is_hopeless(self, workspace: str, prepaid: int, tokens: int) -> bool:
+        """Tell whether pool and all holdings together are too little."""
+        board = self._board
+        now_s = clock.read_time()
+        if now_s - board.pools_seen_s.get(workspace, 0.0) > FRESH_S and (
+            now_s - board.store_seen_s < NEAR_S
+        ):
+            return False
+        free = max(board.escrow.count_free(workspace, prepaid), 0)
+        held = board.escrow.open_account(workspace).held
+        others = sum(
+            peer.held.get(workspace, 0) for peer in board.list_peers(now_s)
+        )
+        return workspace in board.pools_seen_s and free + held + others < tokens
+
     def _make_refusal(
         self, workspace: str, prepaid: int, tokens: int
     ) -> errors.GatewayError:
         now_s = clock.read_time()
         board = self._board
         account = board.escrow.open_account(workspace)
-        pool = board.escrow.open_pool(workspace)
-        free = prepaid - pool.drawn
-        seen_s = now_s - self._seen_s.get(workspace, 0.0)
-        live = {peer.holder for peer in board.list_peers(now_s)}
-        live.add(board.escrow.holder)
-        final = (
-            free < tokens and seen_s < FRESH_S and live.issuperset(pool.holders)
-        )
+        final = self._is_hopeless(workspace, prepaid, tokens)
+        seen_s = now_s - board.pools_seen_s.get(workspace, 0.0)
         eliot.log_message(
             "funds:refused",
             workspace=workspace,
             tokens=tokens,
             held=account.held,
             available=account.count_available(now_s),
-            free=free,
+            free=board.escrow.count_free(workspace, prepaid),
+            prepaid=prepaid,
             pool_age_s=round(seen_s, 2),
-            peers=len(live) - 1,
+            peers=len(board.list_peers(now_s)),
             final=final,
         )
         if final:
@@ -245,6 +268,8 @@
         before = next(
             (e for e in records.entries if e.key == self._record_key), None
         )
+        if before is None or not self._is_own(before.value):
+            self._before = before
         record = HolderRecord(
             ledger.holder,
             self._boot_id,
@@ -263,11 +288,16 @@
         self._board.store_seen_s = clock.read_time()
         self._urgent.set()
         self._board.record_at_s = record.since_s
-        if before is not None:
-            dead = self._read_predecessor(before.value)
+        if self._before is not None:
+            dead = self._read_predecessor(self._before.value)
             self._board.predecessor = dead
             self._board.wall_age_s = dead.wall_elapsed_s
 
+    def _is_own(self, value: bytes) -> bool:
+        """Tell whether a record is of this process: an answer got lost."""
+        record = msgspec.json.decode(value, type=HolderRecord)
+        return record.holder == self._board.escrow.holder
+
     def _read_predecessor(self, value: bytes) -> succession.Predecessor:
         record = msgspec.json.decode(value, type=HolderRecord)
         same_boot = record.boot_id == self._boot_id != ""
@@ -284,56 +314,55 @@
             wall_elapsed_s=self._started_wall_s - record.wall_s,
         )
 
-    async def close_predecessor(self, elapsed_s: float) -> bool:
+    async def close_predecessor(self, age: succession.Age) -> None:
         """Free what the host's earlier process can't have used.
 
-        :param elapsed_s: age of its record when this process began, at most
+        :param age: age of its record when this process began, at most
         """
-        ledger = self._board.escrow
         dead = self._board.predecessor
         if dead is None:
+            return
+        for workspace in list(self._board.escrow.pools):
+            # Pools are closed one by one: all hosts of a fleet that lost
+            # power do so at once, and larger commits would all conflict.
+            while not await self._close_holder(dead, workspace, age):
+                await asyncio.sleep(random.uniform(0.0, URGENT_INTERVAL_S))
+        self._board.predecessor = None
+        self._urgent.set()
+
+    async def _close_holder(
+        self,
+        dead: succession.Predecessor,
+        workspace: str,
+        age: succession.Age,
+    ) -> bool:
+        ledger = self._board.escrow
+        pool = ledger.pools[workspace]
+        drawn = pool.holders.get(dead.holder)
+        if drawn is None:
             return True
-        names = [
-            name
-            for name, pool in ledger.pools.items()
-            if dead.holder in pool.holders
-        ][:MAX_POOLS]
-        expected = []
-        writes = []
-        for name in names:
-            pool = ledger.pools[name]
-            drawn = pool.holders[dead.holder]
-            promise = dead.promises.get(name)
-            bound = promise.allow(elapsed_s) if promise else drawn
-            holders = escrow.close_holder(pool.holders, dead.holder, bound)
-            eliot.log_message(
-                "funds:predecessor_closed",
-                holder=dead.holder,
-                workspace=name,
-                drawn=drawn,
-                bound=bound,
-                elapsed_s=round(elapsed_s, 2),
-            )
-            expected.append((POOL_PREFIX + name, pool.revision))
-            writes.append((
-                POOL_PREFIX + name,
-                msgspec.json.encode(PoolRecord(holders)),
-            ))
-        if not names:
-            self._board.predecessor = None
-            return True
-        outcome = await self._store.commit(expected, writes)
+        promise = dead.promises.get(workspace)
+        bound = promise.allow(age.elapsed_s, age.late) if promise else drawn
+        holders = escrow.close_holder(pool.holders, dead.holder, bound)
+        key = POOL_PREFIX + workspace
+        outcome = await self._store.commit(
+            [(key, pool.revision)],
+            [(key, msgspec.json.encode(PoolRecord(holders)))],
+        )
         if isinstance(outcome, protocol.Conflict):
             self._see_entries(outcome.entries)
             return False
-        for key, value in writes:
-            ledger.see_pool(
-                key.removeprefix(POOL_PREFIX),
-                outcome.revision,
-                msgspec.json.decode(value, type=PoolRecord).drawn,
-            )
-        self._urgent.set()
-        return False
+        ledger.see_pool(workspace, outcome.revision, holders)
+        eliot.log_message(
+            "funds:predecessor_closed",
+            holder=dead.holder,
+            workspace=workspace,
+            drawn=drawn,
+            bound=bound,
+            elapsed_s=round(age.elapsed_s, 2),
+            late=age.late,
+        )
+        return True
 
     async def _renew(self) -> None:
         board = self._board
@@ -350,7 +379,7 @@
             free = board.escrow.count_free(name, workspace.prepaid_tokens)
             change = account.plan_change(free, entries, now_s)
             if change or (
-                account.wanted and now_s - self._seen_s.get(name, 0) > FRESH_S
+                account.wanted and now_s - board.pools_seen_s.get(name, 0) > FRESH_S
             ):
                 changes[name] = change
         if changes or self._is_renewal_due(now_s):
@@ -399,7 +428,9 @@
             ledger.cancel(chosen, promises)
             raise
         self._board.store_seen_s = clock.read_time()
-        self._seen_s.update(dict.fromkeys(names, self._board.store_seen_s))
+        self._board.pools_seen_s.update(
+            dict.fromkeys(names, self._board.store_seen_s)
+        )
         if isinstance(outcome, protocol.Conflict):
             ledger.cancel(chosen, promises)
             self._see_entries(outcome.entries)
--- a/src/cyclamenwing/gateway/peers.py
+++ b/src/cyclamenwing/gateway/peers.py
@@ -36,6 +36,10 @@
 TRANSFER_TIMEOUT_S = 0.1
 CONFIGURATION_TIMEOUT_S = 1.0
 STATEMENT_TIMEOUT_S = 0.3
+POOL_NEWS_S = 0.8
+# A record of this age is missing its renewals; peers hear of it in time for
+# the promises to grow.
+LATE_NOTICE_S = 1.8
 # A process that began this lately speaks of its own predecessor.
 RESTART_LIFE_S = 10.0
 # A gateway that did not answer is tried again this much later.
@@ -74,8 +78,17 @@
     sites: list[SiteNews]
     sent: list[SentNews]
     available: dict[str, int]
+    held: dict[str, int]
+    # Revision and drawn tokens of the pools that were seen lately.
+    pools: dict[str, tuple[int, int]]
     # Age of the record that bounds the use of budgets.
     record_age_s: float
+    # The record is old: its promises may grow fast once a peer knows.
+    late: bool
+    # The store lists this gateway, so that every other one can find it.
+    registered: bool
+    # Orders the news of one holder.
+    number: int
 
 
 class StatementRequest(msgspec.Struct):
@@ -88,6 +101,7 @@
     """Say how old its record is; see `succession.Statement`."""
 
     elapsed_s: float | None
+    late: bool | None
     restart_age_s: float | None
 
 
@@ -137,7 +151,10 @@
         self._former: dict[str, blackboard.Peer] = {}
         self._called_s: dict[str, float] = {}
         self._silent_s: dict[str, float] = {}
-        self._joined_s = clock.read_time()
+        self._registered = False
+        self._news_number = 0
+        self._last_numbers: dict[str, int] = {}
+        self._late: dict[str, bool] = {}
         self._tasks: set[asyncio.Task[None]] = set()
 
     def note_sent(
@@ -166,6 +183,7 @@
             for entry in found.entries:
                 host = entry.key.removeprefix(HOSTS_PREFIX)
                 self._meet(host, entry.value.decode())
+            self._registered = True
             return
 
     async def run(self) -> None:
@@ -243,7 +261,7 @@
                 reply = msgspec.json.decode(answer[1], type=StatementReply)
                 found.append(
                     succession.Statement(
-                        reply.elapsed_s, reply.restart_age_s
+                        reply.elapsed_s, reply.late, reply.restart_age_s
                     )
                 )
         return found
@@ -252,6 +270,7 @@
         """Return this gateway's news."""
         board = self._board
         now_s = clock.read_time()
+        self._news_number += 1
         known = board.configuration
         names = {key: key[0] for key in board.placement.sites}
         return News(
@@ -279,7 +298,20 @@
                 for name, account in board.escrow.accounts.items()
                 if account.count_available(now_s) > 0
             },
+            held={
+                name: account.held
+                for name, account in board.escrow.accounts.items()
+                if account.held > 0
+            },
+            pools={
+                name: (pool.latest_revision, pool.drawn)
+                for name, pool in board.escrow.pools.items()
+                if now_s - board.pools_seen_s.get(name, 0.0) < POOL_NEWS_S
+            },
             record_age_s=now_s - board.record_at_s,
+            late=now_s - board.record_at_s > LATE_NOTICE_S,
+            registered=self._registered,
+            number=self._news_number,
         )
 
     def read_news(self, news: News) -> None:
@@ -288,6 +320,11 @@
         now_s = clock.read_time()
         if news.host == board.settings.host:
             return
+        if news.number <= self._last_numbers.get(news.holder, 0):
+            # Overtaken on another connection; what it says is outdated.
+            return
+        self._last_numbers[news.holder] = news.number
+        self._late[news.holder] = news.late
         if news.host not in board.peers:
             eliot.log_message("peers:met", peer=news.host, holder=news.holder)
         before = board.peers.get(news.host)
@@ -300,6 +337,7 @@
             news.holder,
             news.version,
             news.available,
+            news.held,
             now_s,
             news.record_age_s,
         )
@@ -308,6 +346,9 @@
             if host != board.settings.host:
                 board.members.setdefault(host, address)
         self._read_loads(news, now_s)
+        for name, (revision, drawn) in news.pools.items():
+            if board.escrow.open_pool(name).hear(revision, drawn):
+                board.pools_seen_s[name] = now_s
         own = board.configuration.version if board.configuration else 0
         if news.version > own:
             self._start(self._fetch_configuration(news))
@@ -339,10 +380,11 @@
     def _call_due(self, now_s: float) -> None:
         board = self._board
         own = board.settings.host
+        late = now_s - board.record_at_s > LATE_NOTICE_S
         targets = {
             address: host
             for host, address in board.members.items()
-            if host > own or not self._is_heard(host, now_s)
+            if host > own or late or not self._is_heard(host, now_s)
         }
         heard = set(board.members.values())
         for address in board.settings.seeds:
@@ -362,14 +404,23 @@
         )
 
     async def _exchange(self, address: str) -> None:
-        body = msgspec.json.encode(self.write_news())
+        news = self.write_news()
+        record_at_s = self._board.record_at_s
+        body = msgspec.json.encode(news)
         try:
             status, answer = await self._caller.call(
                 address, "POST", NEWS_PATH, body, NEWS_TIMEOUT_S
             )
             if status != 200:
                 return
-            self.read_news(msgspec.json.decode(answer, type=News))
+            reply = msgspec.json.decode(answer, type=News)
+            self.read_news(reply)
+            if (
+                news.late
+                and reply.registered
+                and record_at_s == self._board.record_at_s
+            ):
+                self._board.escrow.allow_late()
             if self._silent_s.pop(address, None) is not None:
                 eliot.log_message("peers:regained", address=address)
         except (errors.CodedError, msgspec.DecodeError) as err:
@@ -431,11 +482,16 @@
         )
         elapsed_s = known and known.record_age_s + now_s - known.seen_s
         fresh = now_s - board.began_s < RESTART_LIFE_S
-        reply = StatementReply(elapsed_s, board.wall_age_s if fresh else None)
+        reply = StatementReply(
+            elapsed_s,
+            self._late.get(request.holder),
+            board.wall_age_s if fresh else None,
+        )
         eliot.log_message(
             "peers:statement_given",
             holder=request.holder,
             elapsed_s=reply.elapsed_s,
+            late=reply.late,
             restart_age_s=reply.restart_age_s,
         )
         return msgspec.json.encode(reply)
--- a/src/cyclamenwing/gateway/succession.py
+++ b/src/cyclamenwing/gateway/succession.py
@@ -6,6 +6,9 @@
 - the boot clock, if the host has not restarted;
 - a peer that heard the process and has run ever since;
 - the times of day of all hosts, if all of them restarted and agree.
+
+If all peers have run ever since and none took notice of an outage of the
+store, the promise has not grown past its early part, whatever the age.
 """
 
 from __future__ import annotations
@@ -22,8 +25,9 @@
 MAX_SPREAD_S = 2.5
 # Ages beyond this hint at an outage of the store before the loss.
 MAX_WALL_AGE_S = 6.0
+MAX_AGE_S = 10.0
 # Clocks drift and differ a little even if none was set.
-WALL_SLACK_S = 1.0
+WALL_SLACK_S = 0.5
 
 
 class Predecessor(NamedTuple):
@@ -39,26 +43,54 @@
     """Hold what another host says.
 
     :param elapsed_s: age of the record, by a peer that heard the process
+    :param late: the peer took notice that the record was old, None if it
+        did not hear the process
     :param restart_age_s: age of the peer's own predecessor's record by its
         time of day, if the peer itself has just begun
     """
 
     elapsed_s: float | None
+    late: bool | None
     restart_age_s: float | None
 
 
+class Age(NamedTuple):
+    """Bound a record's age.
+
+    :param late: the promise may have grown past its early part
+    """
+
+    elapsed_s: float
+    late: bool
+
+
 def bound_age(
     dead: Predecessor, hosts: int, statements: Sequence[Statement]
-) -> float | None:
+) -> Age | None:
     """Return the record's age at the most, None if nothing bounds it.
 
     :param hosts: hosts of the fleet besides this one
     """
+    bounds = [s.elapsed_s for s in statements if s.elapsed_s is not None]
     if dead.boot_elapsed_s is not None:
-        return dead.boot_elapsed_s
-    heard = [s.elapsed_s for s in statements if s.elapsed_s is not None]
-    if heard:
-        return min(heard)
+        bounds.append(dead.boot_elapsed_s)
+    agreed_s = _compare_clocks(dead, hosts, statements)
+    if agreed_s is not None:
+        bounds.append(agreed_s)
+    if not bounds:
+        return None
+    unnoticed = len(statements) >= max(hosts, 1) and all(
+        s.late is False for s in statements
+    )
+    # A larger age frees next to nothing; a better proof may still come.
+    if min(bounds) >= MAX_AGE_S and not unnoticed:
+        return None
+    return Age(min(bounds), not unnoticed)
+
+
+def _compare_clocks(
+    dead: Predecessor, hosts: int, statements: Sequence[Statement]
+) -> float | None:
     ages = [
         s.restart_age_s for s in statements if s.restart_age_s is not None
     ]
@@ -73,6 +105,7 @@
 
 
 __all__ = (
+    "Age",
     "Predecessor",
     "Statement",
     "bound_age",
