Tell peers whole pools and skip small draws

Change: news carry the pools seen lately with their revisions; changes below 4,000 tokens wait; early growth of promises is lower.

--- a/src/cyclamenwing/budget/escrow.py
+++ b/src/cyclamenwing/budget/escrow.py
@@ -36,16 +36,18 @@
 # Entries hold this part of what is left, all together: the rest survives a
 # loss of all of them.
 HOLD_PART = 0.85
+# Smaller changes are not worth a call, unless a request waits for them.
+MIN_CHANGE = 4000
 # A draw leaves others their part of a pool that runs dry.
 MAX_PART = 0.5
 # A promise starts above the present use by this much of the rate, in
 # seconds, and at least by this part of the holdings.
-START_S = 0.5
-START_PART = 0.04
+START_S = 0.4
+START_PART = 0.02
 # It first grows by this multiple of the rate, so that little is lost with a
 # process that dies while the store is in reach.
-EARLY_FACTOR = 1.1
-EARLY_PART = 0.03
+EARLY_FACTOR = 0.75
+EARLY_PART = 0.015
 # Records are renewed twice a second; one that is this old tells of an outage
 # of the store, which may use up the holdings within `LATE_S`.
 EARLY_S = 3.0
@@ -181,13 +183,17 @@
         target = max(rate * AHEAD_S, free * IDLE_PART / entries)
         target = min(target, shared * HOLD_PART) + self.wanted
         if self.held > target * RETURN_FACTOR and self.floor is None:
-            return int(target) - self.held
+            surplus = self.held - int(target)
+            return -surplus if surplus >= MIN_CHANGE else 0
         if free <= 0 or self.held >= target * REFILL_PART:
             return 0
         fair = free * MAX_PART / entries
         least = self.wanted - self.held
         wish = min(target - self.held, max(fair, least))
-        return max(min(int(wish), free), 0)
+        change = max(min(int(wish), free), 0)
+        if change < MIN_CHANGE and least <= 0:
+            return 0
+        return change
 
     def plan_promise(self, change: int, now_s: float) -> Promise:
         """Return the promise to commit together with a change."""
@@ -201,36 +207,16 @@
 
 @dataclasses.dataclass(slots=True)
 class Pool:
-    """Hold one workspace's pool as last seen in the store.
-
-    `told_drawn` is a peer's newer view, without the holders.
-    """
+    """Hold one workspace's pool as last seen in the store, or by a peer."""
 
     revision: int = 0
     holders: dict[str, int] = dataclasses.field(default_factory=dict)
-    told_revision: int = 0
-    told_drawn: int = 0
-
-    @property
-    def latest_revision(self) -> int:
-        """Return the newest revision that is known of."""
-        return max(self.revision, self.told_revision)
 
     @property
     def drawn(self) -> int:
         """Return what all incarnations hold or have spent."""
-        if self.told_revision > self.revision:
-            return self.told_drawn
         return sum(self.holders.values())
 
-    def hear(self, revision: int, drawn: int) -> bool:
-        """Take over a peer's view; tell whether it is newer."""
-        if revision <= self.latest_revision:
-            return False
-        self.told_revision = revision
-        self.told_drawn = drawn
-        return True
-
 
 class Escrow:
     """Keep the accounts of one incarnation of an entry.
@@ -258,7 +244,7 @@
     def see_pool(
         self, workspace: str, revision: int, holders: Mapping[str, int]
     ) -> None:
-        """Take over the state of a pool that the store has shown.
+        """Take over a newer state of a pool, shown by the store or a peer.
 
         A newer revision voids the commits that expected the one before.
         """
--- a/src/cyclamenwing/gateway/funds.py
+++ b/src/cyclamenwing/gateway/funds.py
@@ -435,6 +435,7 @@
             ledger.cancel(chosen, promises)
             self._see_entries(outcome.entries)
             self._urgent.set()
+            eliot.log_message("funds:conflict", changes=chosen)
             return False
         ledger.finish(outcome.revision, written, promises)
         self._record_revision = outcome.revision
@@ -443,10 +444,9 @@
         self._renewed_used = {
             name: account.used for name, account in ledger.accounts.items()
         }
-        if chosen:
-            eliot.log_message(
-                "funds:committed", changes=chosen, revision=outcome.revision
-            )
+        eliot.log_message(
+            "funds:committed", changes=chosen, revision=outcome.revision
+        )
         return True
 
     def _see_entries(self, entries: list[protocol.Entry]) -> None:
--- a/src/cyclamenwing/gateway/peers.py
+++ b/src/cyclamenwing/gateway/peers.py
@@ -36,7 +36,8 @@
 TRANSFER_TIMEOUT_S = 0.1
 CONFIGURATION_TIMEOUT_S = 1.0
 STATEMENT_TIMEOUT_S = 0.3
-POOL_NEWS_S = 0.8
+# Pools are told in the news of about this long.
+POOL_NEWS_S = 0.45
 # A record of this age is missing its renewals; peers hear of it in time for
 # the promises to grow.
 LATE_NOTICE_S = 1.8
@@ -79,8 +80,8 @@
     sent: list[SentNews]
     available: dict[str, int]
     held: dict[str, int]
-    # Revision and drawn tokens of the pools that were seen lately.
-    pools: dict[str, tuple[int, int]]
+    # Revision and holders of the pools that were seen lately.
+    pools: dict[str, tuple[int, dict[str, int]]]
     # Age of the record that bounds the use of budgets.
     record_age_s: float
     # The record is old: its promises may grow fast once a peer knows.
@@ -304,7 +305,7 @@
                 if account.held > 0
             },
             pools={
-                name: (pool.latest_revision, pool.drawn)
+                name: (pool.revision, pool.holders)
                 for name, pool in board.escrow.pools.items()
                 if now_s - board.pools_seen_s.get(name, 0.0) < POOL_NEWS_S
             },
@@ -346,8 +347,9 @@
             if host != board.settings.host:
                 board.members.setdefault(host, address)
         self._read_loads(news, now_s)
-        for name, (revision, drawn) in news.pools.items():
-            if board.escrow.open_pool(name).hear(revision, drawn):
+        for name, (revision, holders) in news.pools.items():
+            if revision > board.escrow.open_pool(name).revision:
+                board.escrow.see_pool(name, revision, holders)
                 board.pools_seen_s[name] = now_s
         own = board.configuration.version if board.configuration else 0
         if news.version > own:
