--- a/src/cyclamenwing/gateway/app.py
+++ b/src/cyclamenwing/gateway/app.py
@@ -19,6 +19,7 @@
 from cyclamenwing.gateway import follower
 from cyclamenwing.gateway import funds
 from cyclamenwing.gateway import peers
+from cyclamenwing.gateway import pools
 from cyclamenwing.gateway import settings as gateway_settings
 from cyclamenwing.gateway import succession
 from cyclamenwing.metrics import recorder
@@ -75,7 +76,8 @@
         self._endpoints = follower.EndpointFollower(board, codec)
         self._codec = codec
         self._peers = peers.Peers(board, http, self._configurations.adopt)
-        self._funds = funds.Funds(board, store, self._peers.ask_tokens)
+        self._pools = pools.Pools(board, store)
+        self._funds = funds.Funds(board, self._pools, self._peers.ask_tokens)
         self._connections = connections.Connections()
         self._exchange = exchange.Exchange(
             board, dialect, self._funds, self._peers, self._connections
@@ -127,7 +129,7 @@
             servers.run(),
             self._peers.register(self._store),
             self._peers.run(),
-            self._funds.run(),
+            self._pools.run(),
             self._succeed(),
             self._sweep(),
         ):
@@ -178,7 +180,7 @@
             if age is None:
                 continue
             try:
-                await self._funds.close_predecessor(age)
+                await self._pools.close_predecessor(age)
             except store_errors.StoreError as err:
                 eliot.log_message("funds:close_failed", code=err.code)
         if self.board.predecessor is not None:
@@ -190,13 +192,13 @@
     async def _release(self) -> None:
         try:
             async with asyncio.timeout(RELEASE_TIMEOUT_S):
-                await self._funds.release()
+                await self._pools.release()
         except (store_errors.StoreError, TimeoutError) as err:
             eliot.log_message("funds:release_failed", reason=str(err))
 
-    def _follow(self, prefix: str, accept: Any, apply: Any) -> (
-        follower.Follower
-    ):
+    def _follow(
+        self, prefix: str, accept: Any, apply: Any
+    ) -> follower.Follower:
         return follower.Follower(
             self._store, self.board, prefix, accept, apply
         )
--- a/src/cyclamenwing/gateway/connections.py
+++ b/src/cyclamenwing/gateway/connections.py
@@ -7,7 +7,7 @@
 from cyclamenwing.gateway import calls
 from cyclamenwing.gateway import clock
 from cyclamenwing.routing import endpoints
-from cyclamenwing.transport import h1
+from cyclamenwing.transport import h1client
 
 CONNECT_TIMEOUT_S = 0.25
 MAX_KEPT = 16
@@ -24,12 +24,12 @@
 
     def __init__(self) -> None:
         self._kept: dict[
-            tuple[str, int, str], collections.deque[h1.ClientConnection]
+            tuple[str, int, str], collections.deque[h1client.ClientConnection]
         ] = {}
 
     async def open(
         self, endpoint: endpoints.Endpoint, repeatable: bool, wait_s: float
-    ) -> h1.ClientConnection:
+    ) -> h1client.ClientConnection:
         """Return a connection; raise `ConnectFailedError` without one."""
         kept = self._kept.get(endpoint.incarnation)
         most_s = MAX_IDLE_S if repeatable else MAX_UNSAFE_IDLE_S
@@ -40,23 +40,21 @@
             if connection.is_clean() and idle_s < limit_s:
                 return connection
             connection.close()
-        return await h1.ClientConnection.open(
+        return await h1client.ClientConnection.open(
             endpoint.address, min(wait_s, CONNECT_TIMEOUT_S)
         )
 
     def keep(
         self,
         endpoint: endpoints.Endpoint,
-        connection: h1.ClientConnection,
+        connection: h1client.ClientConnection,
         marks: calls.AnswerMarks,
     ) -> None:
         """Keep a connection whose answer has ended, or close it."""
         if marks.closes or not connection.is_clean():
             connection.close()
             return
-        kept = self._kept.setdefault(
-            endpoint.incarnation, collections.deque()
-        )
+        kept = self._kept.setdefault(endpoint.incarnation, collections.deque())
         if len(kept) >= MAX_KEPT:
             kept.popleft().close()
         if marks.keep_alive_s is not None:
--- a/src/cyclamenwing/gateway/follower.py
+++ b/src/cyclamenwing/gateway/follower.py
@@ -89,9 +89,7 @@
         return found.revision
 
     async def _follow(self, revision: int) -> int:
-        found = await self._store.follow(
-            self._prefix, revision, FOLLOW_WAIT_S
-        )
+        found = await self._store.follow(self._prefix, revision, FOLLOW_WAIT_S)
         for change in found.changes:
             self._apply(change)
         return max(found.revision, revision)
@@ -121,9 +119,7 @@
     def accept(self, entries: Sequence[protocol.Entry]) -> None:
         """Adopt the configuration of a whole read."""
         for entry in entries:
-            self.apply(
-                protocol.Change(entry.key, entry.value, entry.revision)
-            )
+            self.apply(protocol.Change(entry.key, entry.value, entry.revision))
 
     def apply(self, change: protocol.Change) -> None:
         """Adopt a changed configuration; a removed one stays in force."""
--- a/src/cyclamenwing/gateway/funds.py
+++ b/src/cyclamenwing/gateway/funds.py
@@ -1,79 +1,36 @@
-"""Reservation and draw of prepaid tokens."""
+"""Reservation of prepaid tokens for requests."""
 
 from __future__ import annotations
 
 import asyncio
 import contextlib
-import pathlib
-import random
-import time
 from collections.abc import Awaitable
 from collections.abc import Callable
 
 import eliot
-import msgspec
 
 from cyclamenwing.budget import escrow
 from cyclamenwing.gateway import blackboard
 from cyclamenwing.gateway import clock
 from cyclamenwing.gateway import errors
-from cyclamenwing.gateway import succession
-from cyclamenwing.store import errors as store_errors
-from cyclamenwing.store import protocol
+from cyclamenwing.gateway import pools
 
-POOL_PREFIX = "cyclamenwing/pools/"
-HOLDER_PREFIX = "cyclamenwing/holders/"
-BOOT_ID = pathlib.Path("/proc/sys/kernel/random/boot_id")
-# A transaction takes 32 entries, two a key; one key is the own record.
-MAX_POOLS = 15
-# Promises are renewed at this interval while tokens are used.
-RENEW_INTERVAL_S = 0.5
-# Draws that a request waits for follow each other no faster.
-URGENT_INTERVAL_S = 0.02
-BUSY_PAUSE_S = 0.3
 # A request waits this part of its goal for the pool and for peers.
 WAIT_PART = 0.3
 MIN_WAIT_S = 0.05
+# One that only waits for a promise to grow waits this part of its time.
+GROWTH_PART = 0.5
 # A draw answers within a few round trips; peers are asked after that.
 DRAW_WAIT_S = 0.04
 GATHER_PAUSE_S = 0.03
 # The store has answered this lately, so that asking it makes sense.
 NEAR_S = 3.0
-# The pool was seen this lately for a refusal to be final.
-FRESH_S = 2.0
 
 AskPeer = Callable[[blackboard.Peer, str, int], Awaitable[int]]
 
 
-class PoolRecord(msgspec.Struct):
-    """Hold a workspace's pool as it is stored, in tokens."""
-
-    drawn: dict[str, int] = {}
-
-
-class PromiseRecord(msgspec.Struct, array_like=True):
-    """Hold a bound on use: tokens, and tokens a second."""
-
-    ceiling: int
-    early: float
-    late: float
-
-
-class HolderRecord(msgspec.Struct):
-    """Hold what a gateway promises, by the boot clock of its host.
-
-    `wall_s` is the time of day, in Unix seconds.
-    """
-
-    holder: str
-    boot_id: str
-    since_s: float
-    wall_s: float
-    promises: dict[str, PromiseRecord]
-
-
 class Funds:
-    """Keep what this gateway holds of each workspace's tokens.
+    """Reserve and settle tokens of each workspace.
 
     :param ask_peer: asks a peer to hand over tokens, returns how many
     """
@@ -81,23 +38,13 @@
     def __init__(
         self,
         board: blackboard.Blackboard,
-        store: protocol.Journal,
+        draws: pools.Pools,
         ask_peer: AskPeer,
     ) -> None:
         self._board = board
-        self._store = store
+        self._pools = draws
         self._ask_peer = ask_peer
-        self._urgent = asyncio.Event()
-        self._drawn = asyncio.Condition()
         self._asking: dict[str, asyncio.Lock] = {}
-        self._started_s = clock.read_time()
-        self._started_wall_s = time.time()
-        self._boot_id = read_boot_id()
-        self._record_key = HOLDER_PREFIX + board.settings.host
-        self._record_revision: int | None = None
-        self._before: protocol.Entry | None = None
-        self._renewed_s = 0.0
-        self._renewed_used: dict[str, int] = {}
 
     async def reserve(
         self,
@@ -124,7 +71,9 @@
             wait_s = max(goal_s * WAIT_PART, MIN_WAIT_S)
             growth_s = account.predict_wait(tokens, now_s)
             if growth_s is not None:
-                wait_s = min(max(wait_s, growth_s + wait_s), left_s * 0.5)
+                wait_s = min(
+                    max(wait_s, growth_s + wait_s), left_s * GROWTH_PART
+                )
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(wait_s):
                     if await self._gather(workspace, prepaid, tokens):
@@ -139,40 +88,7 @@
         """End a reservation."""
         self._board.escrow.open_account(workspace).settle(reserved, spent)
 
-    async def run(self) -> None:
-        """Draw from the pools until cancelled."""
-        while True:
-            self._urgent.clear()
-            pause_s = URGENT_INTERVAL_S
-            try:
-                if self._record_revision is None:
-                    await self._take_over()
-                else:
-                    await self._renew()
-            except store_errors.StoreError as err:
-                eliot.log_message("funds:commit_failed", code=err.code)
-                pause_s = BUSY_PAUSE_S
-            async with self._drawn:
-                self._drawn.notify_all()
-            await asyncio.sleep(pause_s)
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(RENEW_INTERVAL_S):
-                    await self._urgent.wait()
-
-    async def release(self) -> None:
-        """Return to the pools what this gateway holds and doesn't use."""
-        changes = {
-            name: -account.held
-            for name, account in self._board.escrow.accounts.items()
-            if account.held > 0
-        }
-        for _ in range(3):
-            if not changes or await self._commit(changes):
-                return
-
-    async def _gather(
-        self, workspace: str, prepaid: int, tokens: int
-    ) -> bool:
+    async def _gather(self, workspace: str, prepaid: int, tokens: int) -> bool:
         """Set tokens aside, sooner or later; False if there is no hope."""
         board = self._board
         account = board.escrow.open_account(workspace)
@@ -180,12 +96,13 @@
             now_s = clock.read_time()
             short = account.held < account.wanted
             free = board.escrow.count_free(workspace, prepaid)
-            useful = free > 0 or not short or workspace not in board.pools_seen_s
+            useful = (
+                free > 0 or not short or workspace not in board.pools_seen_s
+            )
             if now_s - board.store_seen_s < NEAR_S and useful:
                 with contextlib.suppress(TimeoutError):
-                    async with asyncio.timeout(DRAW_WAIT_S), self._drawn:
-                        self._urgent.set()
-                        await self._drawn.wait()
+                    async with asyncio.timeout(DRAW_WAIT_S):
+                        await self._pools.wait_for_draw()
                 if account.reserve(tokens, clock.read_time()):
                     return True
             lock = self._asking.setdefault(workspace, asyncio.Lock())
@@ -212,16 +129,23 @@
             available = account.count_available(clock.read_time())
             lack = max(account.wanted, tokens) - available
             if lack > 0 and peer.available.get(workspace, 0) > 0:
-                account.receive(await self._ask_peer(peer, workspace, lack))
+                # A request that is cancelled must not lose the tokens.
+                await asyncio.shield(self._transfer(peer, workspace, lack))
             if account.reserve(tokens, clock.read_time()):
                 return True
         return False
 
+    async def _transfer(
+        self, peer: blackboard.Peer, workspace: str, lack: int
+    ) -> None:
+        tokens = await self._ask_peer(peer, workspace, lack)
+        self._board.escrow.open_account(workspace).receive(tokens)
+
     def _is_hopeless(self, workspace: str, prepaid: int, tokens: int) -> bool:
         """Tell whether pool and all holdings together are too little."""
         board = self._board
         now_s = clock.read_time()
-        if now_s - board.pools_seen_s.get(workspace, 0.0) > FRESH_S and (
+        if now_s - board.pools_seen_s.get(workspace, 0.0) > pools.FRESH_S and (
             now_s - board.store_seen_s < NEAR_S
         ):
             return False
@@ -230,7 +154,9 @@
         others = sum(
             peer.held.get(workspace, 0) for peer in board.list_peers(now_s)
         )
-        return workspace in board.pools_seen_s and free + held + others < tokens
+        return (
+            workspace in board.pools_seen_s and free + held + others < tokens
+        )
 
     def _make_refusal(
         self, workspace: str, prepaid: int, tokens: int
@@ -256,233 +182,5 @@
             return errors.BudgetSpentError(f"{tokens} tokens are not left")
         return errors.BudgetUnreachableError(f"{tokens} tokens not in reach")
 
-    async def _take_over(self) -> None:
-        """Read the pools and replace the record of an earlier process."""
-        ledger = self._board.escrow
-        found = await self._store.read(POOL_PREFIX)
-        for entry in found.entries:
-            record = msgspec.json.decode(entry.value, type=PoolRecord)
-            name = entry.key.removeprefix(POOL_PREFIX)
-            ledger.see_pool(name, entry.revision, record.drawn)
-        records = await self._store.read(self._record_key)
-        before = next(
-            (e for e in records.entries if e.key == self._record_key), None
-        )
-        if before is None or not self._is_own(before.value):
-            self._before = before
-        record = HolderRecord(
-            ledger.holder,
-            self._boot_id,
-            clock.read_time(),
-            time.time(),
-            {},
-        )
-        outcome = await self._store.commit(
-            [(self._record_key, before.revision if before else 0)],
-            [(self._record_key, msgspec.json.encode(record))],
-        )
-        if not isinstance(outcome, protocol.Committed):
-            return
-        # From here on a commit of the earlier process can't take effect.
-        self._record_revision = outcome.revision
-        self._board.store_seen_s = clock.read_time()
-        self._urgent.set()
-        self._board.record_at_s = record.since_s
-        if self._before is not None:
-            dead = self._read_predecessor(self._before.value)
-            self._board.predecessor = dead
-            self._board.wall_age_s = dead.wall_elapsed_s
-
-    def _is_own(self, value: bytes) -> bool:
-        """Tell whether a record is of this process: an answer got lost."""
-        record = msgspec.json.decode(value, type=HolderRecord)
-        return record.holder == self._board.escrow.holder
-
-    def _read_predecessor(self, value: bytes) -> succession.Predecessor:
-        record = msgspec.json.decode(value, type=HolderRecord)
-        same_boot = record.boot_id == self._boot_id != ""
-        elapsed_s = self._started_s - record.since_s
-        return succession.Predecessor(
-            holder=record.holder,
-            promises={
-                name: escrow.Promise(made.ceiling, made.early, made.late, 0.0)
-                for name, made in record.promises.items()
-            },
-            boot_elapsed_s=(
-                elapsed_s if same_boot and elapsed_s >= 0 else None
-            ),
-            wall_elapsed_s=self._started_wall_s - record.wall_s,
-        )
-
-    async def close_predecessor(self, age: succession.Age) -> None:
-        """Free what the host's earlier process can't have used.
-
-        :param age: age of its record when this process began, at most
-        """
-        dead = self._board.predecessor
-        if dead is None:
-            return
-        for workspace in list(self._board.escrow.pools):
-            # Pools are closed one by one: all hosts of a fleet that lost
-            # power do so at once, and larger commits would all conflict.
-            while not await self._close_holder(dead, workspace, age):
-                await asyncio.sleep(random.uniform(0.0, URGENT_INTERVAL_S))
-        self._board.predecessor = None
-        self._urgent.set()
-
-    async def _close_holder(
-        self,
-        dead: succession.Predecessor,
-        workspace: str,
-        age: succession.Age,
-    ) -> bool:
-        ledger = self._board.escrow
-        pool = ledger.pools[workspace]
-        drawn = pool.holders.get(dead.holder)
-        if drawn is None:
-            return True
-        promise = dead.promises.get(workspace)
-        bound = promise.allow(age.elapsed_s, age.late) if promise else drawn
-        holders = escrow.close_holder(pool.holders, dead.holder, bound)
-        key = POOL_PREFIX + workspace
-        outcome = await self._store.commit(
-            [(key, pool.revision)],
-            [(key, msgspec.json.encode(PoolRecord(holders)))],
-        )
-        if isinstance(outcome, protocol.Conflict):
-            self._see_entries(outcome.entries)
-            return False
-        ledger.see_pool(workspace, outcome.revision, holders)
-        eliot.log_message(
-            "funds:predecessor_closed",
-            holder=dead.holder,
-            workspace=workspace,
-            drawn=drawn,
-            bound=bound,
-            elapsed_s=round(age.elapsed_s, 2),
-            late=age.late,
-        )
-        return True
-
-    async def _renew(self) -> None:
-        board = self._board
-        known = board.configuration
-        if known is None:
-            return
-        now_s = clock.read_time()
-        entries = board.count_entries(now_s)
-        changes = {}
-        for name, workspace in known.workspaces.items():
-            if workspace.prepaid_tokens is None:
-                continue
-            account = board.escrow.open_account(name)
-            free = board.escrow.count_free(name, workspace.prepaid_tokens)
-            change = account.plan_change(free, entries, now_s)
-            if change or (
-                account.wanted and now_s - board.pools_seen_s.get(name, 0) > FRESH_S
-            ):
-                changes[name] = change
-        if changes or self._is_renewal_due(now_s):
-            await self._commit(changes)
-
-    def _is_renewal_due(self, now_s: float) -> bool:
-        accounts = self._board.escrow.accounts
-        if any(
-            account.wanted and account.held >= account.wanted
-            for account in accounts.values()
-        ):
-            return True
-        if now_s - self._renewed_s < RENEW_INTERVAL_S:
-            return False
-        used = {name: account.used for name, account in accounts.items()}
-        return used != self._renewed_used
-
-    async def _commit(self, changes: dict[str, int]) -> bool:
-        names = sorted(changes, key=lambda n: -abs(changes[n]))[:MAX_POOLS]
-        chosen = {name: changes[name] for name in names}
-        ledger = self._board.escrow
-        now_s = clock.read_time()
-        written, promises = ledger.begin(chosen, now_s)
-        record = HolderRecord(
-            ledger.holder,
-            self._boot_id,
-            now_s,
-            time.time(),
-            {
-                name: PromiseRecord(made.ceiling, made.early, made.late)
-                for name, made in promises.items()
-            },
-        )
-        expected = [(self._record_key, self._record_revision or 0)]
-        writes = [(self._record_key, msgspec.json.encode(record))]
-        for name, holders in written.items():
-            key = POOL_PREFIX + name
-            expected.append((key, ledger.pools[name].revision))
-            writes.append((key, msgspec.json.encode(PoolRecord(holders))))
-        try:
-            outcome = await self._store.commit(expected, writes)
-        except store_errors.StoreAnswerLostError:
-            eliot.log_message("funds:commit_in_doubt", workspaces=names)
-            raise
-        except store_errors.StoreError:
-            ledger.cancel(chosen, promises)
-            raise
-        self._board.store_seen_s = clock.read_time()
-        self._board.pools_seen_s.update(
-            dict.fromkeys(names, self._board.store_seen_s)
-        )
-        if isinstance(outcome, protocol.Conflict):
-            ledger.cancel(chosen, promises)
-            self._see_entries(outcome.entries)
-            self._urgent.set()
-            eliot.log_message("funds:conflict", changes=chosen)
-            return False
-        ledger.finish(outcome.revision, written, promises)
-        self._record_revision = outcome.revision
-        self._renewed_s = now_s
-        self._board.record_at_s = now_s
-        self._renewed_used = {
-            name: account.used for name, account in ledger.accounts.items()
-        }
-        eliot.log_message(
-            "funds:committed", changes=chosen, revision=outcome.revision
-        )
-        return True
-
-    def _see_entries(self, entries: list[protocol.Entry]) -> None:
-        ledger = self._board.escrow
-        for entry in entries:
-            if entry.key == self._record_key:
-                self._see_record(entry)
-                continue
-            name = entry.key.removeprefix(POOL_PREFIX)
-            record = msgspec.json.decode(entry.value, type=PoolRecord)
-            ledger.see_pool(name, entry.revision, record.drawn)
-
-    def _see_record(self, entry: protocol.Entry) -> None:
-        record = msgspec.json.decode(entry.value, type=HolderRecord)
-        if record.holder != self._board.escrow.holder:
-            # Another process took over this host's record: it has counted
-            # this one as dead, so nothing may be spent any more.
-            eliot.log_message("funds:record_taken", holder=record.holder)
-            for account in self._board.escrow.accounts.values():
-                account.promises = [escrow.Promise(-(10**18), 0.0, 0.0, 0.0)]
-            return
-        self._record_revision = entry.revision
-
-
-def read_boot_id() -> str:
-    """Return what names this start of the host, empty if it is unknown."""
-    try:
-        return BOOT_ID.read_text().strip()
-    except OSError as err:
-        eliot.log_message("funds:no_boot_id", reason=str(err))
-        return ""
-
 
-__all__ = (
-    "HOLDER_PREFIX",
-    "POOL_PREFIX",
-    "Funds",
-    "read_boot_id",
-)
+__all__ = ("Funds",)
--- a/src/cyclamenwing/gateway/logs.py
+++ b/src/cyclamenwing/gateway/logs.py
@@ -49,10 +49,7 @@
         if second != self._second:
             self._second, self._count = second, 0
         self._count += 1
-        if (
-            self._count > self._lines_per_s
-            or len(self._lines) >= MAX_WAITING
-        ):
+        if self._count > self._lines_per_s or len(self._lines) >= MAX_WAITING:
             self.dropped += 1
             return
         fields = {
--- a/src/cyclamenwing/gateway/peers.py
+++ b/src/cyclamenwing/gateway/peers.py
@@ -7,10 +7,8 @@
 from __future__ import annotations
 
 import asyncio
-import collections
 from collections.abc import Callable
 from collections.abc import Coroutine
-from typing import NamedTuple
 
 import eliot
 import msgspec
@@ -18,8 +16,8 @@
 from cyclamenwing import errors
 from cyclamenwing.gateway import blackboard
 from cyclamenwing.gateway import clock
+from cyclamenwing.gateway import news
 from cyclamenwing.gateway import succession
-from cyclamenwing.routing import placement
 from cyclamenwing.store import errors as store_errors
 from cyclamenwing.store import protocol
 from cyclamenwing.transport import caller
@@ -36,97 +34,8 @@
 TRANSFER_TIMEOUT_S = 0.1
 CONFIGURATION_TIMEOUT_S = 1.0
 STATEMENT_TIMEOUT_S = 0.3
-# Pools are told in the news of about this long.
-POOL_NEWS_S = 0.45
-# A record of this age is missing its renewals; peers hear of it in time for
-# the promises to grow.
-LATE_NOTICE_S = 1.8
-# A process that began this lately speaks of its own predecessor.
-RESTART_LIFE_S = 10.0
 # A gateway that did not answer is tried again this much later.
 SILENT_PAUSE_S = 1.0
-# Parts sent within this time are named in the news.
-SENT_LIFE_S = 1.0
-# A member that was never heard of in this time is no longer called.
-MEMBER_LIFE_S = 30.0
-MAX_SENT = 200
-
-
-class SiteNews(msgspec.Struct, array_like=True):
-    """Hold what a gateway runs at an endpoint."""
-
-    endpoint: str
-    running: int
-    prefill_tokens: int
-
-
-class SentNews(msgspec.Struct, array_like=True):
-    """Name the prompt parts that an endpoint was sent."""
-
-    number: int
-    endpoint: str
-    parts: list[tuple[str, int]]
-
-
-class News(msgspec.Struct):
-    """Hold what a gateway tells its peers."""
-
-    host: str
-    address: str
-    holder: str
-    version: int
-    members: dict[str, str]
-    sites: list[SiteNews]
-    sent: list[SentNews]
-    available: dict[str, int]
-    held: dict[str, int]
-    # Revision and holders of the pools that were seen lately.
-    pools: dict[str, tuple[int, dict[str, int]]]
-    # Age of the record that bounds the use of budgets.
-    record_age_s: float
-    # The record is old: its promises may grow fast once a peer knows.
-    late: bool
-    # The store lists this gateway, so that every other one can find it.
-    registered: bool
-    # Orders the news of one holder.
-    number: int
-
-
-class StatementRequest(msgspec.Struct):
-    """Ask what is known of a process that has died."""
-
-    holder: str
-
-
-class StatementReply(msgspec.Struct):
-    """Say how old its record is; see `succession.Statement`."""
-
-    elapsed_s: float | None
-    late: bool | None
-    restart_age_s: float | None
-
-
-class TransferRequest(msgspec.Struct):
-    """Ask for tokens of a workspace."""
-
-    workspace: str
-    tokens: int
-    holder: str
-
-
-class TransferReply(msgspec.Struct):
-    """Hand tokens over; a reply that gets lost loses them."""
-
-    tokens: int
-
-
-class Sent(NamedTuple):
-    """Remember a request's prompt parts."""
-
-    number: int
-    endpoint: str
-    parts: tuple[tuple[str, int], ...]
-    sent_s: float
 
 
 class Peers:
@@ -144,29 +53,11 @@
         self._board = board
         self._caller = http
         self._adopt = adopt
-        self._sent: collections.deque[Sent] = collections.deque(
-            maxlen=MAX_SENT
-        )
-        self._number = 0
-        self._heard: dict[str, int] = {}
-        self._former: dict[str, blackboard.Peer] = {}
+        self.desk = news.NewsDesk(board)
         self._called_s: dict[str, float] = {}
         self._silent_s: dict[str, float] = {}
-        self._registered = False
-        self._news_number = 0
-        self._last_numbers: dict[str, int] = {}
-        self._late: dict[str, bool] = {}
         self._tasks: set[asyncio.Task[None]] = set()
 
-    def note_sent(
-        self, endpoint: str, parts: tuple[tuple[str, int], ...]
-    ) -> None:
-        """Remember prompt parts for the next news."""
-        self._number += 1
-        self._sent.append(
-            Sent(self._number, endpoint, parts, clock.read_time())
-        )
-
     async def register(self, store: protocol.Journal) -> None:
         """Write this gateway's address to the store and read the others'."""
         board = self._board
@@ -184,7 +75,7 @@
             for entry in found.entries:
                 host = entry.key.removeprefix(HOSTS_PREFIX)
                 self._meet(host, entry.value.decode())
-            self._registered = True
+            self.desk.registered = True
             return
 
     async def run(self) -> None:
@@ -216,7 +107,7 @@
     ) -> int:
         """Ask a peer for tokens; return how many it handed over."""
         body = msgspec.json.encode(
-            TransferRequest(workspace, tokens, self._board.escrow.holder)
+            news.TransferRequest(workspace, tokens, self._board.escrow.holder)
         )
         try:
             status, answer = await self._caller.call(
@@ -224,7 +115,7 @@
             )
             if status != 200:
                 return 0
-            reply = msgspec.json.decode(answer, type=TransferReply)
+            reply = msgspec.json.decode(answer, type=news.TransferReply)
         except (errors.CodedError, msgspec.DecodeError) as err:
             eliot.log_message(
                 "peers:transfer_failed", peer=peer.host, reason=str(err)
@@ -239,11 +130,9 @@
         )
         return max(reply.tokens, 0)
 
-    async def ask_statements(
-        self, holder: str
-    ) -> list[succession.Statement]:
+    async def ask_statements(self, holder: str) -> list[succession.Statement]:
         """Ask all members what they know of a process that has died."""
-        body = msgspec.json.encode(StatementRequest(holder))
+        body = msgspec.json.encode(news.StatementRequest(holder))
         answers = await asyncio.gather(
             *(
                 self._caller.call(
@@ -259,7 +148,9 @@
                 eliot.log_message("peers:no_statement", reason=repr(answer))
                 continue
             if answer[0] == 200:
-                reply = msgspec.json.decode(answer[1], type=StatementReply)
+                reply = msgspec.json.decode(
+                    answer[1], type=news.StatementReply
+                )
                 found.append(
                     succession.Statement(
                         reply.elapsed_s, reply.late, reply.restart_age_s
@@ -267,114 +158,6 @@
                 )
         return found
 
-    def write_news(self) -> News:
-        """Return this gateway's news."""
-        board = self._board
-        now_s = clock.read_time()
-        self._news_number += 1
-        known = board.configuration
-        names = {key: key[0] for key in board.placement.sites}
-        return News(
-            host=board.settings.host,
-            address=board.settings.control,
-            holder=board.escrow.holder,
-            version=known.version if known else 0,
-            members={
-                peer.host: peer.address for peer in board.list_peers(now_s)
-            },
-            sites=[
-                SiteNews(
-                    names[key], len(site.jobs), int(site.count_own(now_s))
-                )
-                for key, site in board.placement.sites.items()
-                if site.jobs
-            ],
-            sent=[
-                SentNews(item.number, item.endpoint, list(item.parts))
-                for item in self._sent
-                if now_s - item.sent_s < SENT_LIFE_S
-            ],
-            available={
-                name: account.count_available(now_s)
-                for name, account in board.escrow.accounts.items()
-                if account.count_available(now_s) > 0
-            },
-            held={
-                name: account.held
-                for name, account in board.escrow.accounts.items()
-                if account.held > 0
-            },
-            pools={
-                name: (pool.revision, pool.holders)
-                for name, pool in board.escrow.pools.items()
-                if now_s - board.pools_seen_s.get(name, 0.0) < POOL_NEWS_S
-            },
-            record_age_s=now_s - board.record_at_s,
-            late=now_s - board.record_at_s > LATE_NOTICE_S,
-            registered=self._registered,
-            number=self._news_number,
-        )
-
-    def read_news(self, news: News) -> None:
-        """Take over a peer's news."""
-        board = self._board
-        now_s = clock.read_time()
-        if news.host == board.settings.host:
-            return
-        if news.number <= self._last_numbers.get(news.holder, 0):
-            # Overtaken on another connection; what it says is outdated.
-            return
-        self._last_numbers[news.holder] = news.number
-        self._late[news.holder] = news.late
-        if news.host not in board.peers:
-            eliot.log_message("peers:met", peer=news.host, holder=news.holder)
-        before = board.peers.get(news.host)
-        if before is not None and before.holder != news.holder:
-            self._heard.pop(news.host, None)
-            self._former[before.holder] = before
-        board.peers[news.host] = blackboard.Peer(
-            news.host,
-            news.address,
-            news.holder,
-            news.version,
-            news.available,
-            news.held,
-            now_s,
-            news.record_age_s,
-        )
-        board.members[news.host] = news.address
-        for host, address in news.members.items():
-            if host != board.settings.host:
-                board.members.setdefault(host, address)
-        self._read_loads(news, now_s)
-        for name, (revision, holders) in news.pools.items():
-            if revision > board.escrow.open_pool(name).revision:
-                board.escrow.see_pool(name, revision, holders)
-                board.pools_seen_s[name] = now_s
-        own = board.configuration.version if board.configuration else 0
-        if news.version > own:
-            self._start(self._fetch_configuration(news))
-
-    def _read_loads(self, news: News, now_s: float) -> None:
-        sites = self._board.placement
-        told = {item.endpoint: item for item in news.sites}
-        for key, site in sites.sites.items():
-            item = told.get(key[0])
-            if item is None:
-                site.remote.pop(news.host, None)
-                continue
-            site.remote[news.host] = placement.RemoteLoad(
-                item.running, item.prefill_tokens, now_s
-            )
-        heard = self._heard.get(news.host, 0)
-        for sent in news.sent:
-            if sent.number > heard:
-                site = sites.find_site(sent.endpoint)
-                if site is not None:
-                    site.keep_parts(sent.parts)
-                heard = sent.number
-        self._heard[news.host] = heard
-
     def _meet(self, host: str, address: str) -> None:
         if host != self._board.settings.host:
             self._board.members.setdefault(host, address)
@@ -382,7 +165,7 @@
     def _call_due(self, now_s: float) -> None:
         board = self._board
         own = board.settings.host
-        late = now_s - board.record_at_s > LATE_NOTICE_S
+        late = now_s - board.record_at_s > news.LATE_NOTICE_S
         targets = {
             address: host
             for host, address in board.members.items()
@@ -401,41 +184,46 @@
 
     def _is_heard(self, host: str, now_s: float) -> bool:
         peer = self._board.peers.get(host)
-        return (
-            peer is not None and now_s - peer.seen_s < NEWS_INTERVAL_S * 4
-        )
+        return peer is not None and now_s - peer.seen_s < NEWS_INTERVAL_S * 4
 
     async def _exchange(self, address: str) -> None:
-        news = self.write_news()
+        told = self.desk.write_news()
         record_at_s = self._board.record_at_s
-        body = msgspec.json.encode(news)
         try:
             status, answer = await self._caller.call(
-                address, "POST", NEWS_PATH, body, NEWS_TIMEOUT_S
+                address,
+                "POST",
+                NEWS_PATH,
+                msgspec.json.encode(told),
+                NEWS_TIMEOUT_S,
             )
             if status != 200:
                 return
-            reply = msgspec.json.decode(answer, type=News)
-            self.read_news(reply)
-            if (
-                news.late
-                and reply.registered
-                and record_at_s == self._board.record_at_s
-            ):
-                self._board.escrow.allow_late()
-            if self._silent_s.pop(address, None) is not None:
-                eliot.log_message("peers:regained", address=address)
+            reply = msgspec.json.decode(answer, type=news.News)
         except (errors.CodedError, msgspec.DecodeError) as err:
             if address not in self._silent_s:
                 eliot.log_message(
                     "peers:lost", address=address, reason=str(err)
                 )
             self._silent_s[address] = clock.read_time() + SILENT_PAUSE_S
+            return
+        self._read(reply)
+        if self._silent_s.pop(address, None) is not None:
+            eliot.log_message("peers:regained", address=address)
+        renewed = record_at_s != self._board.record_at_s
+        if told.late and reply.registered and not renewed:
+            self._board.escrow.allow_late()
+
+    def _read(self, told: news.News) -> None:
+        self.desk.read_news(told)
+        known = self._board.configuration
+        if told.version > (known.version if known else 0):
+            self._start(self._fetch_configuration(told))
 
-    async def _fetch_configuration(self, news: News) -> None:
+    async def _fetch_configuration(self, told: news.News) -> None:
         try:
             status, answer = await self._caller.call(
-                news.address,
+                told.address,
                 "GET",
                 CONFIGURATION_PATH,
                 b"",
@@ -444,12 +232,12 @@
         except errors.CodedError as err:
             eliot.log_message(
                 "peers:configuration_failed",
-                peer=news.host,
+                peer=told.host,
                 reason=err.message,
             )
             return
         if status == 200 and answer:
-            self._adopt(answer, news.host)
+            self._adopt(answer, told.host)
 
     def _start(self, work: Coroutine[None, None, None]) -> None:
         task = asyncio.ensure_future(work)
@@ -457,11 +245,11 @@
         task.add_done_callback(self._tasks.discard)
 
     def _answer_news(self, body: bytes) -> bytes:
-        self.read_news(msgspec.json.decode(body, type=News))
-        return msgspec.json.encode(self.write_news())
+        self._read(msgspec.json.decode(body, type=news.News))
+        return msgspec.json.encode(self.desk.write_news())
 
     def _answer_transfer(self, body: bytes) -> bytes:
-        request = msgspec.json.decode(body, type=TransferRequest)
+        request = msgspec.json.decode(body, type=news.TransferRequest)
         account = self._board.escrow.open_account(request.workspace)
         tokens = account.give(request.tokens, clock.read_time())
         eliot.log_message(
@@ -472,23 +260,11 @@
             tokens=tokens,
             left=account.held,
         )
-        return msgspec.json.encode(TransferReply(tokens))
+        return msgspec.json.encode(news.TransferReply(tokens))
 
     def _answer_statement(self, body: bytes) -> bytes:
-        request = msgspec.json.decode(body, type=StatementRequest)
-        board = self._board
-        now_s = clock.read_time()
-        known = self._former.get(request.holder) or next(
-            (p for p in board.peers.values() if p.holder == request.holder),
-            None,
-        )
-        elapsed_s = known and known.record_age_s + now_s - known.seen_s
-        fresh = now_s - board.began_s < RESTART_LIFE_S
-        reply = StatementReply(
-            elapsed_s,
-            self._late.get(request.holder),
-            board.wall_age_s if fresh else None,
-        )
+        request = msgspec.json.decode(body, type=news.StatementRequest)
+        reply = self.desk.state(request.holder)
         eliot.log_message(
             "peers:statement_given",
             holder=request.holder,
@@ -510,13 +286,4 @@
     STATEMENT_PATH: Peers._answer_statement,
 }
 
-__all__ = (
-    "News",
-    "Peers",
-    "SentNews",
-    "SiteNews",
-    "StatementReply",
-    "StatementRequest",
-    "TransferReply",
-    "TransferRequest",
-)
+__all__ = ("Peers",)
--- a/src/cyclamenwing/gateway/succession.py
+++ b/src/cyclamenwing/gateway/succession.py
@@ -91,9 +91,7 @@
 def _compare_clocks(
     dead: Predecessor, hosts: int, statements: Sequence[Statement]
 ) -> float | None:
-    ages = [
-        s.restart_age_s for s in statements if s.restart_age_s is not None
-    ]
+    ages = [s.restart_age_s for s in statements if s.restart_age_s is not None]
     if len(ages) < hosts or len(ages) + 1 < MIN_HOSTS:
         return None
     ages.append(dead.wall_elapsed_s)
--- a/src/cyclamenwing/platform/configuration.py
+++ b/src/cyclamenwing/platform/configuration.py
@@ -168,15 +168,18 @@
 
 
 def _read_service(entry: ServiceEntry) -> configuration.Service:
-    engine = entry.engine
+    engine = None
+    if entry.engine is not None:
+        engine = configuration.Engine(
+            entry.engine.slots,
+            entry.engine.kv_capacity,
+            max(entry.engine.stride, 1),
+        )
     return configuration.Service(
         name=entry.name,
         health_path=entry.health_path,
         max_connections=entry.max_conns,
-        engine=engine
-        and configuration.Engine(
-            engine.slots, engine.kv_capacity, max(engine.stride, 1)
-        ),
+        engine=engine,
     )
 
 
--- a/src/cyclamenwing/routing/endpoints.py
+++ b/src/cyclamenwing/routing/endpoints.py
@@ -72,9 +72,7 @@
         for name, (_, until_s) in list(self.doubtful.items()):
             if until_s <= now_s:
                 del self.doubtful[name]
-        return [
-            e for e, _ in self.doubtful.values() if e.service == service
-        ]
+        return [e for e, _ in self.doubtful.values() if e.service == service]
 
 
 __all__ = (
--- a/src/cyclamenwing/routing/placement.py
+++ b/src/cyclamenwing/routing/placement.py
@@ -256,9 +256,7 @@
     """Return the endpoint that all entries prefer for a prompt part."""
     return max(
         candidates,
-        key=lambda e: xxhash.xxh64_intdigest(
-            f"{part} {e.name}".encode()
-        ),
+        key=lambda e: xxhash.xxh64_intdigest(f"{part} {e.name}".encode()),
     ).name
 
 
--- a/src/cyclamenwing/transport/caller.py
+++ b/src/cyclamenwing/transport/caller.py
@@ -7,6 +7,7 @@
 
 from cyclamenwing.transport import errors
 from cyclamenwing.transport import h1
+from cyclamenwing.transport import h1client
 
 CONNECT_TIMEOUT_S = 0.3
 MAX_ANSWER_BYTES = 32 * 1024 * 1024
@@ -21,7 +22,7 @@
     """Call addresses; a call that was sent is never repeated."""
 
     def __init__(self) -> None:
-        self._kept: dict[str, collections.deque[h1.ClientConnection]] = (
+        self._kept: dict[str, collections.deque[h1client.ClientConnection]] = (
             collections.defaultdict(collections.deque)
         )
 
@@ -41,7 +42,9 @@
             method.encode(), target.encode(), tuple(headers), body
         )
         deadline_s = time.monotonic() + timeout_s
-        connection = self._take(address) or await h1.ClientConnection.open(
+        connection = self._take(
+            address
+        ) or await h1client.ClientConnection.open(
             address, min(timeout_s, CONNECT_TIMEOUT_S)
         )
         try:
@@ -68,7 +71,7 @@
                 connection.close()
         self._kept.clear()
 
-    def _take(self, address: str) -> h1.ClientConnection | None:
+    def _take(self, address: str) -> h1client.ClientConnection | None:
         kept = self._kept[address]
         while kept:
             connection = kept.pop()
@@ -79,7 +82,10 @@
         return None
 
     def _keep(
-        self, address: str, connection: h1.ClientConnection, head: h1.Head
+        self,
+        address: str,
+        connection: h1client.ClientConnection,
+        head: h1.Head,
     ) -> None:
         closing = h1.find_header(head.headers, b"connection") == b"close"
         kept = self._kept[address]
--- /dev/null
+++ b/src/cyclamenwing/transport/h1client.py
@@ -0,0 +1,221 @@
+"""Connections to other processes, answers framed by h11."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from typing import Any
+
+import h11
+from tornado import iostream
+
+from cyclamenwing.transport import errors
+from cyclamenwing.transport import h1
+
+
+class ClientConnection:
+    """Send requests and read answers on one connection of our own.
+
+    Nothing is ever sent again by itself.
+    """
+
+    def __init__(self, stream: iostream.IOStream, address: str) -> None:
+        self.stream = stream
+        self.address = address
+        self.sent = False
+        self.reusable = True
+        self.idle_since = 0.0
+        self.idle_limit_s: float | None = None
+        self.uses = 0
+        self._h11 = h11.Connection(
+            h11.CLIENT, max_incomplete_event_size=h1.MAX_HEAD_BYTES
+        )
+        self._method = b"GET"
+        self._parked: asyncio.Future[bytes] | None = None
+
+    @classmethod
+    async def open(cls, address: str, timeout_s: float) -> ClientConnection:
+        """Connect; raise `ConnectFailedError` if that fails in time."""
+        host, _, port = address.rpartition(":")
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        h1.configure_socket(sock)
+        stream = iostream.IOStream(
+            sock,
+            max_buffer_size=h1.MAX_READ_BUFFER_BYTES,
+            max_write_buffer_size=h1.MAX_WRITE_BUFFER_BYTES,
+        )
+        try:
+            async with asyncio.timeout(timeout_s):
+                await stream.connect((host, int(port)))
+        except (TimeoutError, OSError, iostream.StreamClosedError) as err:
+            stream.close()
+            raise errors.ConnectFailedError(
+                f"{address}: {err or 'timed out'}"
+            ) from err
+        except BaseException:
+            stream.close()
+            raise
+        return cls(stream, address)
+
+    def send(self, request: h1.Request) -> None:
+        """Hand a request to the socket without waiting for it to drain."""
+        self._renew(request.method)
+        data = bytearray()
+        headers = list(request.headers)
+        if request.body or request.method not in (b"GET", b"HEAD", b"DELETE"):
+            headers.append((b"Content-Length", b"%d" % len(request.body)))
+        message = h11.Request(
+            method=request.method, target=request.target, headers=headers
+        )
+        data += self._h11.send(message) or b""
+        if request.body:
+            data += self._h11.send(h11.Data(data=request.body)) or b""
+        data += self._h11.send(h11.EndOfMessage()) or b""
+        if self.stream.closed():
+            raise errors.ConnectFailedError(f"{self.address}: closed before")
+        self.uses += 1
+        self.sent = True
+        try:
+            self.stream.write(bytes(data)).add_done_callback(_ignore_failure)
+        except iostream.StreamClosedError as err:
+            raise errors.ConnectionLostError(self.address) from err
+
+    async def read_head(self, timeout_s: float) -> h1.Head:
+        """Read the next answer's head; informational ones are skipped."""
+        try:
+            async with asyncio.timeout(timeout_s):
+                while True:
+                    event = await self._next_event()
+                    if isinstance(event, h11.Response):
+                        return h1.Head(
+                            event.status_code,
+                            bytes(event.reason),
+                            tuple(event.headers),
+                        )
+        except TimeoutError as err:
+            self.reusable = False
+            raise errors.ConnectionSilentError(
+                f"{self.address}: no answer"
+            ) from err
+
+    async def read_data(self, timeout_s: float) -> bytes | None:
+        """Read a part of the body; None once it has ended as complete."""
+        try:
+            async with asyncio.timeout(timeout_s):
+                event = await self._next_event()
+        except TimeoutError as err:
+            self.reusable = False
+            raise errors.ConnectionSilentError(
+                f"{self.address}: the answer stalled"
+            ) from err
+        if isinstance(event, h11.Data):
+            return bytes(event.data)
+        self._finish()
+        return None
+
+    async def read_body(self, timeout_s: float, most: int) -> bytes:
+        """Read a whole body."""
+        body = bytearray()
+        async with asyncio.timeout(timeout_s):
+            while (data := await self.read_data(timeout_s)) is not None:
+                body += data
+                if len(body) > most:
+                    raise errors.AnswerTooLargeError(self.address)
+        return bytes(body)
+
+    def skip_answer(self) -> None:
+        """Get ready for another answer to the request that was sent."""
+        rest, closed = self._h11.trailing_data
+        self._renew(self._method)
+        request = h11.Request(
+            method=self._method, target=b"/", headers=[(b"Host", b"-")]
+        )
+        self._h11.send(request)
+        self._h11.send(h11.EndOfMessage())
+        if rest:
+            self._h11.receive_data(rest)
+        if closed:
+            self._h11.receive_data(b"")
+
+    def park(self, now_s: float) -> None:
+        """Keep the connection idle and listen for what should not come."""
+        self.idle_since = now_s
+        self._parked = asyncio.ensure_future(
+            self.stream.read_bytes(h1.READ_BYTES, partial=True)
+        )
+        self._parked.add_done_callback(_ignore_failure)
+
+    def is_clean(self) -> bool:
+        """Tell whether an idle connection is open and heard nothing."""
+        silent = self._parked is None or not self._parked.done()
+        return self.reusable and silent and not self.stream.closed()
+
+    def close(self) -> None:
+        """Close at once; the peer drops what it works on."""
+        self.reusable = False
+        self.stream.close()
+
+    def _renew(self, method: bytes) -> None:
+        self._method = method
+        self._h11 = h11.Connection(
+            h11.CLIENT, max_incomplete_event_size=h1.MAX_HEAD_BYTES
+        )
+
+    def _finish(self) -> None:
+        rest, _ = self._h11.trailing_data
+        if (
+            rest
+            or self.stream.writing()
+            or self._h11.our_state is not h11.DONE
+            or self._h11.their_state is not h11.DONE
+        ):
+            self.reusable = False
+
+    async def _next_event(self) -> h11.Event:
+        while True:
+            try:
+                event = self._h11.next_event()
+            except h11.RemoteProtocolError as err:
+                self.reusable = False
+                raise errors.MalformedMessageError(
+                    f"{self.address}: {err}", "unknown"
+                ) from err
+            if event is h11.NEED_DATA:
+                await self._fill()
+                continue
+            if event is h11.PAUSED:
+                self.reusable = False
+                raise errors.MalformedMessageError(
+                    f"{self.address}: bytes behind the answer", "unknown"
+                )
+            assert isinstance(event, h11.Event)
+            return event
+
+    async def _fill(self) -> None:
+        try:
+            waiting = self._parked or self.stream.read_bytes(
+                h1.READ_BYTES, partial=True
+            )
+            self._parked = None
+            data = await waiting
+        except iostream.StreamClosedError as err:
+            self.reusable = False
+            if self.stream.error is not None:
+                raise errors.ConnectionLostError(
+                    f"{self.address}: {self.stream.error}", "unknown"
+                ) from err
+            if self._h11.their_state is not h11.SEND_BODY:
+                raise errors.ConnectionLostError(
+                    f"{self.address}: closed without an answer", "unknown"
+                ) from err
+            data = b""
+        self._h11.receive_data(data)
+
+
+def _ignore_failure(future: asyncio.Future[Any]) -> None:
+    # The reader of the answer reports the broken connection.
+    if not future.cancelled():
+        future.exception()
+
+
+__all__ = ("ClientConnection",)
--- a/src/cyclamenwing/transport/h1server.py
+++ b/src/cyclamenwing/transport/h1server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import socket
 import traceback
 from collections.abc import Awaitable
@@ -98,9 +99,21 @@
         if self.draining or _asks_to_close(request):
             connection.closing = True
         task = asyncio.ensure_future(self._handler(connection, request))
-        connection.on_close(task.cancel)
+        connection.on_close(functools.partial(_cancel, task))
         if connection.closed:
             task.cancel()
+        try:
+            served = await self._await_handler(connection, task)
+        finally:
+            connection.on_close(None)
+        if self.draining:
+            # An answer that began before the drain did not announce it.
+            connection.closing = True
+        return served
+
+    async def _await_handler(
+        self, connection: h1.ServerConnection, task: asyncio.Future[None]
+    ) -> bool:
         try:
             await task
         except asyncio.CancelledError:
@@ -119,11 +132,6 @@
                 trace=traceback.format_exc()[-MAX_TRACE:],
             )
             return False
-        finally:
-            connection.on_close(None)
-        if self.draining:
-            # An answer that began before the drain did not announce it.
-            connection.closing = True
         return True
 
     async def _refuse(
@@ -139,6 +147,10 @@
             eliot.log_message("server:broken", reason=str(err))
 
 
+def _cancel(task: asyncio.Future[None]) -> None:
+    task.cancel()
+
+
 def _asks_to_close(request: h1.Request) -> bool:
     value = h1.find_header(request.headers, b"connection") or b""
     return b"close" in value.lower()
