--- a/src/cyclamenwing/routing/placement.py
+++ b/src/cyclamenwing/routing/placement.py
@@ -33,6 +33,7 @@
 FAILURE_COST_MS = 400.0
 FAILURE_HALF_LIFE_S = 1.0
 MAX_FAILURE_COST_MS = 8000.0
+MIN_FAILURE_COST_MS = 1.0
 # A plain service works on one request in about this time.
 PLAIN_COST_MS = 30.0
 # News of a peer that is silent for longer no longer counts.
@@ -143,7 +144,8 @@
         if not self.failure_cost_ms:
             return 0.0
         age = (now_s - self.failed_s) / FAILURE_HALF_LIFE_S
-        return float(self.failure_cost_ms * 0.5 ** max(age, 0.0))
+        cost_ms = float(self.failure_cost_ms * 0.5 ** max(age, 0.0))
+        return cost_ms if cost_ms >= MIN_FAILURE_COST_MS else 0.0
 
 
 class Placement:
--- /dev/null
+++ b/tests/gateway/test_succession.py
@@ -0,0 +1,59 @@
+"""Age of a dead process's record: every proof, and what proves nothing."""
+
+from __future__ import annotations
+
+import pytest
+
+from cyclamenwing.gateway import succession
+
+HEARD = succession.Statement(2.0, False, None)
+NOTICED = succession.Statement(2.5, True, None)
+RESTARTED = succession.Statement(None, None, 1.5)
+UNKNOWING = succession.Statement(None, None, None)
+
+
+def make_dead(
+    boot_s: float | None = None, wall_s: float = 1.2
+) -> succession.Predecessor:
+    return succession.Predecessor("a-1", {}, boot_s, wall_s)
+
+
+@pytest.mark.parametrize(
+    ("dead", "hosts", "statements", "age"),
+    [
+        # The host did not restart.
+        (make_dead(0.8), 3, [], succession.Age(0.8, True)),
+        # A peer that heard it gives a bound; all of them also its part.
+        (make_dead(), 3, [HEARD], succession.Age(2.0, True)),
+        (make_dead(), 2, [HEARD, HEARD], succession.Age(2.0, False)),
+        (make_dead(), 2, [HEARD, NOTICED], succession.Age(2.0, True)),
+        (make_dead(), 2, [HEARD, UNKNOWING], succession.Age(2.0, True)),
+        # All hosts restarted and their clocks agree.
+        (make_dead(), 2, [RESTARTED, RESTARTED], succession.Age(2.0, True)),
+        # One host is missing, or there are too few.
+        (make_dead(), 3, [RESTARTED, RESTARTED], None),
+        (make_dead(), 1, [RESTARTED], None),
+        # A clock was set, or the records are old.
+        (make_dead(wall_s=4.5), 2, [RESTARTED, RESTARTED], None),
+        (make_dead(wall_s=-0.1), 2, [RESTARTED, RESTARTED], None),
+        (make_dead(wall_s=7.0), 2, [RESTARTED, RESTARTED], None),
+        # Nobody knows anything.
+        (make_dead(), 2, [UNKNOWING, UNKNOWING], None),
+        (make_dead(), 0, [], None),
+        # A boot clock that began anew proves nothing of use.
+        (make_dead(40_000.0), 3, [], None),
+        (
+            make_dead(40_000.0),
+            2,
+            [RESTARTED, RESTARTED],
+            succession.Age(2.0, True),
+        ),
+    ],
+)
+def test_age_is_bounded_by_the_best_proof(
+    dead: succession.Predecessor,
+    hosts: int,
+    statements: list[succession.Statement],
+    age: succession.Age | None,
+) -> None:
+    assert succession.bound_age(dead, hosts, statements) == age
--- /dev/null
+++ b/tests/platform/test_configuration.py
@@ -0,0 +1,137 @@
+"""Decoding of the operators' configuration."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+import pytest
+
+from cyclamenwing.gateway import configuration as types
+from cyclamenwing.platform import configuration
+from cyclamenwing.platform import errors
+
+ROUTE = {
+    "name": "r1",
+    "host": "API.example",
+    "prefix": "/a/",
+    "kind": "streaming",
+    "service": "llm",
+    "timeout_ms": 1500,
+    "goal_ms": 500,
+    "priority": 1,
+    "attempts": 2,
+    "sticky": True,
+    "resumable": True,
+    "gap_goal_ms": 300,
+}
+WHOLE = {
+    "version": 7,
+    "routes": [
+        ROUTE,
+        ROUTE
+        | {
+            "name": "r2",
+            "prefix": "/a/b/",
+            "kind": "unsafe",
+            "service": None,
+            "split": [
+                {"service": "x", "weight": 90},
+                {"service": "y", "weight": 10},
+            ],
+        },
+    ],
+    "services": [
+        {
+            "name": "llm",
+            "health_path": "/h",
+            "max_conns": 9,
+            "engine": {"slots": 64, "kv_capacity": 1000, "stride": 4},
+        }
+    ],
+    "limits": {"max_header_bytes": 99, "idle_timeout_ms": 500},
+    "tenants": [
+        {"name": "t", "api_keys": ["k1", "k2"], "prepaid": 5},
+        {"name": "u", "api_keys": [], "priority": 3},
+    ],
+    "unheard_of": {"x": 1},
+}
+
+
+def read(**changes: Any) -> types.Configuration:
+    return configuration.read_configuration(
+        msgspec.json.encode(WHOLE | changes)
+    )
+
+
+def test_longest_prefix_wins_and_hosts_ignore_case() -> None:
+    found = read()
+    outer = found.find_route("api.example", "/a/x")
+    inner = found.find_route("api.example", "/a/b/x")
+    assert outer is not None
+    assert inner is not None
+    assert (outer.name, inner.name) == ("r1", "r2")
+    assert found.find_route("api.example", "/a") is None
+    assert found.find_route("other.example", "/a/x") is None
+
+
+def test_route_is_translated() -> None:
+    route = read().find_route("api.example", "/a/x")
+    assert route is not None
+    assert route.kind is types.RouteKind.STREAM
+    assert (route.timeout_s, route.goal_s, route.gap_goal_s) == (1.5, 0.5, 0.3)
+    assert route.shares == (types.Share("llm", 1.0),)
+    assert (route.resumable, route.cached, route.repeatable) == (
+        True,
+        True,
+        False,
+    )
+
+
+def test_split_is_translated() -> None:
+    route = read().find_route("api.example", "/a/b/")
+    assert route is not None
+    assert route.shares == (types.Share("x", 90), types.Share("y", 10))
+
+
+def test_keys_find_their_workspace() -> None:
+    found = read()
+    assert found.find_workspace("k2") == types.Workspace("t", None, 5)
+    assert found.find_workspace("k3") is None
+
+
+def test_services_and_limits_are_translated() -> None:
+    found = read()
+    assert found.services["llm"].engine == types.Engine(64, 1000, 4)
+    assert found.limits.header_bytes == 99
+    assert found.limits.idle_timeout_s == 0.5
+    assert found.limits.header_timeout_s == 3.0
+
+
+@pytest.mark.parametrize("timeout_ms", [0, None])
+def test_route_without_time_out_is_bound_by_the_client_alone(
+    timeout_ms: int | None,
+) -> None:
+    route = read(routes=[ROUTE | {"timeout_ms": timeout_ms}]).find_route(
+        "api.example", "/a/"
+    )
+    assert route is not None
+    assert route.timeout_s is None
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"",
+        b"\xff\xfe",
+        b"[]",
+        b"{}",
+        b'{"version":"7"}',
+        b'{"version":7,"routes":[{"name":"x"}]}',
+        b'{"version":7,"routes":[{"name":"x","host":"h","prefix":"/",'
+        b'"kind":"sometimes"}]}',
+    ],
+)
+def test_unreadable_configuration_is_refused(data: bytes) -> None:
+    with pytest.raises(errors.ConfigurationUnreadableError):
+        configuration.read_configuration(data)
--- /dev/null
+++ b/tests/platform/test_endpoints.py
@@ -0,0 +1,81 @@
+"""Decoding of endpoints' entries, also of other writers."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+import pytest
+
+from cyclamenwing.platform import endpoints
+from cyclamenwing.platform import errors
+from cyclamenwing.routing import endpoints as types
+
+ENTRY: dict[str, Any] = {
+    "service": "llm",
+    "address": "10.0.0.9:8080",
+    "zone": "z1",
+    "version": "v1",
+    "slots": 64,
+    "state": "ready",
+    "cold_left_ms": 0,
+    "seq": 4,
+    "born": 1700000000000,
+}
+
+
+def read(entry: Any) -> types.Endpoint:
+    return endpoints.read_endpoint("servers/i-1", msgspec.json.encode(entry))
+
+
+def test_entry_is_translated() -> None:
+    assert read(ENTRY) == types.Endpoint(
+        "i-1", "llm", "10.0.0.9:8080", "z1", 64, False, 1700000000000
+    )
+
+
+def test_draining_is_translated() -> None:
+    assert read(ENTRY | {"state": "draining"}).draining
+
+
+def test_heartbeat_alone_changes_nothing() -> None:
+    assert read(ENTRY) == read(ENTRY | {"seq": 5})
+
+
+def test_later_start_is_another_incarnation() -> None:
+    later = read(ENTRY | {"born": 1700000000001})
+    assert later.incarnation != read(ENTRY).incarnation
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"state": "resting"},
+        {"state": None},
+        {"service": 3},
+        {"address": ""},
+        {"address": "10.0.0.9"},
+        {"address": "10.0.0.9:http"},
+        {"address": "10.0.0.9:0"},
+        {"address": "10.0.0.9:70000"},
+        {"slots": "many"},
+        {"born": 1.5},
+    ],
+)
+def test_entry_of_another_writer_names_no_endpoint(
+    change: dict[str, Any],
+) -> None:
+    with pytest.raises(errors.EndpointUnreadableError):
+        read(ENTRY | change)
+
+
+@pytest.mark.parametrize("missing", ["service", "address", "state"])
+def test_entry_without_a_needed_field_names_no_endpoint(missing: str) -> None:
+    with pytest.raises(errors.EndpointUnreadableError):
+        read({k: v for k, v in ENTRY.items() if k != missing})
+
+
+@pytest.mark.parametrize("value", [b"", b"\xff", b"null", b"{"])
+def test_unreadable_bytes_name_no_endpoint(value: bytes) -> None:
+    with pytest.raises(errors.EndpointUnreadableError):
+        endpoints.read_endpoint("servers/i-1", value)
--- /dev/null
+++ b/tests/platform/test_messages.py
@@ -0,0 +1,137 @@
+"""Headers of requests and answers."""
+
+from __future__ import annotations
+
+import pytest
+
+from cyclamenwing.gateway import calls
+from cyclamenwing.platform import errors
+from cyclamenwing.platform import messages
+from cyclamenwing.transport import h1
+
+HEADERS = (
+    (b"host", b"API.example:80"),
+    (b"request-id", b"9c41"),
+    (b"token-counts", b"1460,80"),
+    (b"prompt-prefix", b"5c1e:800,91bd:410,e440:250"),
+    (b"deadline-ms", b"2500"),
+    (b"key", b"secret"),
+    (b"connection", b"keep-alive"),
+    (b"tenant", b"forged"),
+    (b"kv-hold", b"forged"),
+    (b"expect-replica", b"forged"),
+    (b"x-own", b"1"),
+)
+REQUEST = h1.Request(b"POST", b"/a/b?q=1", HEADERS, b"body")
+
+
+def change(name: bytes, value: bytes) -> h1.Request:
+    headers = tuple(h for h in HEADERS if h[0] != name)
+    return REQUEST._replace(headers=(*headers, (name, value)))
+
+
+def test_request_is_read() -> None:
+    call = messages.read_call(REQUEST)
+    assert call.virtual_host == "api.example"
+    assert call.path == "/a/b"
+    assert call.key == "secret"
+    assert call.wait_s == 2.5
+    assert call.size == calls.Size(1460, 80)
+    assert call.parts == (
+        calls.Part("5c1e", 800),
+        calls.Part("91bd", 410),
+        calls.Part("e440", 250),
+    )
+
+
+def test_plain_request_has_no_size() -> None:
+    call = messages.read_call(REQUEST._replace(headers=HEADERS[:2]))
+    assert (call.size, call.parts, call.wait_s) == (None, (), None)
+
+
+@pytest.mark.parametrize(
+    ("name", "value"),
+    [
+        (b"token-counts", b"many"),
+        (b"token-counts", b"-1,5"),
+        (b"token-counts", b"1460"),
+        (b"prompt-prefix", b"5c1e"),
+        (b"prompt-prefix", b"5c1e:x"),
+        (b"deadline-ms", b"soon"),
+        (b"deadline-ms", b"-1"),
+        (b"deadline-ms", b"nan"),
+        (b"request-id", b"a b"),
+        (b"request-id", b""),
+        (b"key", b"\xff"),
+    ],
+)
+def test_unreadable_headers_are_refused(name: bytes, value: bytes) -> None:
+    with pytest.raises(errors.RequestUnreadableError):
+        messages.read_call(change(name, value))
+
+
+def test_only_the_system_sets_what_is_its_own() -> None:
+    terms = calls.Terms("i-1", 1.25, "team", None)
+    call = messages.read_call(REQUEST)
+    written = messages.write_call(REQUEST, call, terms)
+    headers = [(k.lower(), v) for k, v in written.headers]
+    assert (b"key", b"secret") not in headers
+    assert not [h for h in headers if h[1] == b"forged"]
+    assert headers.count((b"tenant", b"team")) == 1
+    assert headers.count((b"expect-replica", b"i-1")) == 1
+    assert headers.count((b"deadline-ms", b"1250")) == 1
+    assert (b"x-own", b"1") in headers
+    assert (b"request-id", b"9c41") in headers
+    assert (written.target, written.body) == (b"/a/b?q=1", b"body")
+
+
+def test_resumed_request_replaces_the_event_id() -> None:
+    request = change(b"last-event-id", b"3")
+    terms = calls.Terms("i-1", 1.0, None, b"9")
+    written = messages.write_call(request, messages.read_call(request), terms)
+    found = [v for k, v in written.headers if k.lower() == b"last-event-id"]
+    assert found == [b"9"]
+
+
+@pytest.mark.parametrize(
+    ("status", "headers", "not_run"),
+    [
+        (503, {b"not-executed": b"1"}, True),
+        (429, {b"not-executed": b"1"}, True),
+        (421, {}, True),
+        (503, {}, False),
+        (500, {}, False),
+    ],
+)
+def test_only_the_endpoint_s_word_tells_that_nothing_ran(
+    status: int, headers: dict[bytes, bytes], not_run: bool
+) -> None:
+    head = h1.Head(status, b"", tuple(headers.items()))
+    assert messages.read_answer(head).not_run is not_run
+
+
+def test_answer_s_headers_are_read() -> None:
+    marks = messages.read_answer(
+        h1.Head(
+            200,
+            b"OK",
+            (
+                (b"request-id", b"9c41"),
+                (b"replica-stamp", b"x"),
+                (b"connection", b"Close"),
+                (b"keep-alive", b"timeout=10"),
+                (b"content-encoding", b"gzip"),
+            ),
+        )
+    )
+    assert marks == calls.AnswerMarks(b"9c41", True, False, True, 10.0, True)
+
+
+def test_refusal_says_when_to_come_back() -> None:
+    status, headers, body = messages.write_refusal(
+        calls.Refusal(503, "overloaded", "not_run", 0.25), b"9c41"
+    )
+    assert status == 503
+    assert (b"Retry-After", b"0.25") in headers
+    assert (b"Request-Id", b"9c41") in headers
+    assert b"overloaded" in body
