--- a/src/cyclamenwing/gateway/app.py
+++ b/src/cyclamenwing/gateway/app.py
@@ -86,6 +86,12 @@
         self._ready = h1server.Server(self._answer_ready, h1.Limits)
         self._control = h1server.Server(self._peers.handle, h1.Limits)
         self._metrics = h1server.Server(self._answer_metrics, h1.Limits)
+        self._servers = (
+            self._front,
+            self._ready,
+            self._control,
+            self._metrics,
+        )
         self._tasks: list[asyncio.Task[None]] = []
         self.address = settings.listen
 
@@ -160,10 +166,17 @@
                 if not board.active and not self._front.count_busy():
                     break
         await self._release()
-        self._front.stop()
+        self.stop()
+        eliot.log_message("gateway:stopped", active=board.active)
+
+    def stop(self) -> None:
+        """Stop at once."""
         for task in self._tasks:
             task.cancel()
-        eliot.log_message("gateway:stopped", active=board.active)
+        for server in self._servers:
+            server.stop()
+            for connection in list(server.connections):
+                connection.close()
 
     async def _succeed(self) -> None:
         """Free what the host's earlier process left, if its age is known."""
--- a/src/cyclamenwing/gateway/logs.py
+++ b/src/cyclamenwing/gateway/logs.py
@@ -43,6 +43,10 @@
         threading.Thread(target=self._write, daemon=True).start()
         eliot.add_destinations(self.take)
 
+    def stop(self) -> None:
+        """Take no more messages."""
+        eliot.remove_destination(self.take)
+
     def take(self, message: dict[str, Any]) -> None:
         """Queue a message, or leave it out."""
         second = int(clock.read_time())
--- /dev/null
+++ b/src/cyclamenwing/standin/metastore.py
@@ -0,0 +1,170 @@
+"""Stand-in of the platform's metadata store, in memory."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import contextlib
+import urllib.parse
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+
+from cyclamenwing.transport import caller
+from cyclamenwing.transport import h1
+from cyclamenwing.transport import h1server
+
+PAGE_ITEMS = 50
+MAX_TXN_ENTRIES = 32
+OPERATORS_PREFIXES = ("op/", "servers/")
+
+Answer = tuple[int, Any]
+
+
+class MetaStore:
+    """Serve ranges, watches and transactions; faults are set from outside.
+
+    :ivar fault: status to answer every call with, 0 for none
+    :ivar lose_answers: transactions are done and not answered
+    """
+
+    def __init__(self) -> None:
+        self.items: dict[str, tuple[bytes, int]] = {}
+        self.history: list[tuple[str, int]] = []
+        self.revision = 1
+        self.forgotten = 0
+        self.fault = 0
+        self.lose_answers = False
+        self.calls: list[str] = []
+        self._changed = asyncio.Condition()
+        self._server = h1server.Server(self._handle, h1.Limits)
+
+    def listen(self) -> str:
+        """Bind a free port; return the address."""
+        return self._server.bind_address("127.0.0.1:0")
+
+    def stop(self) -> None:
+        """Stop serving."""
+        self._server.stop()
+        for connection in list(self._server.connections):
+            connection.close()
+
+    async def put(self, key: str, value: bytes | None) -> None:
+        """Write or remove a key as its owner does."""
+        async with self._changed:
+            self._write(key, value)
+            self._changed.notify_all()
+
+    def forget(self) -> None:
+        """Drop the history, so that watches must read again."""
+        self.forgotten = self.revision
+
+    def _write(self, key: str, value: bytes | None) -> None:
+        self.revision += 1
+        self.history.append((key, self.revision))
+        if value is None:
+            self.items.pop(key, None)
+        else:
+            self.items[key] = (value, self.revision)
+
+    async def _handle(
+        self, connection: h1.ServerConnection, request: h1.Request
+    ) -> None:
+        url = urllib.parse.urlsplit(request.target.decode())
+        query = dict(urllib.parse.parse_qsl(url.query))
+        self.calls.append(url.path)
+        if self.fault:
+            await connection.respond(self.fault, (), b"")
+            return
+        call = _CALLS.get(url.path)
+        if call is None:
+            await connection.respond(404, (), b"")
+            return
+        status, answer = await call(self, query, request.body)
+        if self.lose_answers and url.path == "/v1/kv-txn":
+            connection.close()
+            return
+        body = msgspec.json.encode(answer)
+        await connection.respond(status, caller.JSON_HEADERS, body)
+
+    async def _range(self, query: dict[str, str], _: bytes) -> Answer:
+        keys = sorted(
+            key
+            for key in self.items
+            if key.startswith(query["prefix"]) and key > query.get("after", "")
+        )
+        return 200, {
+            "items": [self._describe(key) for key in keys[:PAGE_ITEMS]],
+            "has_more": len(keys) > PAGE_ITEMS,
+            "at_rev": self.revision,
+        }
+
+    async def _watch(self, query: dict[str, str], _: bytes) -> Answer:
+        after = int(query["after"])
+        if after < self.forgotten:
+            return 410, {}
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(int(query["wait_ms"]) / 1000):
+                async with self._changed:
+                    await self._changed.wait_for(
+                        lambda: self._list_events(query["prefix"], after)
+                    )
+        return 200, {
+            "events": self._list_events(query["prefix"], after),
+            "at_rev": self.revision,
+        }
+
+    async def _txn(self, _: dict[str, str], body: bytes) -> Answer:
+        txn = msgspec.json.decode(body)
+        expected, replaced = txn["expected"], txn["replace"]
+        if len(expected) + len(replaced) > MAX_TXN_ENTRIES:
+            return 400, {"error": "too many entries"}
+        if any(r["key"].startswith(OPERATORS_PREFIXES) for r in replaced):
+            return 403, {"error": "reserved"}
+        if any(
+            self.items.get(row["key"], (b"", 0))[1] != row["revision"]
+            for row in expected
+        ):
+            found = [
+                self._describe(row["key"])
+                for row in expected
+                if row["key"] in self.items
+            ]
+            return 412, {"items": found}
+        async with self._changed:
+            self.revision += 1
+            for row in replaced:
+                value = base64.b64decode(row["value"], validate=True)
+                self.items[row["key"]] = (value, self.revision)
+                self.history.append((row["key"], self.revision))
+            self._changed.notify_all()
+        return 200, {"revision": self.revision}
+
+    def _list_events(self, prefix: str, after: int) -> list[dict[str, Any]]:
+        return [
+            self._describe(key)
+            if key in self.items
+            else {"key": key, "revision": revision, "deleted": True}
+            for key, revision in self.history
+            if revision > after and key.startswith(prefix)
+        ]
+
+    def _describe(self, key: str) -> dict[str, Any]:
+        value, revision = self.items[key]
+        return {
+            "key": key,
+            "value": base64.b64encode(value).decode(),
+            "revision": revision,
+            "created": revision,
+            "lease": 0,
+        }
+
+
+_CALLS: dict[str, Callable[..., Any]] = {
+    "/v1/kv-range": MetaStore._range,
+    "/v1/kv-watch": MetaStore._watch,
+    "/v1/kv-txn": MetaStore._txn,
+}
+
+__all__ = ("MetaStore",)
--- /dev/null
+++ b/src/cyclamenwing/standin/replica.py
@@ -0,0 +1,142 @@
+"""Stand-in of an endpoint on the users' platform."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+
+import msgspec
+
+from cyclamenwing.transport import h1
+from cyclamenwing.transport import h1server
+
+STAMP = (b"Replica-Stamp", b"signed")
+EVENTS = 5
+
+
+class Replica:
+    """Run requests, and fail as it is told.
+
+    :param name: the id that requests must expect
+    :ivar behaviour: name of a row of `BEHAVIOURS`
+    """
+
+    def __init__(self, name: str, service: str) -> None:
+        self.name = name
+        self.service = service
+        self.behaviour = "serve"
+        self.pause_s = 0.0
+        self.runs: list[h1.Request] = []
+        self.cancelled = 0
+        self.address = ""
+        self._server = h1server.Server(self._handle, h1.Limits)
+
+    def listen(self) -> str:
+        """Bind a free port; return the address."""
+        self.address = self._server.bind_address("127.0.0.1:0")
+        return self.address
+
+    def describe(self, state: str = "ready") -> bytes:
+        """Return the entry under which the replica registers itself."""
+        return msgspec.json.encode({
+            "service": self.service,
+            "address": self.address,
+            "zone": "z1",
+            "version": "v1",
+            "slots": 6,
+            "state": state,
+            "cold_left_ms": 0,
+            "seq": 1,
+        })
+
+    def stop(self) -> None:
+        """Stop at once, as a killed process."""
+        self._server.stop()
+        for connection in list(self._server.connections):
+            connection.close()
+
+    async def _handle(
+        self, connection: h1.ServerConnection, request: h1.Request
+    ) -> None:
+        expected = h1.find_header(request.headers, b"expect-replica")
+        if expected not in (None, self.name.encode()):
+            await connection.respond(421, (), b"")
+            return
+        if self.behaviour == "shed":
+            await connection.respond(503, ((b"Not-Executed", b"1"),), b"")
+            return
+        self.runs.append(request)
+        try:
+            await asyncio.sleep(self.pause_s)
+        except asyncio.CancelledError:
+            self.cancelled += 1
+            raise
+        await BEHAVIOURS[self.behaviour](connection, request)
+
+
+def make_headers(request: h1.Request) -> tuple[tuple[bytes, bytes], ...]:
+    """Return the headers of a signed answer."""
+    found = h1.find_header(request.headers, b"request-id") or b""
+    return (STAMP, (b"Request-Id", found))
+
+
+async def _serve(connection: h1.ServerConnection, request: h1.Request) -> None:
+    if h1.find_header(request.headers, b"token-counts") is None:
+        body = request.body or b"ok"
+        await connection.respond(200, make_headers(request), body)
+        return
+    await _stream(connection, request, EVENTS)
+    await connection.finish()
+
+
+async def _stream(
+    connection: h1.ServerConnection, request: h1.Request, events: int
+) -> None:
+    kind = (b"Content-Type", b"text/event-stream")
+    headers = (*make_headers(request), kind)
+    await connection.start(h1.Head(200, b"OK", headers), None)
+    last = h1.find_header(request.headers, b"last-event-id") or b"0"
+    for number in range(int(last) + 1, events + 1):
+        await connection.write(b"id: %d\ndata: %d\n\n" % (number, number))
+
+
+async def _fail(connection: h1.ServerConnection, request: h1.Request) -> None:
+    await connection.respond(500, make_headers(request), b"failed")
+
+
+async def _cut(connection: h1.ServerConnection, request: h1.Request) -> None:
+    if h1.find_header(request.headers, b"token-counts") is not None:
+        await _stream(connection, request, EVENTS // 2)
+        await connection.write(b"id: 3\nda")
+    connection.close()
+
+
+async def _forge(connection: h1.ServerConnection, request: h1.Request) -> None:
+    headers = (STAMP, (b"Request-Id", b"another"))
+    await connection.respond(200, headers, b"of another request")
+
+
+async def _unsign(
+    connection: h1.ServerConnection, request: h1.Request
+) -> None:
+    headers = make_headers(request)[1:]
+    await connection.respond(200, headers, b"not signed")
+
+
+BEHAVIOURS: dict[
+    str, Callable[[h1.ServerConnection, h1.Request], Awaitable[None]]
+] = {
+    "serve": _serve,
+    "fail": _fail,
+    "cut": _cut,
+    "forge": _forge,
+    "unsign": _unsign,
+}
+
+__all__ = (
+    "BEHAVIOURS",
+    "EVENTS",
+    "Replica",
+    "make_headers",
+)
--- /dev/null
+++ b/tests/gateway/deployments.py
@@ -0,0 +1,191 @@
+"""A gateway in this process, before stand-ins of the platform."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator
+from collections.abc import Mapping
+from typing import Any
+
+import msgspec
+
+from cyclamenwing.cli import gateway as cli
+from cyclamenwing.gateway import app
+from cyclamenwing.gateway import settings
+from cyclamenwing.platform import messages
+from cyclamenwing.platform import store
+from cyclamenwing.standin import metastore
+from cyclamenwing.standin import replica
+from cyclamenwing.transport import h1
+from cyclamenwing.transport import h1client
+
+HOST = b"api.example"
+KEY = b"k1"
+PREPAID = 100_000
+NO_HEADERS: Mapping[str, bytes] = {}
+
+
+def make_route(name: str, kind: str, service: str, **more: Any) -> Any:
+    return {
+        "name": name,
+        "host": HOST.decode(),
+        "prefix": f"/{name}/",
+        "kind": kind,
+        "service": service,
+        "timeout_ms": 2000,
+        "goal_ms": 200,
+    } | more
+
+
+def make_configuration(version: int = 1, **changes: Any) -> bytes:
+    return msgspec.json.encode(
+        {
+            "version": version,
+            "routes": [
+                make_route("read", "idempotent", "api", attempts=2),
+                make_route("write", "unsafe", "api", attempts=2),
+                make_route("open", "unsafe", "api", public=True),
+                make_route("chat", "streaming", "llm", sticky=True),
+                make_route(
+                    "resume",
+                    "streaming",
+                    "llm",
+                    sticky=True,
+                    attempts=2,
+                    resumable=True,
+                ),
+            ],
+            "services": [
+                {"name": "api"},
+                {
+                    "name": "llm",
+                    "engine": {
+                        "slots": 64,
+                        "kv_capacity": 400_000,
+                        "stride": 4,
+                    },
+                },
+            ],
+            "tenants": [
+                {"name": "t1", "api_keys": ["k1"], "prepaid": PREPAID}
+            ],
+        }
+        | changes
+    )
+
+
+class Deployment:
+    """Hold a store, endpoints and gateways."""
+
+    def __init__(self) -> None:
+        self.store = metastore.MetaStore()
+        self.store_address = self.store.listen()
+        self.replicas = [
+            replica.Replica("a1", "api"),
+            replica.Replica("a2", "api"),
+            replica.Replica("m1", "llm"),
+            replica.Replica("m2", "llm"),
+        ]
+        self.gateways: list[app.Gateway] = []
+
+    async def start(self, gateways: int = 1) -> None:
+        for item in self.replicas:
+            item.listen()
+            await self.store.put(f"servers/{item.name}", item.describe())
+        await self.store.put("op/config", make_configuration())
+        for number in range(gateways):
+            await self.add_gateway(f"g{number}")
+
+    async def add_gateway(self, host: str) -> app.Gateway:
+        seeds = [g._settings.control for g in self.gateways]
+        made = app.Gateway.from_config(
+            settings.GatewaySettings(
+                host=host,
+                availability_zone="z1",
+                listen="127.0.0.1:0",
+                ready=reserve_address(),
+                control=reserve_address(),
+                store=self.store_address,
+                seeds=seeds,
+                bounds=settings.Bounds(grace_s=4.0),
+            ),
+            store.KeyValueStore,
+            cli.CODEC,
+            messages,
+        )
+        self.gateways.append(made)
+        async with asyncio.timeout(5):
+            while not (made.board.ready and made.board.record_at_s):
+                await asyncio.sleep(0.01)
+        return made
+
+    def get_replicas(self, service: str) -> list[replica.Replica]:
+        return [r for r in self.replicas if r.service == service]
+
+    def behave(self, service: str, behaviour: str) -> None:
+        for item in self.get_replicas(service):
+            item.behaviour = behaviour
+
+    def count_runs(self, service: str) -> int:
+        return sum(len(r.runs) for r in self.get_replicas(service))
+
+    async def ask(
+        self,
+        route: str,
+        method: bytes = b"POST",
+        gateway: int = 0,
+        headers: Mapping[str, bytes] = NO_HEADERS,
+    ) -> tuple[h1.Head, bytes]:
+        """Send one request; a broken answer raises a transport error."""
+        connection = await self.open(route, method, gateway, headers)
+        try:
+            head = await connection.read_head(5.0)
+            return head, await connection.read_body(5.0, 100_000)
+        finally:
+            connection.close()
+
+    async def open(
+        self,
+        route: str,
+        method: bytes,
+        gateway: int = 0,
+        headers: Mapping[str, bytes] = NO_HEADERS,
+    ) -> h1client.ClientConnection:
+        address = self.gateways[gateway].address
+        connection = await h1client.ClientConnection.open(address, 1.0)
+        found = {
+            b"Host": HOST,
+            b"Request-Id": b"r1",
+            b"Deadline-Ms": b"3000",
+            b"Key": KEY,
+        } | {k.encode(): v for k, v in headers.items()}
+        connection.send(
+            h1.Request(
+                method, f"/{route}/x".encode(), tuple(found.items()), b""
+            )
+        )
+        return connection
+
+
+def reserve_address() -> str:
+    """Return an address whose port was free just now."""
+    import socket  # noqa: PLC0415
+
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{sock.getsockname()[1]}"
+
+
+@contextlib.asynccontextmanager
+async def deploy(gateways: int = 1) -> AsyncIterator[Deployment]:
+    made = Deployment()
+    await made.start(gateways)
+    try:
+        yield made
+    finally:
+        for gateway in made.gateways:
+            gateway.stop()
+        for item in made.replicas:
+            item.stop()
+        made.store.stop()
--- /dev/null
+++ b/tests/gateway/test_logs.py
@@ -0,0 +1,72 @@
+"""Log lines: bounded in rate and size, never blocking."""
+
+from __future__ import annotations
+
+import json
+import os
+import time
+
+import pytest
+
+from cyclamenwing.gateway import clock
+from cyclamenwing.gateway import logs
+
+
+@pytest.fixture
+def frozen_time(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(clock, "read_time", lambda: 5.0)
+
+
+def write_lines(count: int, per_s: int, size: int = 500) -> list[bytes]:
+    read, write = os.pipe()
+    log = logs.BoundedLog(write, per_s, size)
+    for number in range(count):
+        log.take({"message_type": "x", "request": "r", "n": "n" * number})
+    log.flush()
+    os.close(write)
+    data = os.read(read, 1_000_000)
+    os.close(read)
+    return data.splitlines()
+
+
+@pytest.mark.usefixtures("frozen_time")
+def test_lines_beyond_the_rate_are_left_out() -> None:
+    assert len(write_lines(50, per_s=20)) == 20
+
+
+def test_lines_that_were_left_out_are_counted(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    read, write = os.pipe()
+    log = logs.BoundedLog(write, 2, 500)
+    now = [1.0]
+    monkeypatch.setattr(clock, "read_time", lambda: now[0])
+    for _ in range(5):
+        log.take({"message_type": "x"})
+    now[0] = 2.0
+    log.take({"message_type": "y"})
+    log.flush()
+    lines = os.read(read, 10_000).splitlines()
+    assert json.loads(lines[-1])["dropped_before"] == 3
+    os.close(read)
+    os.close(write)
+
+
+@pytest.mark.usefixtures("frozen_time")
+def test_long_lines_are_cut_and_stay_readable() -> None:
+    lines = write_lines(100, per_s=1000, size=60)
+    assert all(len(line) <= 200 for line in lines)
+    assert all(json.loads(line)["message_type"] == "x" for line in lines)
+
+
+def test_reader_that_stops_reading_blocks_nobody() -> None:
+    read, write = os.pipe()
+    log = logs.BoundedLog(write, 1_000_000, 2000)
+    log.start()
+    began_s = time.monotonic()
+    for _ in range(5 * logs.MAX_WAITING):
+        log.take({"message_type": "x", "text": "y" * 500})
+    assert time.monotonic() - began_s < 2.0
+    assert log.dropped > 0
+    log.stop()
+    os.close(read)
--- /dev/null
+++ b/tests/process/test_gateway.py
@@ -0,0 +1,153 @@
+"""A gateway as a process: start, requests, settings, SIGTERM, logs."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import pathlib
+import signal
+import sys
+from typing import Any
+
+import pytest
+from tests.gateway import deployments
+
+from cyclamenwing.standin import replica
+
+PROGRAM = pathlib.Path(__file__).parents[2] / "src" / "gateway.py"
+START_TIMEOUT_S = 20.0
+
+
+def make_settings(store: str, **changes: Any) -> dict[str, Any]:
+    return {
+        "host": "g0",
+        "availability_zone": "z1",
+        "listen": deployments.reserve_address(),
+        "ready": deployments.reserve_address(),
+        "control": deployments.reserve_address(),
+        "metrics": deployments.reserve_address(),
+        "store": store,
+        "bounds": {"grace_s": 5.0},
+    } | changes
+
+
+async def start(path: pathlib.Path) -> asyncio.subprocess.Process:
+    return await asyncio.create_subprocess_exec(
+        sys.executable,
+        str(PROGRAM),
+        str(path),
+        stdout=asyncio.subprocess.PIPE,
+        stderr=asyncio.subprocess.PIPE,
+    )
+
+
+async def fetch(address: str, path: str) -> bytes:
+    host, _, port = address.rpartition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    writer.write(
+        f"GET {path} HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n".encode()
+    )
+    try:
+        return await reader.read(-1)
+    finally:
+        writer.close()
+
+
+async def wait_until_ready(address: str) -> None:
+    async with asyncio.timeout(START_TIMEOUT_S):
+        while True:
+            with contextlib.suppress(OSError):
+                answer = await fetch(address, "/v1/ready")
+                if answer.startswith(b"HTTP/1.1 200"):
+                    return
+            await asyncio.sleep(0.05)
+
+
+class Remote:
+    """Stand where a gateway of this process would."""
+
+    def __init__(self, address: str) -> None:
+        self.address = address
+
+    def stop(self) -> None:
+        """Do nothing: the process is ended by its test."""
+
+
+async def play(folder: pathlib.Path) -> list[dict[str, Any]]:
+    found = deployments.Deployment()
+    await found.start(gateways=0)
+    settings = make_settings(found.store_address)
+    path = folder / "gateway.json"
+    path.write_text("// A gateway.\n" + json.dumps(settings))
+    process = await start(path)
+    assert process.stdout is not None
+    lines = asyncio.ensure_future(process.stdout.read())
+    try:
+        await wait_until_ready(settings["ready"])
+        found.gateways.append(Remote(settings["listen"]))  # type: ignore[arg-type]
+        for route, method in (("read", b"GET"), ("write", b"POST")):
+            head, _ = await found.ask(route, method)
+            assert head.status == 200
+        assert (await found.ask("none"))[0].status == 404
+        process.send_signal(signal.SIGHUP)
+        metrics = await fetch(settings["metrics"], "/metrics")
+        assert b"cyclamenwing_gateway_requests_total" in metrics
+        for item in found.replicas:
+            item.pause_s = 0.6
+        last = asyncio.ensure_future(
+            found.ask("chat", headers={"Token-Counts": b"1000,100"})
+        )
+        await asyncio.sleep(0.2)
+        process.send_signal(signal.SIGTERM)
+        await asyncio.sleep(0.2)
+        answer = await fetch(settings["ready"], "/v1/ready")
+        assert answer.startswith(b"HTTP/1.1 503")
+        head, body = await last
+        assert head.status == 200
+        assert body.count(b"\n\n") == replica.EVENTS
+        async with asyncio.timeout(10):
+            assert await process.wait() == 0
+    finally:
+        if process.returncode is None:
+            process.kill()
+        for item in found.replicas:
+            item.stop()
+        found.store.stop()
+    return [json.loads(line) for line in (await lines).splitlines()]
+
+
+def test_process_serves_reloads_and_leaves_whole(
+    tmp_path: pathlib.Path,
+) -> None:
+    lines = asyncio.run(play(tmp_path))
+    kinds = [line["message_type"] for line in lines]
+    assert kinds[0] == "gateway:started"
+    assert kinds[-1] == "gateway:stopped"
+    assert "settings:reloaded" in kinds
+    done = [x for x in lines if x["message_type"] == "request:done"]
+    assert [x["outcome"] for x in done] == ["passed"] * 3
+    assert all(x["request"] == "r1" and x["version"] == 1 for x in done)
+
+
+@pytest.mark.parametrize(
+    ("text", "code"),
+    [
+        ("{", "settings_syntax"),
+        ("{}", "settings_schema"),
+        ('{"host": 5}', "settings_schema"),
+    ],
+)
+def test_faulty_settings_end_the_process_with_a_code(
+    tmp_path: pathlib.Path, text: str, code: str
+) -> None:
+    async def play_fault() -> tuple[int, bytes]:
+        path = tmp_path / "gateway.json"
+        path.write_text(text)
+        process = await start(path)
+        _, err = await process.communicate()
+        return process.returncode or 0, err
+
+    status, err = asyncio.run(play_fault())
+    assert status == 2
+    assert code.encode() in err
