Free what dead holders had received and wait for a predecessor's tokens

Cause: a dead gateway that had received tokens was closed at zero, which lost them; right after a loss of all gateways requests were refused for good although their tokens came back within a second. Change: closed holders may count below zero; promises follow reservations instead of demand; a new process waits up to 2 s and refuses nothing for good meanwhile; the boot clock's proof needs no statements.

--- a/src/cyclamenwing/budget/escrow.py
+++ b/src/cyclamenwing/budget/escrow.py
@@ -42,11 +42,11 @@
 MAX_PART = 0.5
 # A promise starts above the present use by this much of the rate, in
 # seconds, and at least by this part of the holdings.
-START_S = 0.4
+START_S = 0.3
 START_PART = 0.02
 # It first grows by this multiple of the rate, so that little is lost with a
 # process that dies while the store is in reach.
-EARLY_FACTOR = 0.75
+EARLY_FACTOR = 0.6
 EARLY_PART = 0.015
 # Records are renewed twice a second; one that is this old tells of an outage
 # of the store, which may use up the holdings within `LATE_S`.
@@ -145,6 +145,8 @@
         if tokens > self.count_available(now_s):
             return False
         self.reserved += tokens
+        self.rate = self.measure_rate(now_s) + tokens / RATE_WINDOW_S
+        self.rate_at_s = now_s
         return True
 
     def settle(self, reserved: int, spent: int) -> None:
@@ -162,13 +164,8 @@
         """Take tokens that another entry handed over."""
         self.received += tokens
 
-    def note_demand(self, tokens: int, now_s: float) -> None:
-        """Count a request's tokens towards the rate."""
-        self.rate = self.measure_rate(now_s) + tokens / RATE_WINDOW_S
-        self.rate_at_s = now_s
-
     def measure_rate(self, now_s: float) -> float:
-        """Return the recent demand in tokens a second."""
+        """Return the recent use in tokens a second."""
         idle_s = max(now_s - self.rate_at_s, 0.0)
         return self.rate * math.exp(-idle_s / RATE_WINDOW_S)
 
@@ -316,10 +313,12 @@
 ) -> dict[str, int]:
     """Return a pool's holders without one that is dead.
 
-    What it may have used stays counted; the rest is free again.
+    What it may have used stays counted; the rest is free again. A holder
+    that had received more than it used counts below zero: its donors count
+    what they gave as used.
     """
     left = {name: drawn for name, drawn in holders.items() if name != holder}
-    used = min(holders.get(holder, 0), max(bound, 0))
+    used = min(holders.get(holder, 0), bound)
     left[CLOSED] = left.get(CLOSED, 0) + used
     return left
 
--- a/src/cyclamenwing/gateway/app.py
+++ b/src/cyclamenwing/gateway/app.py
@@ -43,7 +43,7 @@
 POLL_S = 0.05
 # An earlier process's holdings are looked after for this long.
 SUCCESSION_S = 12.0
-SUCCESSION_PAUSE_S = 0.2
+SUCCESSION_PAUSE_S = 0.05
 
 
 class Gateway:
@@ -186,7 +186,11 @@
             dead = self.board.predecessor
             if dead is None:
                 continue
-            statements = await self._peers.ask_statements(dead.holder)
+            statements = []
+            if dead.boot_elapsed_s is None or (
+                dead.boot_elapsed_s > escrow.EARLY_S
+            ):
+                statements = await self._peers.ask_statements(dead.holder)
             age = succession.bound_age(
                 dead, len(self.board.members), statements
             )
--- a/src/cyclamenwing/gateway/exchange.py
+++ b/src/cyclamenwing/gateway/exchange.py
@@ -75,6 +75,7 @@
         code = "cancelled"
         try:
             await self._reserve(item)
+            item.reserved_s = clock.read_time()
             try:
                 await self._try_endpoints(item, answer)
                 code = "passed"
@@ -209,11 +210,10 @@
         metrics = self._board.metrics
         metrics.count(REQUESTS, kind, code)
         metrics.observe(DURATION, now_s - item.started_s, kind)
-        first_ms = None
         if item.first_byte_s is not None:
-            first_s = item.first_byte_s - item.started_s
-            metrics.observe(FIRST_BYTE, first_s, kind)
-            first_ms = round(first_s * 1000, 1)
+            metrics.observe(
+                FIRST_BYTE, item.first_byte_s - item.started_s, kind
+            )
         known = self._board.configuration
         eliot.log_message(
             "request:done",
@@ -228,7 +228,8 @@
             events=item.events,
             tokens=item.most_tokens,
             spent=item.count_spent(_count_event_tokens(item)),
-            first_ms=first_ms,
+            reserved_ms=_measure_ms(item, item.reserved_s),
+            first_ms=_measure_ms(item, item.first_byte_s),
             ms=round((now_s - item.started_s) * 1000, 1),
             version=known.version if known else 0,
         )
@@ -249,6 +250,12 @@
         )
 
 
+def _measure_ms(item: ticket.Ticket, time_s: float | None) -> float | None:
+    if time_s is None:
+        return None
+    return round((time_s - item.started_s) * 1000, 1)
+
+
 def _count_event_tokens(item: ticket.Ticket) -> int:
     engine = item.service.engine
     return engine.tokens_per_event if engine else 1
--- a/src/cyclamenwing/gateway/funds.py
+++ b/src/cyclamenwing/gateway/funds.py
@@ -23,6 +23,9 @@
 # A draw answers within a few round trips; peers are asked after that.
 DRAW_WAIT_S = 0.04
 GATHER_PAUSE_S = 0.03
+# A new process waits this long for what its predecessor held, and for the
+# same of its peers if all of them were lost.
+SETTLING_S = 2.0
 # The store has answered this lately, so that asking it makes sense.
 NEAR_S = 3.0
 
@@ -61,7 +64,6 @@
         """
         now_s = clock.read_time()
         account = self._board.escrow.open_account(workspace)
-        account.note_demand(tokens, now_s)
         if account.reserve(tokens, now_s):
             return
         if self._is_hopeless(workspace, prepaid, tokens):
@@ -69,6 +71,8 @@
         account.wanted += tokens
         try:
             wait_s = max(goal_s * WAIT_PART, MIN_WAIT_S)
+            settling_s = self._board.began_s + SETTLING_S - now_s
+            wait_s = max(wait_s, min(settling_s, left_s * GROWTH_PART))
             growth_s = account.predict_wait(tokens, now_s)
             if growth_s is not None:
                 wait_s = min(
@@ -145,6 +149,8 @@
         """Tell whether pool and all holdings together are too little."""
         board = self._board
         now_s = clock.read_time()
+        if now_s - board.began_s < SETTLING_S:
+            return False
         if now_s - board.pools_seen_s.get(workspace, 0.0) > pools.FRESH_S and (
             now_s - board.store_seen_s < NEAR_S
         ):
--- a/src/cyclamenwing/gateway/ticket.py
+++ b/src/cyclamenwing/gateway/ticket.py
@@ -31,6 +31,7 @@
     ran: bool = False
     status: int = 0
     endpoint: str = ""
+    reserved_s: float | None = None
     first_byte_s: float | None = None
     events: int = 0
     excluded: set[str] = dataclasses.field(default_factory=set)
