Reach the store through a peer while it is out of direct reach

Ruled out: peers that draw on behalf of others, which would leave promises and news of endpoints behind; a higher early growth of promises (0.9: no gain beyond noise), a higher weight of parts read again (3: no gain). Change: reads, watches and commits are relayed by a peer that reached the store lately; commits keep their conditions. Promises start at 1 s of the rate.

--- a/src/cyclamenwing/budget/escrow.py
+++ b/src/cyclamenwing/budget/escrow.py
@@ -42,8 +42,8 @@
 MAX_PART = 0.5
 # A promise starts above the present use by this much of the rate, in
 # seconds, and at least by this part of the holdings.
-START_S = 0.3
-START_PART = 0.02
+START_S = 1.0
+START_PART = 0.05
 # It first grows by this multiple of the rate, so that little is lost with a
 # process that dies while the store is in reach.
 EARLY_FACTOR = 0.6
--- a/src/cyclamenwing/gateway/app.py
+++ b/src/cyclamenwing/gateway/app.py
@@ -20,6 +20,7 @@
 from cyclamenwing.gateway import funds
 from cyclamenwing.gateway import peers
 from cyclamenwing.gateway import pools
+from cyclamenwing.gateway import relay
 from cyclamenwing.gateway import settings as gateway_settings
 from cyclamenwing.gateway import succession
 from cyclamenwing.metrics import recorder
@@ -60,7 +61,6 @@
         incarnation = f"{settings.host}-{secrets.token_hex(4)}"
         bounds = settings.bounds
         self._settings = settings
-        self._store = store
         self.board = board = blackboard.Blackboard(
             settings=settings,
             incarnation=incarnation,
@@ -76,7 +76,9 @@
         self._endpoints = follower.EndpointFollower(board, codec)
         self._codec = codec
         self._peers = peers.Peers(board, http, self._configurations.adopt)
-        self._pools = pools.Pools(board, store)
+        self._store = relay.RelayedStore(store, board, http)
+        self._peers.relayed = self._store
+        self._pools = pools.Pools(board, self._store)
         self._funds = funds.Funds(board, self._pools, self._peers.ask_tokens)
         self._connections = connections.Connections()
         self._exchange = exchange.Exchange(
@@ -135,6 +137,7 @@
             servers.run(),
             self._peers.register(self._store),
             self._peers.run(),
+            self._store.probe(),
             self._pools.run(),
             self._succeed(),
             self._sweep(),
--- a/src/cyclamenwing/gateway/blackboard.py
+++ b/src/cyclamenwing/gateway/blackboard.py
@@ -33,6 +33,7 @@
     held: dict[str, int]
     seen_s: float
     record_age_s: float
+    store_age_s: float
 
 
 @dataclasses.dataclass(slots=True)
@@ -53,6 +54,7 @@
     peers: dict[str, Peer] = dataclasses.field(default_factory=dict)
     members: dict[str, str] = dataclasses.field(default_factory=dict)
     store_seen_s: float = 0.0
+    direct_seen_s: float = 0.0
     pools_seen_s: dict[str, float] = dataclasses.field(default_factory=dict)
     leaving_s: float | None = None
     predecessor: succession.Predecessor | None = None
--- a/src/cyclamenwing/gateway/funds.py
+++ b/src/cyclamenwing/gateway/funds.py
@@ -149,6 +149,8 @@
         """Tell whether pool and all holdings together are too little."""
         board = self._board
         now_s = clock.read_time()
+        if tokens > prepaid:
+            return True
         if now_s - board.began_s < SETTLING_S:
             return False
         if now_s - board.pools_seen_s.get(workspace, 0.0) > pools.FRESH_S and (
--- a/src/cyclamenwing/gateway/news.py
+++ b/src/cyclamenwing/gateway/news.py
@@ -56,6 +56,8 @@
     pools: dict[str, tuple[int, dict[str, int]]]
     # Age of the record that bounds the use of budgets.
     record_age_s: float
+    # Time since this gateway reached the store itself.
+    store_age_s: float
     # The record is old: its promises may grow fast once a peer knows.
     late: bool
     # The store lists this gateway, so that every other one can find it.
@@ -169,6 +171,7 @@
                 if now_s - board.pools_seen_s.get(name, 0.0) < POOL_NEWS_S
             },
             record_age_s=now_s - board.record_at_s,
+            store_age_s=now_s - board.direct_seen_s,
             late=now_s - board.record_at_s > LATE_NOTICE_S,
             registered=self.registered,
             number=self._news_number,
@@ -195,6 +198,7 @@
             news.held,
             now_s,
             news.record_age_s,
+            news.store_age_s,
         )
         board.members[news.host] = news.address
         for host, address in news.members.items():
--- a/src/cyclamenwing/gateway/peers.py
+++ b/src/cyclamenwing/gateway/peers.py
@@ -17,6 +17,7 @@
 from cyclamenwing.gateway import blackboard
 from cyclamenwing.gateway import clock
 from cyclamenwing.gateway import news
+from cyclamenwing.gateway import relay
 from cyclamenwing.gateway import succession
 from cyclamenwing.store import errors as store_errors
 from cyclamenwing.store import protocol
@@ -54,6 +55,7 @@
         self._caller = http
         self._adopt = adopt
         self.desk = news.NewsDesk(board)
+        self.relayed: relay.RelayedStore | None = None
         self._called_s: dict[str, float] = {}
         self._silent_s: dict[str, float] = {}
         self._tasks: set[asyncio.Task[None]] = set()
@@ -91,11 +93,15 @@
         """Answer a peer's call."""
         path = request.target.decode("latin-1")
         answer = _HANDLERS.get(path)
-        if answer is None:
+        relayed = self.relayed if path == relay.PATH else None
+        if answer is None and relayed is None:
             await connection.respond(404, (), b"")
             return
         try:
-            body = answer(self, request.body)
+            if answer is not None:
+                body = answer(self, request.body)
+            elif relayed is not None:
+                body = await relayed.answer(request.body)
         except msgspec.DecodeError as err:
             eliot.log_message("peers:unreadable", path=path, reason=str(err))
             await connection.respond(400, (), b"")
--- a/tests/gateway/test_serving.py
+++ b/tests/gateway/test_serving.py
@@ -9,7 +9,11 @@
 import pytest
 from tests.gateway import deployments
 
+from cyclamenwing.gateway import clock
+from cyclamenwing.gateway import funds
+from cyclamenwing.platform import store
 from cyclamenwing.standin import replica
+from cyclamenwing.transport import caller
 from cyclamenwing.transport import errors
 from cyclamenwing.transport import h1
 
@@ -300,6 +304,7 @@
 
 def test_spent_budget_is_refused_for_good_and_a_top_up_ends_that() -> None:
     async def check(found: deployments.Deployment) -> None:
+        found.gateways[0].board.began_s -= funds.SETTLING_S
         statuses = []
         for _ in range(5):
             head, _ = await found.ask(
@@ -367,3 +372,52 @@
         assert pool.drawn == 2 * (1000 + 4 * replica.EVENTS)
 
     run(check)
+
+
+def test_cut_off_gateway_reaches_the_store_through_a_peer() -> None:
+    async def check(found: deployments.Deployment) -> None:
+        far = found.gateways[1]
+        far._store._direct = store.KeyValueStore(
+            caller.Caller(), "127.0.0.1:1"
+        )
+        await found.ask("chat", gateway=1, headers=SIZE)
+        await asyncio.sleep(1.2)
+        assert far._store._lost
+        assert clock.read_time() - far.board.record_at_s < 1.0
+        await found.store.put(
+            "servers/a1", found.replicas[0].describe("draining")
+        )
+        await asyncio.sleep(0.4)
+        assert far.board.directory.known["a1"].draining
+        head, _ = await found.ask(
+            "chat", gateway=1, headers={"Token-Counts": b"70000,0"}
+        )
+        assert head.status == 200
+
+    run(check, gateways=2)
+
+
+def test_store_that_is_regained_is_called_directly() -> None:
+    async def check(found: deployments.Deployment) -> None:
+        gateway = found.gateways[0]
+        found.store.fault = 503
+        await found.ask("chat", headers=SIZE)
+        await asyncio.sleep(0.8)
+        assert gateway._store._lost
+        found.store.fault = 0
+        await asyncio.sleep(1.5)
+        assert not gateway._store._lost
+        assert clock.read_time() - gateway.board.record_at_s < 2.0
+
+    run(check)
+
+
+@pytest.mark.parametrize("path", ["/peers/news", "/peers/store"])
+def test_unreadable_call_of_a_peer_is_refused(path: str) -> None:
+    async def check(found: deployments.Deployment) -> None:
+        status, _ = await caller.Caller().call(
+            found.gateways[0]._settings.control, "POST", path, b"{", 1.0
+        )
+        assert status == 400
+
+    run(check)
