--- a/src/cyclamenwing/cli/main.py
+++ b/src/cyclamenwing/cli/main.py
@@ -17,6 +17,7 @@
 from cyclamenwing.cli import entry
 from cyclamenwing.cli import epilogs
 from cyclamenwing.cli import explain
+from cyclamenwing.cli import gateway
 from cyclamenwing.cli import order
 from cyclamenwing.cli import protocol
 from cyclamenwing.cli import publish
@@ -34,6 +35,7 @@
 COMMANDS: tuple[protocol.Command, ...] = (
     entry.EntryCommand(),
     sidecar.SidecarCommand(),
+    gateway.GatewayCommand(),
     check.CheckCommand(),
     publish.PublishCommand(),
     order.OrderCommand(),
--- a/tests/docs/test_operations.py
+++ b/tests/docs/test_operations.py
@@ -24,7 +24,7 @@
     for module in pkgutil.walk_packages(cyclamenwing.__path__, prefix):
         if not module.name.endswith("__main__"):
             importlib.import_module(module.name)
-    pages = [DOCS / "operations.md", *(DOCS / "operations").glob("*.md")]
+    pages = [DOCS / "OPERATIONS.md", *(DOCS / "operations").glob("*.md")]
     text = "".join(page.read_text() for page in pages)
     codes = {
         code
