Stop requests that crash endpoints on all gateways

Cause: the gateway had no quarantine; a request that crashes each endpoint was bounded by attempts alone. Ruled out: counting every lost connection, which would stop requests that an endpoint's lost answers hit. Change: an endpoint that lost a request and then refuses connections has crashed; three such crashes stop the request's fingerprint everywhere, by the product's own quarantine records in the news.

--- a/src/cyclamenwing/gateway/app.py
+++ b/src/cyclamenwing/gateway/app.py
@@ -11,6 +11,7 @@
 import eliot
 
 from cyclamenwing.budget import escrow
+from cyclamenwing.gateway import attempts
 from cyclamenwing.gateway import blackboard
 from cyclamenwing.gateway import calls
 from cyclamenwing.gateway import clock
@@ -23,6 +24,7 @@
 from cyclamenwing.gateway import relay
 from cyclamenwing.gateway import settings as gateway_settings
 from cyclamenwing.gateway import succession
+from cyclamenwing.gateway import suspects
 from cyclamenwing.metrics import recorder
 from cyclamenwing.routing import allowance
 from cyclamenwing.routing import placement
@@ -75,14 +77,23 @@
         self._configurations = follower.ConfigurationFollower(board, codec)
         self._endpoints = follower.EndpointFollower(board, codec)
         self._codec = codec
-        self._peers = peers.Peers(board, http, self._configurations.adopt)
+        found = suspects.Suspects(board)
+        self._peers = peers.Peers(
+            board, http, self._configurations.adopt, found
+        )
         self._store = relay.RelayedStore(store, board, http)
         self._peers.relayed = self._store
         self._pools = pools.Pools(board, self._store)
         self._funds = funds.Funds(board, self._pools, self._peers.ask_tokens)
         self._connections = connections.Connections()
         self._exchange = exchange.Exchange(
-            board, dialect, self._funds, self._peers, self._connections
+            board,
+            dialect,
+            self._funds,
+            found,
+            attempts.Attempts(
+                board, dialect, self._peers, self._connections, found
+            ),
         )
         self._front = h1server.Server(self._exchange.handle, self._limits)
         self._ready = h1server.Server(self._answer_ready, h1.Limits)
--- a/src/cyclamenwing/gateway/attempts.py
+++ b/src/cyclamenwing/gateway/attempts.py
@@ -14,6 +14,7 @@
 from cyclamenwing.gateway import errors
 from cyclamenwing.gateway import passing
 from cyclamenwing.gateway import peers
+from cyclamenwing.gateway import suspects
 from cyclamenwing.gateway import ticket
 from cyclamenwing.metrics import types as metric_types
 from cyclamenwing.routing import endpoints
@@ -70,11 +71,13 @@
         dialect: calls.Dialect,
         fleet: peers.Peers,
         pool: connections.Connections,
+        found: suspects.Suspects,
     ) -> None:
         self._board = board
         self._dialect = dialect
         self._peers = fleet
         self._connections = pool
+        self._suspects = found
 
     def choose(self, item: ticket.Ticket) -> Target | None:
         """Return an endpoint for a request, counted as sent there."""
@@ -143,11 +146,13 @@
             site.note_failure(clock.read_time())
             self._connections.drop(endpoint)
             self._board.metrics.count(ATTEMPTS, "lost")
+            self._suspects.note_lost(item, endpoint)
             raise AttemptLostError(err.message) from err
         finally:
             if not done:
                 connection.close()
         site.note_success()
+        self._suspects.note_answered(item)
         self._board.metrics.count(ATTEMPTS, "answered")
         self._connections.keep(endpoint, connection, marks)
 
--- a/src/cyclamenwing/gateway/blackboard.py
+++ b/src/cyclamenwing/gateway/blackboard.py
@@ -13,6 +13,7 @@
 from cyclamenwing.routing import allowance
 from cyclamenwing.routing import endpoints
 from cyclamenwing.routing import placement
+from cyclamenwing.routing import quarantine
 
 # A peer that was silent for longer takes no share of pools and allowances.
 PEER_LIFE_S = 3.0
@@ -51,6 +52,9 @@
         default_factory=endpoints.Directory
     )
     endpoints_known: bool = False
+    suspects: quarantine.QuarantineBoard = dataclasses.field(
+        default_factory=quarantine.QuarantineBoard
+    )
     peers: dict[str, Peer] = dataclasses.field(default_factory=dict)
     members: dict[str, str] = dataclasses.field(default_factory=dict)
     store_seen_s: float = 0.0
--- a/src/cyclamenwing/gateway/exchange.py
+++ b/src/cyclamenwing/gateway/exchange.py
@@ -9,11 +9,10 @@
 from cyclamenwing.gateway import blackboard
 from cyclamenwing.gateway import calls
 from cyclamenwing.gateway import clock
-from cyclamenwing.gateway import connections
 from cyclamenwing.gateway import errors
 from cyclamenwing.gateway import funds
 from cyclamenwing.gateway import passing
-from cyclamenwing.gateway import peers
+from cyclamenwing.gateway import suspects
 from cyclamenwing.gateway import ticket
 from cyclamenwing.metrics import types as metric_types
 from cyclamenwing.transport import h1
@@ -39,13 +38,14 @@
         board: blackboard.Blackboard,
         dialect: calls.Dialect,
         funding: funds.Funds,
-        fleet: peers.Peers,
-        pool: connections.Connections,
+        found: suspects.Suspects,
+        tries: attempts.Attempts,
     ) -> None:
         self._board = board
         self._dialect = dialect
         self._funds = funding
-        self._attempts = attempts.Attempts(board, dialect, fleet, pool)
+        self._suspects = found
+        self._attempts = tries
 
     async def handle(
         self, connection: h1.ServerConnection, request: h1.Request
@@ -74,6 +74,7 @@
         answer = passing.Passing(connection, item)
         code = "cancelled"
         try:
+            self._suspects.check(item)
             await self._reserve(item)
             item.reserved_s = clock.read_time()
             try:
--- a/src/cyclamenwing/gateway/news.py
+++ b/src/cyclamenwing/gateway/news.py
@@ -10,7 +10,9 @@
 
 from cyclamenwing.gateway import blackboard
 from cyclamenwing.gateway import clock
+from cyclamenwing.gateway import suspects
 from cyclamenwing.routing import placement
+from cyclamenwing.routing import quarantine
 
 # Pools are told in the news of about this long.
 POOL_NEWS_S = 0.45
@@ -56,6 +58,8 @@
     pools: dict[str, tuple[int, dict[str, int]]]
     # Age of the record that bounds the use of budgets.
     record_age_s: float
+    # Requests that were running at crashes of endpoints.
+    suspects: quarantine.QuarantineNews | None
     # Time since this gateway reached the store itself.
     store_age_s: float
     # The record is old: its promises may grow fast once a peer knows.
@@ -106,8 +110,11 @@
 class NewsDesk:
     """Write this gateway's news and read those of its peers."""
 
-    def __init__(self, board: blackboard.Blackboard) -> None:
+    def __init__(
+        self, board: blackboard.Blackboard, found: suspects.Suspects
+    ) -> None:
         self._board = board
+        self._suspects = found
         self._sent: collections.deque[Sent] = collections.deque(
             maxlen=MAX_SENT
         )
@@ -171,6 +178,7 @@
                 if now_s - board.pools_seen_s.get(name, 0.0) < POOL_NEWS_S
             },
             record_age_s=now_s - board.record_at_s,
+            suspects=self._suspects.tell(),
             store_age_s=now_s - board.direct_seen_s,
             late=now_s - board.record_at_s > LATE_NOTICE_S,
             registered=self.registered,
@@ -206,6 +214,8 @@
                 board.members.setdefault(host, address)
         self._read_loads(news, now_s)
         self._read_pools(news, now_s)
+        if news.suspects is not None:
+            self._suspects.hear(news.suspects)
 
     def state(self, holder: str) -> StatementReply:
         """Say what is known of a process that has died."""
--- a/src/cyclamenwing/gateway/peers.py
+++ b/src/cyclamenwing/gateway/peers.py
@@ -19,6 +19,7 @@
 from cyclamenwing.gateway import news
 from cyclamenwing.gateway import relay
 from cyclamenwing.gateway import succession
+from cyclamenwing.gateway import suspects
 from cyclamenwing.store import errors as store_errors
 from cyclamenwing.store import protocol
 from cyclamenwing.transport import caller
@@ -50,11 +51,12 @@
         board: blackboard.Blackboard,
         http: caller.Caller,
         adopt: Callable[[bytes, str], None],
+        found: suspects.Suspects,
     ) -> None:
         self._board = board
         self._caller = http
         self._adopt = adopt
-        self.desk = news.NewsDesk(board)
+        self.desk = news.NewsDesk(board, found)
         self.relayed: relay.RelayedStore | None = None
         self._called_s: dict[str, float] = {}
         self._silent_s: dict[str, float] = {}
--- a/src/cyclamenwing/routing/quarantine.py
+++ b/src/cyclamenwing/routing/quarantine.py
@@ -13,6 +13,8 @@
 
 FINGERPRINT_CHARS = 16
 CRASHES_TO_QUARANTINE = 2
+# A gateway, whose endpoints run many requests at once, asks for one more.
+MAX_CRASHES_TOLD = 3
 # Reports of one endpoint this close together are of one crash.
 SAME_CRASH_MS = 2_000
 # A suspect waits so long, until what others know has been heard.
@@ -268,9 +270,9 @@
         )
         if at_ms > cleared_ms and not same:
             joined.append((host, at_ms))
-    # Two crashes decide, so that more need not be told.
+    # The first ones decide, so that more need not be told.
     joined.sort(key=lambda crash: crash[1])
-    return joined[:CRASHES_TO_QUARANTINE]
+    return joined[:MAX_CRASHES_TOLD]
 
 
 def _precedes(claim: Claim, other: Claim) -> bool:
@@ -286,6 +288,7 @@
 
 __all__ = (
     "CRASHES_TO_QUARANTINE",
+    "MAX_CRASHES_TOLD",
     "SPREAD_MS",
     "Claim",
     "QuarantineBoard",
--- a/src/cyclamenwing/standin/replica.py
+++ b/src/cyclamenwing/standin/replica.py
@@ -67,6 +67,9 @@
             await connection.respond(503, ((b"Not-Executed", b"1"),), b"")
             return
         self.runs.append(request)
+        if self.behaviour == "crash":
+            self.stop()
+            return
         try:
             await asyncio.sleep(self.pause_s)
         except asyncio.CancelledError:
--- a/tests/gateway/test_serving.py
+++ b/tests/gateway/test_serving.py
@@ -11,6 +11,7 @@
 
 from cyclamenwing.gateway import clock
 from cyclamenwing.gateway import funds
+from cyclamenwing.gateway import suspects
 from cyclamenwing.platform import store
 from cyclamenwing.standin import replica
 from cyclamenwing.transport import caller
@@ -421,3 +422,46 @@
         assert status == 400
 
     run(check)
+
+
+def test_request_that_crashes_endpoints_is_stopped_on_all_gateways() -> None:
+    async def check(found: deployments.Deployment) -> None:
+        crashed = []
+        for number in range(suspects.CRASHES):
+            item = replica.Replica(f"c{number}", "api")
+            item.listen()
+            item.behaviour = "crash"
+            await found.store.put(f"servers/{item.name}", item.describe())
+            crashed.append(item)
+        for name in ("a1", "a2"):
+            await found.store.put(f"servers/{name}", None)
+        await asyncio.sleep(0.2)
+        for _ in crashed:
+            head, _ = await found.ask("write")
+            assert head.status == 502
+            await asyncio.sleep(0.2)
+        assert sum(len(item.runs) for item in crashed) == suspects.CRASHES
+        for item in found.get_replicas("api"):
+            await found.store.put(f"servers/{item.name}", item.describe())
+        await asyncio.sleep(0.6)
+        for gateway in (0, 1):
+            head, _ = await found.ask("write", gateway=gateway)
+            assert head.status == 503
+            other = {"Key": b"k1", "Host": deployments.HOST}
+            head, _ = await found.ask("open", b"GET", gateway, other)
+            assert head.status == 200
+        assert [len(r.runs) for r in found.get_replicas("api")].count(0) < 2
+
+    run(check, gateways=2)
+
+
+def test_endpoint_that_loses_answers_makes_no_request_suspect() -> None:
+    async def check(found: deployments.Deployment) -> None:
+        found.behave("api", "cut")
+        for _ in range(suspects.CRASHES + 1):
+            assert (await found.ask("write"))[0].status == 502
+        await asyncio.sleep(0.2)
+        found.behave("api", "serve")
+        assert (await found.ask("write"))[0].status == 200
+
+    run(check)
