Call the store less: watches of 3 s, records each 0.7 s

Change: longer watches, records renewed less often. Conclusion: kept for the fewer calls; no gain of worth is claimed.

--- a/Makefile
+++ b/Makefile
@@ -51,3 +51,5 @@
 	$(BIN)/pip-compile $(LOCK_FLAGS) -o requirements.lock requirements-dev.in
 	$(BIN)/pip-compile $(LOCK_FLAGS) -c requirements.lock \
 		-o requirements-run.lock requirements.in
+	$(BIN)/pip-compile $(LOCK_FLAGS) -c requirements.lock \
+		-o requirements-gateway.lock requirements-gateway.in
--- a/src/cyclamenwing/gateway/follower.py
+++ b/src/cyclamenwing/gateway/follower.py
@@ -18,7 +18,7 @@
 from cyclamenwing.store import protocol
 
 # A shorter wait notices a silent connection sooner, a longer one calls less.
-FOLLOW_WAIT_S = 2.0
+FOLLOW_WAIT_S = 3.0
 RETRY_PAUSE_S = 0.2
 MAX_RETRY_PAUSE_S = 1.0
 # Removals this long after a gap may be of entries that lapsed in it.
--- a/src/cyclamenwing/gateway/pools.py
+++ b/src/cyclamenwing/gateway/pools.py
@@ -25,7 +25,7 @@
 # A transaction takes 32 entries, two a key; one key is the own record.
 MAX_POOLS = 15
 # Promises are renewed at this interval while tokens are used.
-RENEW_INTERVAL_S = 0.5
+RENEW_INTERVAL_S = 0.7
 # Draws that a request waits for follow each other no faster.
 URGENT_INTERVAL_S = 0.02
 BUSY_PAUSE_S = 0.3
