Refuse generations without their size for prepaid workspaces

Cause: a generation without Token-Counts reserved nothing, so a caller could have left its budget behind by leaving the header out. Change: 400 before anything is sent.

--- a/src/cyclamenwing/gateway/admission.py
+++ b/src/cyclamenwing/gateway/admission.py
@@ -35,12 +35,11 @@
     route = known.find_route(call.virtual_host, call.path)
     if route is None:
         raise errors.UnknownRouteError(call.path)
-    workspace = None
-    if not route.public and known.workspaces:
-        workspace = known.find_workspace(call.key)
-        if workspace is None:
-            raise errors.UnknownKeyError("no workspace holds the key")
+    workspace = _find_workspace(known, route, call)
     service = _choose_service(known, route)
+    if _lacks_size(service, workspace, call):
+        # Without its size nothing could be reserved for it.
+        raise errors.UnreadableRequestError("no token counts")
     wait_s = call.wait_s if call.wait_s is not None else DEFAULT_WAIT_S
     if route.timeout_s is not None:
         wait_s = min(wait_s, route.timeout_s)
@@ -61,6 +60,32 @@
     )
 
 
+def _find_workspace(
+    known: configuration.Configuration,
+    route: configuration.Route,
+    call: calls.Call,
+) -> configuration.Workspace | None:
+    if route.public or not known.workspaces:
+        return None
+    workspace = known.find_workspace(call.key)
+    if workspace is None:
+        raise errors.UnknownKeyError("no workspace holds the key")
+    return workspace
+
+
+def _lacks_size(
+    service: configuration.Service,
+    workspace: configuration.Workspace | None,
+    call: calls.Call,
+) -> bool:
+    return (
+        service.engine is not None
+        and workspace is not None
+        and workspace.prepaid_tokens is not None
+        and call.size is None
+    )
+
+
 def _choose_service(
     known: configuration.Configuration, route: configuration.Route
 ) -> configuration.Service:
--- a/tests/gateway/test_serving.py
+++ b/tests/gateway/test_serving.py
@@ -76,6 +76,7 @@
         ("read", {"Host": b"other.example"}, 404),
         ("read", {"Key": b"stolen"}, 401),
         ("read", {"Deadline-Ms": b"soon"}, 400),
+        ("chat", {}, 400),
         ("chat", {"Token-Counts": b"1"}, 400),
         ("chat", {"Token-Counts": b"100000,1"}, 402),
     ],
