Answer at the deadline when a body trickles past it

Cause: a body that came in parts past its time raised a plain time-out, which no layer turned: the client's connection was closed without an answer. Ruled out: the bound of a single read, which each part renews. Change: the whole body's bound is reported as silence, so that the request ends with 504 or goes elsewhere; an answer that ran nothing no longer parks a connection that is closed at once. Figures: the new test fails before (TimeoutError) and passes after.

--- a/src/cyclamenwing/gateway/attempts.py
+++ b/src/cyclamenwing/gateway/attempts.py
@@ -188,7 +188,6 @@
         if marks.not_run:
             item.ran = ran_before
             await connection.read_body(left_s, MAX_ANSWER_BYTES)
-            self._connections.keep(target.endpoint, connection, marks)
             if head.status != 421:
                 self._board.placement.open_site(target.endpoint).note_failure(
                     clock.read_time()
--- a/src/cyclamenwing/transport/h1client.py
+++ b/src/cyclamenwing/transport/h1client.py
@@ -116,11 +116,17 @@
     async def read_body(self, timeout_s: float, most: int) -> bytes:
         """Read a whole body."""
         body = bytearray()
-        async with asyncio.timeout(timeout_s):
-            while (data := await self.read_data(timeout_s)) is not None:
-                body += data
-                if len(body) > most:
-                    raise errors.AnswerTooLargeError(self.address)
+        try:
+            async with asyncio.timeout(timeout_s):
+                while (data := await self.read_data(timeout_s)) is not None:
+                    body += data
+                    if len(body) > most:
+                        raise errors.AnswerTooLargeError(self.address)
+        except TimeoutError as err:
+            self.reusable = False
+            raise errors.ConnectionSilentError(
+                f"{self.address}: the answer stalled"
+            ) from err
         return bytes(body)
 
     def skip_answer(self) -> None:
--- a/tests/transport/test_h1.py
+++ b/tests/transport/test_h1.py
@@ -339,3 +339,28 @@
         return answer
 
     assert asyncio.run(run()).startswith(b"HTTP/1.1 200")
+
+
+def test_body_that_trickles_past_its_time_is_silent() -> None:
+    async def script(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\n")
+        with contextlib.suppress(ConnectionError):
+            for _ in range(20):
+                writer.write(b"x")
+                await writer.drain()
+                await asyncio.sleep(0.04)
+        writer.close()
+
+    async def run() -> None:
+        async with serve(script) as address:
+            connection = await h1client.ClientConnection.open(address, 1.0)
+            connection.send(REQUEST)
+            await connection.read_head(1.0)
+            with pytest.raises(errors.ConnectionSilentError):
+                await connection.read_body(0.1, 1000)
+            connection.close()
+
+    asyncio.run(run())
