Show the gateway's subcommand by example and its exit code as the others'

Change: examples, two rows of the command line's table, the shared exit code. Conclusion: no code of a serving process changed but the exit code.

--- a/src/cyclamenwing/cli/epilogs.py
+++ b/src/cyclamenwing/cli/epilogs.py
@@ -31,6 +31,13 @@
 COMMANDS: dict[str, str] = {
     "entry": _SETTINGS.format(role="entry"),
     "sidecar": _SETTINGS.format(role="sidecar"),
+    "gateway": """\
+examples:
+  cyclamenwing gateway gateway.json
+  CYCLAMENWING_CONFIG=/etc/cyclamenwing/local.conf cyclamenwing gateway
+
+docs/operations/platform.md describes the settings and the log.
+""",
     "quarantine": """\
 examples:
   cyclamenwing quarantine list --entry 127.0.0.1:7100
--- a/src/gateway.py
+++ b/src/gateway.py
@@ -7,6 +7,7 @@
 
 from cyclamenwing import errors
 from cyclamenwing.cli import gateway
+from cyclamenwing.cli import protocol
 
 
 def main() -> int:
@@ -18,7 +19,7 @@
         return command.run(parser.parse_args())
     except errors.CodedError as err:
         print(f"{err.code}: {err.message}", file=sys.stderr)
-        return 2
+        return protocol.EXIT_INVALID
 
 
 if __name__ == "__main__":
--- a/tests/cli/test_main.py
+++ b/tests/cli/test_main.py
@@ -25,6 +25,8 @@
     ("check {dir}/none", protocol.EXIT_INVALID, ""),
     ("entry {dir}/none.json", protocol.EXIT_INVALID, "settings_syntax"),
     ("entry {dir}/bad.cyclamenwing.json", protocol.EXIT_INVALID, ":1: "),
+    ("gateway {dir}/none.json", protocol.EXIT_INVALID, "settings_syntax"),
+    ("gateway {dir}/good.cyclamenwing.json", protocol.EXIT_INVALID, "schema"),
     ("sidecar {dir}/good.cyclamenwing.json", protocol.EXIT_INVALID, "schema"),
     ("standin store {used}", protocol.EXIT_INVALID, "bind_failed"),
     (
