Refuse late requests that a leaving process may not end

Cause: LAST_REQUEST_S and LeavingError were declared and used nowhere. A request that came more than 3 s after SIGTERM was begun whatever its deadline, and cut at the end of the grace if it was still at work.

Ruled out: refusing all late requests; short ones end in time.

--- a/src/cyclamenwing/gateway/admission.py
+++ b/src/cyclamenwing/gateway/admission.py
@@ -16,6 +16,9 @@
 
 # A request without a deadline is bound by this.
 DEFAULT_WAIT_S = 60.0
+# The balancer and clients know by this long after the signal that a process
+# leaves; what comes later begins only if it ends in time.
+LAST_REQUEST_S = 3.0
 
 
 def admit(
@@ -46,6 +49,7 @@
     now_s = clock.read_time()
     if started_s + wait_s <= now_s:
         raise errors.DeadlineError("the deadline has passed")
+    _check_leaving(board, started_s + wait_s, now_s)
     return ticket.Ticket(
         request=request,
         call=call,
@@ -60,6 +64,15 @@
     )
 
 
+def _check_leaving(
+    board: blackboard.Blackboard, limit_s: float, now_s: float
+) -> None:
+    if board.leaving_s is None or now_s - board.leaving_s < LAST_REQUEST_S:
+        return
+    if board.ends_s is not None and limit_s > board.ends_s:
+        raise errors.LeavingError("the process may end before the answer")
+
+
 def _find_workspace(
     known: configuration.Configuration,
     route: configuration.Route,
--- a/src/cyclamenwing/gateway/app.py
+++ b/src/cyclamenwing/gateway/app.py
@@ -40,8 +40,6 @@
 ROTATION_S = 2.6
 # Left of the grace for returning budgets and ending the process.
 END_MARGIN_S = 0.7
-# Requests that come this long after the signal are no longer begun.
-LAST_REQUEST_S = 3.0
 RELEASE_TIMEOUT_S = 0.4
 POLL_S = 0.05
 # An earlier process's holdings are looked after for this long.
@@ -167,15 +165,17 @@
         board = self.board
         started_s = clock.read_time()
         board.leaving_s = started_s
-        grace_s = self._settings.bounds.grace_s - END_MARGIN_S
+        board.ends_s = (
+            started_s + self._settings.bounds.grace_s - END_MARGIN_S
+        )
         eliot.log_message("gateway:leaving", active=board.active)
         self._front.drain()
         while True:
             await asyncio.sleep(POLL_S)
-            spent_s = clock.read_time() - started_s
-            if spent_s >= grace_s:
+            now_s = clock.read_time()
+            if now_s >= board.ends_s:
                 break
-            if spent_s >= ROTATION_S:
+            if now_s - started_s >= ROTATION_S:
                 self._front.close_idle()
                 if not board.active and not self._front.count_busy():
                     break
--- a/src/cyclamenwing/gateway/blackboard.py
+++ b/src/cyclamenwing/gateway/blackboard.py
@@ -61,6 +61,7 @@
     direct_seen_s: float = 0.0
     pools_seen_s: dict[str, float] = dataclasses.field(default_factory=dict)
     leaving_s: float | None = None
+    ends_s: float | None = None
     predecessor: succession.Predecessor | None = None
     began_s: float = 0.0
     record_at_s: float = 0.0
--- a/tests/gateway/test_serving.py
+++ b/tests/gateway/test_serving.py
@@ -376,6 +376,36 @@
     run(check)
 
 
+@pytest.mark.parametrize(
+    ("spent_s", "wait_ms", "status"),
+    [
+        # Early in the grace, whatever the deadline.
+        (1.0, b"2000", 200),
+        # Late, but over before the process ends.
+        (3.2, b"100", 200),
+        # Late, and perhaps cut in the middle.
+        (3.2, b"2000", 503),
+    ],
+)
+def test_late_request_begins_only_if_the_leaving_gateway_can_end_it(
+    spent_s: float, wait_ms: bytes, status: int
+) -> None:
+    async def check(found: deployments.Deployment) -> None:
+        board = found.gateways[0].board
+        board.leaving_s = clock.read_time() - spent_s
+        board.ends_s = board.leaving_s + 4.0
+        head, body = await found.ask(
+            "write", headers={"Deadline-Ms": wait_ms}
+        )
+        assert head.status == status
+        assert found.count_runs("api") == (status == 200)
+        if status == 503:
+            assert b'"leaving"' in body
+            assert h1.find_header(head.headers, b"retry-after")
+
+    run(check)
+
+
 def test_cut_off_gateway_reaches_the_store_through_a_peer() -> None:
     async def check(found: deployments.Deployment) -> None:
         far = found.gateways[1]
