Free the holdings of processes that died one after the other

The gateway of z4 was killed at 5.4 s; its next process freed two of ten pools before the store's answers got lost, and was killed again at 10 s. Its own record had replaced the first one's, so the first one's holdings stayed counted as used.

--- a/src/cyclamenwing/gateway/app.py
+++ b/src/cyclamenwing/gateway/app.py
@@ -165,9 +165,7 @@
         board = self.board
         started_s = clock.read_time()
         board.leaving_s = started_s
-        board.ends_s = (
-            started_s + self._settings.bounds.grace_s - END_MARGIN_S
-        )
+        board.ends_s = started_s + self._settings.bounds.grace_s - END_MARGIN_S
         eliot.log_message("gateway:leaving", active=board.active)
         self._front.drain()
         while True:
@@ -193,32 +191,26 @@
                 connection.close()
 
     async def _succeed(self) -> None:
-        """Free what the host's earlier process left, if its age is known."""
+        """Free what the host's earlier processes left, by proof of age."""
         until_s = clock.read_time() + SUCCESSION_S
         while clock.read_time() < until_s:
             await asyncio.sleep(SUCCESSION_PAUSE_S)
-            dead = self.board.predecessor
-            if dead is None:
-                continue
-            statements = []
-            if dead.boot_elapsed_s is None or (
-                dead.boot_elapsed_s > escrow.EARLY_S
-            ):
-                statements = await self._peers.ask_statements(dead.holder)
-            age = succession.bound_age(
-                dead, len(self.board.members), statements
-            )
-            if age is None:
-                continue
-            try:
-                await self._pools.close_predecessor(age)
-            except store_errors.StoreError as err:
-                eliot.log_message("funds:close_failed", code=err.code)
-        if self.board.predecessor is not None:
-            eliot.log_message(
-                "funds:predecessor_kept",
-                holder=self.board.predecessor.holder,
-            )
+            for dead in list(self.board.predecessors):
+                await self._close_predecessor(dead)
+        for dead in self.board.predecessors:
+            eliot.log_message("funds:predecessor_kept", holder=dead.holder)
+
+    async def _close_predecessor(self, dead: succession.Predecessor) -> None:
+        statements = []
+        if dead.boot_elapsed_s is None or dead.boot_elapsed_s > escrow.EARLY_S:
+            statements = await self._peers.ask_statements(dead.holder)
+        age = succession.bound_age(dead, len(self.board.members), statements)
+        if age is None:
+            return
+        try:
+            await self._pools.close_predecessor(dead, age)
+        except store_errors.StoreError as err:
+            eliot.log_message("funds:close_failed", code=err.code)
 
     async def _release(self) -> None:
         try:
--- a/src/cyclamenwing/gateway/blackboard.py
+++ b/src/cyclamenwing/gateway/blackboard.py
@@ -62,7 +62,9 @@
     pools_seen_s: dict[str, float] = dataclasses.field(default_factory=dict)
     leaving_s: float | None = None
     ends_s: float | None = None
-    predecessor: succession.Predecessor | None = None
+    predecessors: list[succession.Predecessor] = dataclasses.field(
+        default_factory=list
+    )
     began_s: float = 0.0
     record_at_s: float = 0.0
     wall_age_s: float | None = None
--- a/src/cyclamenwing/gateway/pools.py
+++ b/src/cyclamenwing/gateway/pools.py
@@ -7,6 +7,7 @@
 import pathlib
 import random
 import time
+from collections.abc import Mapping
 
 import eliot
 import msgspec
@@ -43,12 +44,11 @@
         self._store = store
         self._urgent = asyncio.Event()
         self._drawn = asyncio.Condition()
-        self._started_s = clock.read_time()
-        self._started_wall_s = time.time()
-        self._boot_id = read_boot_id()
+        self._start = records.Start(
+            read_boot_id(), clock.read_time(), time.time()
+        )
         self._record_key = HOLDER_PREFIX + board.settings.host
         self._record_revision: int | None = None
-        self._before: protocol.Entry | None = None
         self._renewed_s = 0.0
         self._renewed_used: dict[str, int] = {}
 
@@ -101,15 +101,9 @@
         before = next(
             (e for e in found.entries if e.key == self._record_key), None
         )
-        if before is None or not self._is_own(before.value):
-            self._before = before
-        record = records.HolderRecord(
-            ledger.holder,
-            self._boot_id,
-            clock.read_time(),
-            time.time(),
-            {},
-        )
+        if before is not None:
+            self._note_predecessors(before.value)
+        record = self._make_record({}, clock.read_time())
         outcome = await self._store.commit(
             [(self._record_key, before.revision if before else 0)],
             [(self._record_key, msgspec.json.encode(record))],
@@ -121,46 +115,46 @@
         self._board.store_seen_s = clock.read_time()
         self._urgent.set()
         self._board.record_at_s = record.since_s
-        if self._before is not None:
-            dead = self._read_predecessor(self._before.value)
-            self._board.predecessor = dead
-            self._board.wall_age_s = dead.wall_elapsed_s
 
-    def _is_own(self, value: bytes) -> bool:
-        """Tell whether a record is of this process: an answer got lost."""
+    def _note_predecessors(self, value: bytes) -> None:
+        board = self._board
         record = msgspec.json.decode(value, type=records.HolderRecord)
-        return record.holder == self._board.escrow.holder
+        if record.holder == board.escrow.holder:
+            # The answer to an earlier try was lost.
+            return
+        board.predecessors = records.read_predecessors(record, self._start)
+        board.wall_age_s = board.predecessors[-1].wall_elapsed_s
 
-    def _read_predecessor(self, value: bytes) -> succession.Predecessor:
-        record = msgspec.json.decode(value, type=records.HolderRecord)
-        same_boot = record.boot_id == self._boot_id != ""
-        elapsed_s = self._started_s - record.since_s
-        return succession.Predecessor(
-            holder=record.holder,
-            promises={
-                name: escrow.Promise(made.ceiling, made.early, made.late, 0.0)
-                for name, made in record.promises.items()
-            },
-            boot_elapsed_s=(
-                elapsed_s if same_boot and elapsed_s >= 0 else None
-            ),
-            wall_elapsed_s=self._started_wall_s - record.wall_s,
+    def _make_record(
+        self, promises: Mapping[str, escrow.Promise], now_s: float
+    ) -> records.HolderRecord:
+        return records.HolderRecord(
+            self._board.escrow.holder,
+            self._start.boot_id,
+            now_s,
+            time.time(),
+            records.write_promises(promises),
+            records.write_former(self._board.predecessors),
         )
 
-    async def close_predecessor(self, age: succession.Age) -> None:
-        """Free what the host's earlier process can't have used.
+    async def close_predecessor(
+        self, dead: succession.Predecessor, age: succession.Age
+    ) -> None:
+        """Free what an earlier process of the host can't have used.
 
-        :param age: age of its record when this process began, at most
+        :param age: age of its record at its death, at the most
         """
-        dead = self._board.predecessor
-        if dead is None:
-            return
+        proved = dead._replace(age=age)
+        self._board.predecessors = [
+            proved if found is dead else found
+            for found in self._board.predecessors
+        ]
         for workspace in list(self._board.escrow.pools):
             # Pools are closed one by one: all hosts of a fleet that lost
             # power do so at once, and larger commits would all conflict.
             while not await self._close_holder(dead, workspace, age):
                 await asyncio.sleep(random.uniform(0.0, URGENT_INTERVAL_S))
-        self._board.predecessor = None
+        self._board.predecessors.remove(proved)
         self._urgent.set()
 
     async def _close_holder(
@@ -237,18 +231,7 @@
         ledger = self._board.escrow
         now_s = clock.read_time()
         written, promises = ledger.begin(chosen, now_s)
-        record = records.HolderRecord(
-            ledger.holder,
-            self._boot_id,
-            now_s,
-            time.time(),
-            {
-                name: records.PromiseRecord(
-                    made.ceiling, made.early, made.late
-                )
-                for name, made in promises.items()
-            },
-        )
+        record = self._make_record(promises, now_s)
         expected = [(self._record_key, self._record_revision or 0)]
         writes = [(self._record_key, msgspec.json.encode(record))]
         for name, holders in written.items():
--- a/src/cyclamenwing/gateway/succession.py
+++ b/src/cyclamenwing/gateway/succession.py
@@ -30,13 +30,29 @@
 WALL_SLACK_S = 0.5
 
 
+class Age(NamedTuple):
+    """Bound a record's age.
+
+    :param late: the promise may have grown past its early part
+    """
+
+    elapsed_s: float
+    late: bool
+
+
 class Predecessor(NamedTuple):
-    """Describe the process that held this host's record before."""
+    """Describe a process that held this host's record before.
+
+    :param wall_elapsed_s: None if other processes held it in between: the
+        other hosts' times of day prove nothing for it
+    :param age: the age that is proved already
+    """
 
     holder: str
     promises: dict[str, escrow.Promise]
     boot_elapsed_s: float | None
-    wall_elapsed_s: float
+    wall_elapsed_s: float | None
+    age: Age | None = None
 
 
 class Statement(NamedTuple):
@@ -54,16 +70,6 @@
     restart_age_s: float | None
 
 
-class Age(NamedTuple):
-    """Bound a record's age.
-
-    :param late: the promise may have grown past its early part
-    """
-
-    elapsed_s: float
-    late: bool
-
-
 def bound_age(
     dead: Predecessor, hosts: int, statements: Sequence[Statement]
 ) -> Age | None:
@@ -71,6 +77,8 @@
 
     :param hosts: hosts of the fleet besides this one
     """
+    if dead.age is not None:
+        return dead.age
     bounds = [s.elapsed_s for s in statements if s.elapsed_s is not None]
     if dead.boot_elapsed_s is not None:
         bounds.append(dead.boot_elapsed_s)
@@ -92,6 +100,8 @@
     dead: Predecessor, hosts: int, statements: Sequence[Statement]
 ) -> float | None:
     ages = [s.restart_age_s for s in statements if s.restart_age_s is not None]
+    if dead.wall_elapsed_s is None:
+        return None
     if len(ages) < hosts or len(ages) + 1 < MIN_HOSTS:
         return None
     ages.append(dead.wall_elapsed_s)
--- a/tests/gateway/test_serving.py
+++ b/tests/gateway/test_serving.py
@@ -9,6 +9,7 @@
 import pytest
 from tests.gateway import deployments
 
+from cyclamenwing.gateway import app
 from cyclamenwing.gateway import clock
 from cyclamenwing.gateway import funds
 from cyclamenwing.gateway import suspects
@@ -360,6 +361,31 @@
     run(check)
 
 
+def test_process_after_two_killed_ones_frees_what_both_held(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def check(found: deployments.Deployment) -> None:
+        await found.ask("chat", headers=SIZE)
+        await asyncio.sleep(0.8)
+        found.gateways[0].stop()
+        # The second process ends before it has freed anything.
+        monkeypatch.setattr(app, "SUCCESSION_S", 0.0)
+        second = await found.add_gateway("g0")
+        second.stop()
+        monkeypatch.undo()
+        await found.add_gateway("g0")
+        await asyncio.sleep(0.8)
+        total = 0
+        for _ in range(12):
+            head, _ = await found.ask(
+                "chat", gateway=2, headers={"Token-Counts": b"9000,0"}
+            )
+            total += 9000 if head.status == 200 else 0
+        assert deployments.PREPAID * 0.7 < total < deployments.PREPAID
+
+    run(check)
+
+
 def test_leaving_gateway_finishes_its_work_and_returns_its_tokens() -> None:
     async def check(found: deployments.Deployment) -> None:
         await found.ask("chat", headers=SIZE)
@@ -394,9 +420,7 @@
         board = found.gateways[0].board
         board.leaving_s = clock.read_time() - spent_s
         board.ends_s = board.leaving_s + 4.0
-        head, body = await found.ask(
-            "write", headers={"Deadline-Ms": wait_ms}
-        )
+        head, body = await found.ask("write", headers={"Deadline-Ms": wait_ms})
         assert head.status == status
         assert found.count_runs("api") == (status == 200)
         if status == 503:
--- a/tests/gateway/test_succession.py
+++ b/tests/gateway/test_succession.py
@@ -13,9 +13,11 @@
 
 
 def make_dead(
-    boot_s: float | None = None, wall_s: float = 1.2
+    boot_s: float | None = None,
+    wall_s: float | None = 1.2,
+    age: succession.Age | None = None,
 ) -> succession.Predecessor:
-    return succession.Predecessor("a-1", {}, boot_s, wall_s)
+    return succession.Predecessor("a-1", {}, boot_s, wall_s, age)
 
 
 @pytest.mark.parametrize(
@@ -37,6 +39,15 @@
         (make_dead(wall_s=4.5), 2, [RESTARTED, RESTARTED], None),
         (make_dead(wall_s=-0.1), 2, [RESTARTED, RESTARTED], None),
         (make_dead(wall_s=7.0), 2, [RESTARTED, RESTARTED], None),
+        # Another process lived in between.
+        (make_dead(wall_s=None), 2, [RESTARTED, RESTARTED], None),
+        (make_dead(wall_s=None), 2, [HEARD], succession.Age(2.0, True)),
+        (
+            make_dead(wall_s=None, age=succession.Age(0.9, True)),
+            2,
+            [],
+            succession.Age(0.9, True),
+        ),
         # Nobody knows anything.
         (make_dead(), 2, [UNKNOWING, UNKNOWING], None),
         (make_dead(), 0, [], None),
