Hold most of a pool, promise less, and hand over what is held

Change: gateways hold 65 in 100 of what is left, by shares of the whole pool. A promise starts at 0.7 s of the rate, rests for 1.2 s and then grows at the rate. Within reach of the store a peer renews its promise to hand over what it holds, and is asked for that.

--- a/src/cyclamenwing/budget/escrow.py
+++ b/src/cyclamenwing/budget/escrow.py
@@ -6,8 +6,9 @@
 tokens to each other, which leaves the pool's sum as it is.
 
 An entry also promises, in a record beside the pools, a bound on its use that
-grows with the age of the record: slowly at first, then, once a peer has
-taken notice, fast enough to use up the holdings in an outage of the store.
+grows with the age of the record: not at first, then at the rate of use, then,
+once a peer has taken notice, fast enough to use up the holdings in an outage
+of the store.
 When its process has died, the next one on the same host frees what the bound
 leaves.
 
@@ -30,11 +31,11 @@
 RETURN_FACTOR = 1.5
 # Window of the spending rate; long enough to see a large batch twice.
 RATE_WINDOW_S = 8.0
-# Entries without spending of their own hold this part of the free pool,
-# all together.
-IDLE_PART = 0.3
-# Entries hold this part of what is left, all together: the rest survives a
-# loss of all of them.
+# Entries hold this part of what is left, all together, also without
+# spending of their own: an outage of the store may come at any time.
+IDLE_PART = 0.65
+# Entries hold at most this part of what is left, all together: the rest
+# survives a loss of all of them.
 HOLD_PART = 0.85
 # Smaller changes are not worth a call, unless a request waits for them.
 MIN_CHANGE = 4000
@@ -42,12 +43,15 @@
 MAX_PART = 0.5
 # A promise starts above the present use by this much of the rate, in
 # seconds, and at least by this part of the holdings.
-START_S = 1.0
-START_PART = 0.05
-# It first grows by this multiple of the rate, so that little is lost with a
-# process that dies while the store is in reach.
-EARLY_FACTOR = 0.6
-EARLY_PART = 0.015
+START_S = 0.7
+START_PART = 0.02
+# It rests for as long as a killed process's record is old at the most when
+# the next process begins: one renewal interval and a restart.
+REST_S = 1.2
+# Then it grows by this multiple of the rate, so that little is lost with a
+# host that loses power while the store is in reach.
+EARLY_FACTOR = 1.0
+EARLY_PART = 0.02
 # Records are renewed twice a second; one that is this old tells of an outage
 # of the store, which may use up the holdings within `LATE_S`.
 EARLY_S = 3.0
@@ -62,7 +66,7 @@
 class Promise(NamedTuple):
     """Bound an account's use: `ceiling` at `since_s`, then growing.
 
-    :param early: growth in the first `EARLY_S`, in tokens a second
+    :param early: growth from `REST_S` to `EARLY_S`, in tokens a second
     :param late: growth after that, if a peer knows of it
     """
 
@@ -74,7 +78,7 @@
     def allow(self, now_s: float, late: bool) -> int:
         """Return the most that may be in use at a time."""
         age_s = max(now_s - self.since_s, 0.0)
-        allowed = self.early * min(age_s, EARLY_S)
+        allowed = self.early * max(min(age_s, EARLY_S) - REST_S, 0.0)
         if late:
             allowed += self.late * max(age_s - EARLY_S, 0.0)
         return self.ceiling + int(allowed)
@@ -181,7 +185,7 @@
         """
         rate = self.measure_rate(now_s)
         shared = (free + max(self.held, 0) * entries) / entries
-        target = max(rate * AHEAD_S, free * IDLE_PART / entries)
+        target = max(rate * AHEAD_S, shared * IDLE_PART)
         target = min(target, shared * HOLD_PART) + self.wanted
         if self.held > target * RETURN_FACTOR and self.floor is None:
             surplus = self.held - int(target)
--- a/src/cyclamenwing/gateway/app.py
+++ b/src/cyclamenwing/gateway/app.py
@@ -83,6 +83,7 @@
         self._peers.relayed = self._store
         self._pools = pools.Pools(board, self._store)
         self._funds = funds.Funds(board, self._pools, self._peers.ask_tokens)
+        self._peers.give_tokens = self._funds.give
         self._connections = connections.Connections()
         self._exchange = exchange.Exchange(
             board,
--- a/src/cyclamenwing/gateway/funds.py
+++ b/src/cyclamenwing/gateway/funds.py
@@ -92,6 +92,28 @@
         """End a reservation."""
         self._board.escrow.open_account(workspace).settle(reserved, spent)
 
+    async def give(self, workspace: str, tokens: int) -> int:
+        """Hand tokens to a peer; return how many.
+
+        What only the promise holds back is released by a new one.
+        """
+        account = self._board.escrow.open_account(workspace)
+        granted = account.give(tokens, clock.read_time())
+        lack = min(tokens - granted, account.held)
+        if lack <= 0 or not self._is_store_near(clock.read_time()):
+            return granted
+        account.wanted += lack
+        try:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(DRAW_WAIT_S):
+                    await self._pools.wait_for_draw()
+        finally:
+            account.wanted -= lack
+        return granted + account.give(lack, clock.read_time())
+
+    def _is_store_near(self, now_s: float) -> bool:
+        return now_s - self._board.store_seen_s < NEAR_S
+
     async def _gather(self, workspace: str, prepaid: int, tokens: int) -> bool:
         """Set tokens aside, sooner or later; False if there is no hope."""
         board = self._board
@@ -103,7 +125,7 @@
             useful = (
                 free > 0 or not short or workspace not in board.pools_seen_s
             )
-            if now_s - board.store_seen_s < NEAR_S and useful:
+            if self._is_store_near(now_s) and useful:
                 with contextlib.suppress(TimeoutError):
                     async with asyncio.timeout(DRAW_WAIT_S):
                         await self._pools.wait_for_draw()
@@ -122,17 +144,20 @@
     ) -> bool:
         if account.reserve(tokens, clock.read_time()):
             return True
-        peers = sorted(
-            self._board.list_peers(clock.read_time()),
-            key=lambda p: -p.available.get(workspace, 0),
-        )
-        offered = sum(p.available.get(workspace, 0) for p in peers)
+        # Within reach of the store a peer can hand over all that it holds.
+        near = self._is_store_near(clock.read_time())
+        offers = [
+            ((peer.held if near else peer.available).get(workspace, 0), peer)
+            for peer in self._board.list_peers(clock.read_time())
+        ]
+        offers.sort(key=lambda offer: -offer[0])
+        offered = sum(tokens for tokens, _ in offers)
         if offered + account.count_available(clock.read_time()) < tokens:
             return False
-        for peer in peers:
+        for offer, peer in offers:
             available = account.count_available(clock.read_time())
             lack = max(account.wanted, tokens) - available
-            if lack > 0 and peer.available.get(workspace, 0) > 0:
+            if lack > 0 and offer > 0:
                 # A request that is cancelled must not lose the tokens.
                 await asyncio.shield(self._transfer(peer, workspace, lack))
             if account.reserve(tokens, clock.read_time()):
@@ -153,9 +178,8 @@
             return True
         if now_s - board.began_s < SETTLING_S:
             return False
-        if now_s - board.pools_seen_s.get(workspace, 0.0) > pools.FRESH_S and (
-            now_s - board.store_seen_s < NEAR_S
-        ):
+        seen_s = board.pools_seen_s.get(workspace, 0.0)
+        if now_s - seen_s > pools.FRESH_S and self._is_store_near(now_s):
             return False
         free = max(board.escrow.count_free(workspace, prepaid), 0)
         held = board.escrow.open_account(workspace).held
--- a/src/cyclamenwing/gateway/peers.py
+++ b/src/cyclamenwing/gateway/peers.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Coroutine
 
@@ -39,6 +40,8 @@
 # A gateway that did not answer is tried again this much later.
 SILENT_PAUSE_S = 1.0
 
+GiveTokens = Callable[[str, int], Awaitable[int]]
+
 
 class Peers:
     """Exchange news with all other gateways.
@@ -58,6 +61,7 @@
         self._adopt = adopt
         self.desk = news.NewsDesk(board, found)
         self.relayed: relay.RelayedStore | None = None
+        self.give_tokens: GiveTokens | None = None
         self._called_s: dict[str, float] = {}
         self._silent_s: dict[str, float] = {}
         self._tasks: set[asyncio.Task[None]] = set()
@@ -101,7 +105,7 @@
             return
         try:
             if answer is not None:
-                body = answer(self, request.body)
+                body = await answer(self, request.body)
             elif relayed is not None:
                 body = await relayed.answer(request.body)
         except msgspec.DecodeError as err:
@@ -252,25 +256,26 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    def _answer_news(self, body: bytes) -> bytes:
+    async def _answer_news(self, body: bytes) -> bytes:
         self._read(msgspec.json.decode(body, type=news.News))
         return msgspec.json.encode(self.desk.write_news())
 
-    def _answer_transfer(self, body: bytes) -> bytes:
+    async def _answer_transfer(self, body: bytes) -> bytes:
         request = msgspec.json.decode(body, type=news.TransferRequest)
-        account = self._board.escrow.open_account(request.workspace)
-        tokens = account.give(request.tokens, clock.read_time())
+        tokens = 0
+        if self.give_tokens is not None:
+            tokens = await self.give_tokens(request.workspace, request.tokens)
         eliot.log_message(
             "peers:tokens_given",
             holder=request.holder,
             workspace=request.workspace,
             asked=request.tokens,
             tokens=tokens,
-            left=account.held,
+            left=self._board.escrow.open_account(request.workspace).held,
         )
         return msgspec.json.encode(news.TransferReply(tokens))
 
-    def _answer_statement(self, body: bytes) -> bytes:
+    async def _answer_statement(self, body: bytes) -> bytes:
         request = msgspec.json.decode(body, type=news.StatementRequest)
         reply = self.desk.state(request.holder)
         eliot.log_message(
@@ -282,12 +287,12 @@
         )
         return msgspec.json.encode(reply)
 
-    def _answer_configuration(self, _: bytes) -> bytes:
+    async def _answer_configuration(self, _: bytes) -> bytes:
         known = self._board.configuration
         return known.source if known else b""
 
 
-_HANDLERS: dict[str, Callable[[Peers, bytes], bytes]] = {
+_HANDLERS: dict[str, Callable[[Peers, bytes], Awaitable[bytes]]] = {
     NEWS_PATH: Peers._answer_news,
     TRANSFER_PATH: Peers._answer_transfer,
     CONFIGURATION_PATH: Peers._answer_configuration,
--- a/tests/gateway/test_serving.py
+++ b/tests/gateway/test_serving.py
@@ -3,15 +3,20 @@
 from __future__ import annotations
 
 import asyncio
+import json
 from collections.abc import Callable
 from collections.abc import Coroutine
 
+import msgspec
 import pytest
 from tests.gateway import deployments
 
+from cyclamenwing.budget import escrow
 from cyclamenwing.gateway import app
 from cyclamenwing.gateway import clock
 from cyclamenwing.gateway import funds
+from cyclamenwing.gateway import news
+from cyclamenwing.gateway import peers
 from cyclamenwing.gateway import suspects
 from cyclamenwing.platform import store
 from cyclamenwing.standin import replica
@@ -305,6 +310,29 @@
     run(check, gateways=2)
 
 
+def test_peer_hands_over_more_than_its_promise_held_back() -> None:
+    async def check(found: deployments.Deployment) -> None:
+        giver = found.gateways[0]
+        account = giver.board.escrow.open_account("t1")
+        account.wanted = 80_000
+        async with asyncio.timeout(2):
+            while account.held < 80_000:
+                await giver._pools.wait_for_draw()
+        account.wanted = 0
+        account.promises = [escrow.Promise(100, 0.0, 0.0, 0.0)]
+        status, answer = await caller.Caller().call(
+            giver.board.settings.control,
+            "POST",
+            peers.TRANSFER_PATH,
+            msgspec.json.encode(news.TransferRequest("t1", 60_000, "other")),
+            1.0,
+        )
+        assert (status, json.loads(answer)) == (200, {"tokens": 60_000})
+        assert account.given == 60_000
+
+    run(check)
+
+
 def test_spent_budget_is_refused_for_good_and_a_top_up_ends_that() -> None:
     async def check(found: deployments.Deployment) -> None:
         found.gateways[0].board.began_s -= funds.SETTLING_S
