Tell refused callers when holdings can be used in an outage

Cause: a request refused as 'budget_unreachable' came back after 1 s, whatever the age of the record. In an outage promises grow fast only from 3 s on, so its one retry was refused as well.

Change: if the store did not answer while the request waited, Retry-After is the time until the early part of the promise and a round of news are over.

Ruled out: holding the request back until then; it is refused at once with a time to come back.

--- a/src/cyclamenwing/gateway/funds.py
+++ b/src/cyclamenwing/gateway/funds.py
@@ -29,6 +29,13 @@
 # The store has answered this lately, so that asking it makes sense.
 NEAR_S = 3.0
 
+# A refused request comes back after this long, unless its promise is known
+# to grow at a certain time.
+RETURN_S = 1.0
+# Peers take notice of an outage within a round of their news.
+NOTICE_S = 0.4
+MIN_RETURN_S = 0.5
+
 AskPeer = Callable[[blackboard.Peer, str, int], Awaitable[int]]
 
 
@@ -67,7 +74,7 @@
         if account.reserve(tokens, now_s):
             return
         if self._is_hopeless(workspace, prepaid, tokens):
-            raise self._make_refusal(workspace, prepaid, tokens)
+            raise self._make_refusal(workspace, prepaid, tokens, outage=False)
         account.wanted += tokens
         try:
             wait_s = max(goal_s * WAIT_PART, MIN_WAIT_S)
@@ -86,7 +93,8 @@
                 return
         finally:
             account.wanted -= tokens
-        raise self._make_refusal(workspace, prepaid, tokens)
+        outage = self._board.store_seen_s < now_s
+        raise self._make_refusal(workspace, prepaid, tokens, outage)
 
     def settle(self, workspace: str, reserved: int, spent: int) -> None:
         """End a reservation."""
@@ -191,7 +199,7 @@
         )
 
     def _make_refusal(
-        self, workspace: str, prepaid: int, tokens: int
+        self, workspace: str, prepaid: int, tokens: int, outage: bool
     ) -> errors.GatewayError:
         now_s = clock.read_time()
         board = self._board
@@ -212,7 +220,25 @@
         )
         if final:
             return errors.BudgetSpentError(f"{tokens} tokens are not left")
-        return errors.BudgetUnreachableError(f"{tokens} tokens not in reach")
+        refusal = errors.BudgetUnreachableError(
+            f"{tokens} tokens not in reach"
+        )
+        if outage:
+            refusal.retry_after_s = predict_return(now_s - board.record_at_s)
+        return refusal
+
+
+def predict_return(record_age_s: float) -> float:
+    """Return when a request had better come back in an outage, in seconds.
+
+    Holdings can be used once the record is older than the early part of its
+    promise.
+    """
+    left_s = escrow.EARLY_S + NOTICE_S - record_age_s
+    return RETURN_S if left_s <= 0 else max(left_s, MIN_RETURN_S)
 
 
-__all__ = ("Funds",)
+__all__ = (
+    "Funds",
+    "predict_return",
+)
