Exchange news less often in larger fleets

Peers count as silent by the same interval.

Conclusion: kept for its cost; loads are up to 1 s old at 20 gateways.

--- a/src/cyclamenwing/gateway/peers.py
+++ b/src/cyclamenwing/gateway/peers.py
@@ -33,6 +33,11 @@
 HOSTS_PREFIX = "cyclamenwing/hosts/"
 
 NEWS_INTERVAL_S = 0.2
+# Exchanges a gateway takes part in, a second; each costs about 1 ms of a
+# small host's processor, so a larger fleet hears less often of each peer.
+MAX_NEWS_PER_S = 20.0
+# A peer that was not heard for this many intervals is called from here too.
+SILENT_INTERVALS = 4
 NEWS_TIMEOUT_S = 0.5
 TRANSFER_TIMEOUT_S = 0.1
 CONFIGURATION_TIMEOUT_S = 1.0
@@ -183,12 +188,13 @@
             for host, address in board.members.items()
             if host > own or late or not self._is_heard(host, now_s)
         }
+        interval_s = measure_interval(len(board.members))
         heard = set(board.members.values())
         for address in board.settings.seeds:
             if address != board.settings.control and address not in heard:
                 targets.setdefault(address, address)
         for address in targets:
-            due_s = self._called_s.get(address, 0.0) + NEWS_INTERVAL_S * 0.9
+            due_s = self._called_s.get(address, 0.0) + interval_s * 0.9
             if now_s < max(due_s, self._silent_s.get(address, 0.0)):
                 continue
             self._called_s[address] = now_s
@@ -196,7 +202,8 @@
 
     def _is_heard(self, host: str, now_s: float) -> bool:
         peer = self._board.peers.get(host)
-        return peer is not None and now_s - peer.seen_s < NEWS_INTERVAL_S * 4
+        limit_s = SILENT_INTERVALS * measure_interval(len(self._board.members))
+        return peer is not None and now_s - peer.seen_s < limit_s
 
     async def _exchange(self, address: str) -> None:
         told = self.desk.write_news()
@@ -292,6 +299,11 @@
         return known.source if known else b""
 
 
+def measure_interval(peers: int) -> float:
+    """Return the seconds between two exchanges with the same peer."""
+    return max(NEWS_INTERVAL_S, peers / MAX_NEWS_PER_S)
+
+
 _HANDLERS: dict[str, Callable[[Peers, bytes], Awaitable[bytes]]] = {
     NEWS_PATH: Peers._answer_news,
     TRANSFER_PATH: Peers._answer_transfer,
@@ -299,4 +311,7 @@
     STATEMENT_PATH: Peers._answer_statement,
 }
 
-__all__ = ("Peers",)
+__all__ = (
+    "Peers",
+    "measure_interval",
+)
