Tell each pool and prompt part to each peer once

Cause: each news named all pools seen in the last 0.45 s with all their holders, also those heard from peers, and the parts sent in the last second, five times over.

Change: a gateway tells a peer only the pools that it saw in the store itself and whose revision that peer was not told, and the parts after the last one told. An exchange that fails is told again.

--- a/src/cyclamenwing/gateway/news.py
+++ b/src/cyclamenwing/gateway/news.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+import dataclasses
 from typing import NamedTuple
 
 import eliot
@@ -14,15 +15,13 @@
 from cyclamenwing.routing import placement
 from cyclamenwing.routing import quarantine
 
-# Pools are told in the news of about this long.
-POOL_NEWS_S = 0.45
 # A record of this age is missing its renewals; peers hear of it in time for
 # the promises to grow.
 LATE_NOTICE_S = 1.8
 # A process that began this lately speaks of its own predecessor.
 RESTART_LIFE_S = 10.0
-# Parts sent within this time are named in the news.
-SENT_LIFE_S = 1.0
+# Parts sent within this time are named in the news, to each peer once.
+SENT_LIFE_S = 2.5
 MAX_SENT = 200
 
 
@@ -54,7 +53,8 @@
     sent: list[SentNews]
     available: dict[str, int]
     held: dict[str, int]
-    # Revision and holders of the pools that were seen lately.
+    # Revision and holders of the pools that the gateway saw in the store
+    # and has not told this peer.
     pools: dict[str, tuple[int, dict[str, int]]]
     # Age of the record that bounds the use of budgets.
     record_age_s: float
@@ -107,6 +107,14 @@
     sent_s: float
 
 
+@dataclasses.dataclass(slots=True)
+class Told:
+    """Remember what a peer was told, so that it isn't told again."""
+
+    sent_number: int = 0
+    revisions: dict[str, int] = dataclasses.field(default_factory=dict)
+
+
 class NewsDesk:
     """Write this gateway's news and read those of its peers."""
 
@@ -124,6 +132,10 @@
         self._former: dict[str, blackboard.Peer] = {}
         self._last_numbers: dict[str, int] = {}
         self._late: dict[str, bool] = {}
+        # By the peer's address.
+        self._told: dict[str, Told] = {}
+        # Revisions of pools that only peers have shown.
+        self._heard_pools: dict[str, int] = {}
         self.registered = False
 
     def note_sent(
@@ -135,8 +147,9 @@
             Sent(self._number, endpoint, parts, clock.read_time())
         )
 
-    def write_news(self) -> News:
-        """Return this gateway's news."""
+    def write_news(self, address: str) -> News:
+        """Return this gateway's news for the peer at an address."""
+        told = self._told.setdefault(address, Told())
         board = self._board
         now_s = clock.read_time()
         self._news_number += 1
@@ -161,6 +174,7 @@
                 SentNews(item.number, item.endpoint, list(item.parts))
                 for item in self._sent
                 if now_s - item.sent_s < SENT_LIFE_S
+                and item.number > told.sent_number
             ],
             available={
                 name: account.count_available(now_s)
@@ -175,7 +189,8 @@
             pools={
                 name: (pool.revision, pool.holders)
                 for name, pool in board.escrow.pools.items()
-                if now_s - board.pools_seen_s.get(name, 0.0) < POOL_NEWS_S
+                if pool.revision > told.revisions.get(name, 0)
+                and pool.revision != self._heard_pools.get(name)
             },
             record_age_s=now_s - board.record_at_s,
             suspects=self._suspects.tell(),
@@ -185,6 +200,14 @@
             number=self._news_number,
         )
 
+    def note_told(self, address: str, news: News) -> None:
+        """Remember news that have reached a peer."""
+        told = self._told.setdefault(address, Told())
+        for item in news.sent:
+            told.sent_number = max(told.sent_number, item.number)
+        for name, (revision, _) in news.pools.items():
+            told.revisions[name] = revision
+
     def read_news(self, news: News) -> None:
         """Take over a peer's news."""
         board = self._board
@@ -238,6 +261,7 @@
         eliot.log_message("peers:met", peer=news.host, holder=news.holder)
         if before is not None:
             self._heard.pop(news.host, None)
+            self._told.pop(news.address, None)
             self._former[before.holder] = before
 
     def _read_pools(self, news: News, now_s: float) -> None:
@@ -246,6 +270,7 @@
             if revision > ledger.open_pool(name).revision:
                 ledger.see_pool(name, revision, holders)
                 self._board.pools_seen_s[name] = now_s
+                self._heard_pools[name] = revision
 
     def _read_loads(self, news: News, now_s: float) -> None:
         sites = self._board.placement
--- a/src/cyclamenwing/gateway/peers.py
+++ b/src/cyclamenwing/gateway/peers.py
@@ -206,7 +206,7 @@
         return peer is not None and now_s - peer.seen_s < limit_s
 
     async def _exchange(self, address: str) -> None:
-        told = self.desk.write_news()
+        told = self.desk.write_news(address)
         record_at_s = self._board.record_at_s
         try:
             status, answer = await self._caller.call(
@@ -226,6 +226,7 @@
                 )
             self._silent_s[address] = clock.read_time() + SILENT_PAUSE_S
             return
+        self.desk.note_told(address, told)
         self._read(reply)
         if self._silent_s.pop(address, None) is not None:
             eliot.log_message("peers:regained", address=address)
@@ -264,8 +265,12 @@
         task.add_done_callback(self._tasks.discard)
 
     async def _answer_news(self, body: bytes) -> bytes:
-        self._read(msgspec.json.decode(body, type=news.News))
-        return msgspec.json.encode(self.desk.write_news())
+        heard = msgspec.json.decode(body, type=news.News)
+        self._read(heard)
+        told = self.desk.write_news(heard.address)
+        # If the answer gets lost, newer revisions and conflicts make up.
+        self.desk.note_told(heard.address, told)
+        return msgspec.json.encode(told)
 
     async def _answer_transfer(self, body: bytes) -> bytes:
         request = msgspec.json.decode(body, type=news.TransferRequest)
