--- a/src/cyclamenwing/budget/escrow.py
+++ b/src/cyclamenwing/budget/escrow.py
@@ -126,6 +126,10 @@
         promised = min(p.allow(now_s, self.late) for p in self.promises)
         return min(self.held, promised - self.used)
 
+    def measure_start(self, used: int) -> int:
+        """Return how far the newest promise began above a use."""
+        return self.promises[-1].ceiling - used if self.promises else 0
+
     def predict_wait(self, tokens: int, now_s: float) -> float | None:
         """Return after how long the promises allow a request.
 
--- a/src/cyclamenwing/gateway/pools.py
+++ b/src/cyclamenwing/gateway/pools.py
@@ -25,14 +25,16 @@
 BOOT_ID = pathlib.Path("/proc/sys/kernel/random/boot_id")
 # A transaction takes 32 entries, two a key; one key is the own record.
 MAX_POOLS = 15
-# Promises are renewed at this interval while tokens are used.
+# Promises are renewed at this interval while much of them is used.
 RENEW_INTERVAL_S = 0.7
-# And at this one while none are: a promise must not pass its early part
-# while the store is in reach.
+# And at this one otherwise: a promise must not pass its early part while the
+# store is in reach.
 IDLE_RENEW_INTERVAL_S = 1.4
 # Draws that a request waits for follow each other no faster.
 URGENT_INTERVAL_S = 0.02
 BUSY_PAUSE_S = 0.3
+# A promise of which this part is used is renewed early.
+USED_PART = 0.5
 # A pool that a request waits for is read again after this long.
 FRESH_S = 2.0
 
@@ -228,8 +230,15 @@
             return False
         if age_s >= IDLE_RENEW_INTERVAL_S:
             return True
-        used = {name: account.used for name, account in accounts.items()}
-        return used != self._renewed_used
+        return any(
+            self._is_promise_used(name, account)
+            for name, account in accounts.items()
+        )
+
+    def _is_promise_used(self, name: str, account: escrow.Account) -> bool:
+        before = self._renewed_used.get(name, 0)
+        start = account.measure_start(before)
+        return account.used - before > start * USED_PART
 
     async def _commit(self, changes: dict[str, int]) -> bool:
         names = sorted(changes, key=lambda n: -abs(changes[n]))[:MAX_POOLS]
--- a/tests/gateway/test_serving.py
+++ b/tests/gateway/test_serving.py
@@ -404,6 +404,25 @@
     run(check)
 
 
+@pytest.mark.parametrize(
+    ("part", "age_s", "due"),
+    [(0.2, 0.8, False), (0.8, 0.8, True), (0.8, 0.3, False), (0.0, 1.5, True)],
+)
+def test_promise_is_renewed_early_once_it_is_used(
+    part: float, age_s: float, due: bool
+) -> None:
+    async def check(found: deployments.Deployment) -> None:
+        await asyncio.sleep(1.0)
+        drawing = found.gateways[0]._pools
+        account = found.gateways[0].board.escrow.open_account("t1")
+        start = account.measure_start(account.used)
+        assert start > 0
+        account.reserved += int(start * part)
+        assert drawing._is_renewal_due(drawing._renewed_s + age_s) == due
+
+    run(check)
+
+
 def test_process_after_two_killed_ones_frees_what_both_held(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
