--- a/src/cyclamenwing/gateway/funds.py
+++ b/src/cyclamenwing/gateway/funds.py
@@ -159,7 +159,7 @@
             for peer in self._board.list_peers(clock.read_time())
         ]
         offers.sort(key=lambda offer: -offer[0])
-        offered = sum(tokens for tokens, _ in offers)
+        offered = sum(offer for offer, _ in offers)
         if offered + account.count_available(clock.read_time()) < tokens:
             return False
         for offer, peer in offers:
