Add the choice of each zone's delegates

Ruled out: an election or a lock in the store, which adds calls and can hang. Change: membership/delegates.py ranks the registered gateways of each zone by capacity and rendezvous hash; not used yet. Conclusion: gossip, watches and budgets can follow.

--- /dev/null
+++ b/src/cyclamenwing/membership/delegates.py
@@ -0,0 +1,192 @@
+"""Delegates: the few gateways of each zone that act for the others.
+
+In a large fleet only delegates watch the store, draw tokens from the pools
+and exchange gossip across zones. Every other gateway of a zone attaches to
+one delegate. All gateways compute the delegates from the registered members,
+so there is no election: a gateway that others attach to acts as a delegate
+even if it ranks itself lower.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+import msgspec
+
+from cyclamenwing.membership import rendezvous
+
+DELEGATES_PER_ZONE = 2
+# A silent delegate is replaced after this time. Until then its attached
+# gateways use other delegates, as a killed process is soon back.
+PROMOTION_DELAY_S = 5.0
+# A gateway that has reached no delegate for this long acts for itself.
+ISOLATION_DELAY_S = 2.0
+# An attached gateway that has not called for this long has left.
+ATTACHMENT_TTL_S = 3.0
+# Delay before a delegate whose call failed is tried again.
+RETRY_DELAY_S = 1.0
+# Delegates of other zones to try where no delegate of the own zone answers.
+MAX_REMOTE_DELEGATES = 3
+
+
+class Member(msgspec.Struct, frozen=True):
+    """Describe a registered gateway.
+
+    :param address: `ip:port` for calls of other gateways
+    :param capacity: grows with the host's link and processors; hosts with
+        more become delegates first
+    :param started_ms: start of the process in Unix milliseconds
+    """
+
+    host: str
+    address: str
+    zone: str = ""
+    capacity: float = 0.0
+    started_ms: int = 0
+
+
+def rank_candidates(members: Iterable[Member], zone: str) -> list[Member]:
+    """Return a zone's members, those that become delegates first ahead."""
+    return sorted(
+        (member for member in members if member.zone == zone),
+        key=lambda m: (-m.capacity, rendezvous.score_member(zone, m.host)),
+    )
+
+
+class Roster:
+    """Hold the members of the fleet and derive the delegates.
+
+    Times are seconds of the gateway's clock.
+
+    :param own: this gateway
+    """
+
+    def __init__(self, own: Member, now_s: float) -> None:
+        self.own = own
+        self.members: dict[str, Member] = {}
+        self._silent_since_s: dict[str, float] = {}
+        self._retry_at_s: dict[str, float] = {}
+        self._reported_lost: set[str] = set()
+        self._attached_s: dict[str, float] = {}
+        self._delegate_contact_s = now_s
+        self._delegates: dict[str, list[Member]] = {own.zone: [own]}
+        self.acts_as_delegate = True
+
+    def add(self, member: Member) -> bool:
+        """Add a member or its newer process; return whether it was new."""
+        known = self.members.get(member.host)
+        if member.host == self.own.host or (
+            known is not None and known.started_ms >= member.started_ms
+        ):
+            return False
+        self.members[member.host] = member
+        return known != member
+
+    def record_contact(self, host: str, now_s: float) -> None:
+        """Record that a member answered or called."""
+        self._silent_since_s.pop(host, None)
+        self._retry_at_s.pop(host, None)
+        self._reported_lost.discard(host)
+        if self._is_ranked(host):
+            self._delegate_contact_s = now_s
+
+    def record_failure(self, host: str, now_s: float) -> None:
+        """Record that a call to a member failed."""
+        self._silent_since_s.setdefault(host, now_s)
+        self._retry_at_s[host] = now_s + RETRY_DELAY_S
+
+    def report_lost(self, hosts: Iterable[str]) -> None:
+        """Replace the members that a delegate has reported as lost."""
+        self._reported_lost = set(hosts) - {self.own.host}
+
+    def record_attached(self, host: str, now_s: float) -> None:
+        """Record that a gateway uses this one as its delegate."""
+        self._attached_s[host] = now_s
+
+    def detach(self, host: str) -> None:
+        """Record that a gateway uses another delegate now."""
+        self._attached_s.pop(host, None)
+
+    def list_attached(self, now_s: float) -> set[str]:
+        """Return the hosts that use this gateway as their delegate."""
+        return {
+            host
+            for host, called_s in self._attached_s.items()
+            if now_s - called_s < ATTACHMENT_TTL_S
+        }
+
+    def list_lost(self, now_s: float) -> list[str]:
+        """Return the members that were silent for too long to be delegates."""
+        return [
+            host
+            for host, since_s in self._silent_since_s.items()
+            if now_s - since_s >= PROMOTION_DELAY_S
+        ]
+
+    def refresh(self, now_s: float) -> None:
+        """Derive the delegates of all zones and whether this is one."""
+        lost = {*self.list_lost(now_s), *self._reported_lost}
+        alive = [m for m in self.members.values() if m.host not in lost]
+        alive.append(self.own)
+        self._delegates = {
+            zone: rank_candidates(alive, zone)[:DELEGATES_PER_ZONE]
+            for zone in {m.zone for m in alive}
+        }
+        self.acts_as_delegate = (
+            self._is_ranked(self.own.host)
+            or bool(self.list_attached(now_s))
+            or now_s - self._delegate_contact_s > ISOLATION_DELAY_S
+        )
+
+    def list_delegates(self) -> list[Member]:
+        """Return the delegates of all zones except this gateway."""
+        return [
+            member
+            for members in self._delegates.values()
+            for member in members
+            if member.host != self.own.host
+        ]
+
+    def count_delegates(self) -> int:
+        """Return the number of delegates of all zones."""
+        return sum(len(members) for members in self._delegates.values())
+
+    def find_delegates(self, now_s: float) -> list[Member]:
+        """Return the delegates to use, the preferred one first.
+
+        Those of the own zone come first, in an order that spreads the zone's
+        gateways. Delegates whose last call failed are left out for a while.
+        """
+        usable = [
+            member
+            for member in self.list_delegates()
+            if now_s >= self._retry_at_s.get(member.host, 0.0)
+        ]
+        ranked = sorted(
+            usable,
+            key=lambda m: (
+                m.zone != self.own.zone,
+                rendezvous.score_member(self.own.host, m.host),
+            ),
+        )
+        local = sum(m.zone == self.own.zone for m in ranked)
+        return ranked[: local + MAX_REMOTE_DELEGATES]
+
+    def _is_ranked(self, host: str) -> bool:
+        return any(
+            member.host == host
+            for members in self._delegates.values()
+            for member in members
+        )
+
+
+__all__ = (
+    "ATTACHMENT_TTL_S",
+    "DELEGATES_PER_ZONE",
+    "ISOLATION_DELAY_S",
+    "PROMOTION_DELAY_S",
+    "RETRY_DELAY_S",
+    "Member",
+    "Roster",
+    "rank_candidates",
+)
