--- a/src/cyclamenwing/budget/escrow.py
+++ b/src/cyclamenwing/budget/escrow.py
@@ -207,6 +207,11 @@
         self.given += deducted
         return deducted
 
+    def hand_over(self, tokens: int) -> None:
+        """Turn a reservation into a transfer to another gateway."""
+        self.reserved -= tokens
+        self.given += tokens
+
     def add_transfer(self, tokens: int) -> None:
         """Add tokens that another gateway has deducted."""
         self.received += tokens
@@ -281,6 +286,8 @@
         self.holder = holder
         self.accounts: dict[str, WorkspaceAccount] = {}
         self.pools: dict[str, Pool] = {}
+        # `min_drawn` and revision of the pools before the present commit.
+        self._before: dict[str, tuple[int | None, int]] = {}
 
     def open_account(self, workspace: str) -> WorkspaceAccount:
         """Return a workspace's account, creating an empty one if absent."""
@@ -320,9 +327,12 @@
         :param changes: tokens to draw, or to return if negative, by workspace
         """
         written = {}
+        self._before = {}
         for workspace, change in changes.items():
             account = self.open_account(workspace)
-            holders = dict(self.open_pool(workspace).holders)
+            pool = self.open_pool(workspace)
+            self._before[workspace] = (account.min_drawn, pool.revision)
+            holders = dict(pool.holders)
             holders[self.holder] = account.drawn + change
             min_drawn = (
                 account.drawn
@@ -366,13 +376,14 @@
     ) -> None:
         """Record a commit that had no effect and never will.
 
-        An older commit may still take effect, so a lowered `min_drawn`
-        stays until a newer revision of the pool is read.
+        Earlier commits may still take effect, so `min_drawn` gets the value
+        that it had before, unless a newer revision of the pool was read.
         """
         for workspace in changes:
             account = self.open_account(workspace)
-            if account.min_drawn == account.drawn:
-                account.min_drawn = None
+            min_drawn, revision = self._before[workspace]
+            if self.open_pool(workspace).revision == revision:
+                account.min_drawn = min_drawn
         for workspace, bound in usage_bounds.items():
             account = self.accounts[workspace]
             account.usage_bounds = [
--- a/src/cyclamenwing/gateway/app.py
+++ b/src/cyclamenwing/gateway/app.py
@@ -17,14 +17,18 @@
 from cyclamenwing.gateway import clock
 from cyclamenwing.gateway import connections
 from cyclamenwing.gateway import follower
+from cyclamenwing.gateway import grants
 from cyclamenwing.gateway import handler
 from cyclamenwing.gateway import peers
 from cyclamenwing.gateway import poison_requests
 from cyclamenwing.gateway import pools
 from cyclamenwing.gateway import record_age
+from cyclamenwing.gateway import registration
 from cyclamenwing.gateway import relay
 from cyclamenwing.gateway import reservations
 from cyclamenwing.gateway import settings as gateway_settings
+from cyclamenwing.gateway import watches
+from cyclamenwing.membership import delegates
 from cyclamenwing.metrics import recorder
 from cyclamenwing.routing import placement
 from cyclamenwing.routing import retry_budget
@@ -49,6 +53,10 @@
 # records, so that it can release their holdings to the pools.
 PREDECESSOR_WINDOW_S = 12.0
 PREDECESSOR_POLL_INTERVAL_S = 0.05
+MAX_PREDECESSOR_POLL_INTERVAL_S = 1.0
+# Bound on the calls to peers for evidence of a record's age.
+MAX_STATEMENTS_PER_S = 80.0
+MS_PER_S = 1000
 
 
 class Gateway:
@@ -79,6 +87,16 @@
                 bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_s
             ),
             metrics=recorder.Recorder(),
+            roster=delegates.Roster(
+                delegates.Member(
+                    settings.host,
+                    settings.control,
+                    settings.availability_zone,
+                    settings.limits.capacity,
+                    int(time.time() * MS_PER_S),
+                ),
+                clock.read_time(),
+            ),
             started_s=clock.read_time(),
         )
         self._configurations = follower.ConfigurationFollower(board, codec)
@@ -89,12 +107,26 @@
             board, http, self._configurations.adopt, poison_tracker
         )
         self._store = relay.RelayedStore(store, board, http)
-        self._peers.relayed_store = self._store
-        self._pools = pools.PoolClient(board, self._store)
+        self._watched = watches.DelegatedStore(self._store, board, http)
+        self._registration = registration.Registration(board, self._store)
+        self._pools = pools.PoolClient(
+            board, self._store, self._registration.settled
+        )
+        grant_client = grants.GrantClient(board, http)
         self._reservations = reservations.Reservations(
-            board, self._pools, self._peers.request_tokens
+            board,
+            self._pools,
+            self._peers.request_tokens,
+            grant_client.request_grant,
+            grant_client.return_tokens,
         )
         self._peers.transfer_tokens = self._reservations.transfer_to_peer
+        self._peers.handlers.update({
+            relay.RELAY_PATH: self._store.answer_peer,
+            watches.WATCH_PATH: self._watched.answer,
+            grants.GRANT_PATH: self._reservations.answer_grant,
+            grants.RETURN_PATH: self._reservations.answer_return,
+        })
         self._connections = connections.ConnectionPool()
         self._handler = handler.RequestHandler(
             board,
@@ -163,10 +195,11 @@
         for coroutine in (
             configuration_follower.run(),
             endpoint_follower.run(),
-            self._peers.register(self._store),
+            self._registration.run(),
             self._peers.run(),
             self._store.probe(),
             self._pools.run(),
+            self._reservations.run(),
             self._release_predecessors(),
             self._close_idle_connections(),
         ):
@@ -222,8 +255,12 @@
     async def _release_predecessors(self) -> None:
         """Release the holdings of predecessors with a bounded record age."""
         until_s = clock.read_time() + PREDECESSOR_WINDOW_S
+        delay_s = PREDECESSOR_POLL_INTERVAL_S
         while clock.read_time() < until_s:
-            await asyncio.sleep(PREDECESSOR_POLL_INTERVAL_S)
+            members = len(self.board.roster.members)
+            await asyncio.sleep(max(delay_s, members / MAX_STATEMENTS_PER_S))
+            if self.board.predecessors:
+                delay_s = min(delay_s * 1.5, MAX_PREDECESSOR_POLL_INTERVAL_S)
             for predecessor in list(self.board.predecessors):
                 await self._release_predecessor(predecessor)
         for predecessor in self.board.predecessors:
@@ -234,6 +271,7 @@
     async def _release_predecessor(
         self, predecessor: record_age.Predecessor
     ) -> None:
+        roster = self.board.roster
         evidence = []
         if (
             predecessor.boot_elapsed_s is None
@@ -243,7 +281,10 @@
                 predecessor.holder
             )
         age = record_age.bound_age(
-            predecessor, len(self.board.members), evidence
+            predecessor,
+            len(roster.members),
+            min(len(roster.members), roster.count_delegates() - 1),
+            evidence,
         )
         if age is None:
             return
@@ -255,7 +296,10 @@
     async def _return_holdings(self) -> None:
         try:
             async with asyncio.timeout(RETURN_TIMEOUT_S):
-                await self._pools.return_holdings()
+                if self.board.roster.acts_as_delegate:
+                    await self._pools.return_holdings()
+                else:
+                    await self._reservations.return_idle(0.0)
         except (store_errors.StoreError, TimeoutError) as err:
             eliot.log_message("funds:return_failed", reason=str(err))
 
@@ -263,7 +307,7 @@
         self, prefix: str, load_snapshot: Any, apply_change: Any
     ) -> follower.Follower:
         return follower.Follower(
-            self._store, self.board, prefix, load_snapshot, apply_change
+            self._watched, self.board, prefix, load_snapshot, apply_change
         )
 
     def _start_task(self, coroutine: Coroutine[Any, Any, None]) -> None:
--- a/src/cyclamenwing/gateway/blackboard.py
+++ b/src/cyclamenwing/gateway/blackboard.py
@@ -9,6 +9,7 @@
 from cyclamenwing.gateway import configuration
 from cyclamenwing.gateway import record_age
 from cyclamenwing.gateway import settings as gateway_settings
+from cyclamenwing.membership import delegates
 from cyclamenwing.metrics import recorder
 from cyclamenwing.routing import endpoints
 from cyclamenwing.routing import placement
@@ -31,6 +32,7 @@
     :param received_s: time at which the message was received here
     :param record_age_s: age of its record in the store at that time
     :param store_age_s: time since it last reached the store directly
+    :param gateways: live gateways that the message speaks for
     """
 
     host: str
@@ -42,6 +44,7 @@
     received_s: float
     record_age_s: float
     store_age_s: float
+    gateways: int = 1
 
 
 @dataclasses.dataclass(slots=True)
@@ -52,7 +55,8 @@
     `predecessor_wall_age_s`.
 
     :param quarantine: requests that were running when endpoints crashed
-    :param members: control addresses of all other gateways by host
+    :param roster: members of the fleet and the delegates among them
+    :param registered: the store lists this gateway
     :param store_contact_s: last answer of the store, direct or through a peer
     :param direct_contact_s: last direct answer of the store
     :param pools_updated_s: last update of each workspace's pool
@@ -72,6 +76,7 @@
     placement: placement.Placement
     retry_budget: retry_budget.WindowedRetryBudget
     metrics: recorder.Recorder
+    roster: delegates.Roster
     configuration: configuration.Configuration | None = None
     directory: endpoints.Directory = dataclasses.field(
         default_factory=endpoints.Directory
@@ -81,7 +86,7 @@
         default_factory=quarantine.QuarantineBoard
     )
     peers: dict[str, Peer] = dataclasses.field(default_factory=dict)
-    members: dict[str, str] = dataclasses.field(default_factory=dict)
+    registered: bool = False
     store_contact_s: float = 0.0
     direct_contact_s: float = 0.0
     pools_updated_s: dict[str, float] = dataclasses.field(default_factory=dict)
@@ -112,9 +117,32 @@
             if now_s - peer.received_s < PEER_TIMEOUT_S
         ]
 
+    def count_cluster(self, now_s: float) -> int:
+        """Return the number of this gateway and those attached to it."""
+        attached = self.roster.list_attached(now_s)
+        live = self.list_live_peers(now_s)
+        return 1 + sum(peer.host in attached for peer in live)
+
+    def count_holders(self, now_s: float) -> int:
+        """Return the number of live delegates, including this gateway.
+
+        Only they draw tokens from the pools.
+        """
+        live = self.list_live_peers(now_s)
+        return 2 + len(live) - self.count_cluster(now_s)
+
     def count_gateways(self, now_s: float) -> int:
-        """Return the number of live gateways, including this one."""
-        return 1 + len(self.list_live_peers(now_s))
+        """Return the number of live gateways of the whole fleet."""
+        attached = self.roster.list_attached(now_s)
+        others = [
+            peer.gateways
+            for peer in self.list_live_peers(now_s)
+            if peer.host not in attached
+        ]
+        if not self.roster.acts_as_delegate:
+            # A delegate's message counts the whole fleet.
+            return max(others, default=1)
+        return self.count_cluster(now_s) + sum(others)
 
 
 __all__ = (
--- a/src/cyclamenwing/gateway/errors.py
+++ b/src/cyclamenwing/gateway/errors.py
@@ -108,6 +108,12 @@
     status = 504
 
 
+class PeerDataError(GatewayError):
+    """Report an answer of another gateway that can't be read."""
+
+    code = "peer_data_unreadable"
+
+
 class DeadlineError(GatewayError):
     """Report a deadline that passed before any endpoint ran the request."""
 
@@ -126,6 +132,7 @@
     "NoConfigurationError",
     "NoEndpointError",
     "OverloadedError",
+    "PeerDataError",
     "QuarantinedError",
     "UnknownKeyError",
     "UnknownRouteError",
--- a/src/cyclamenwing/gateway/follower.py
+++ b/src/cyclamenwing/gateway/follower.py
@@ -13,6 +13,7 @@
 from cyclamenwing.gateway import blackboard
 from cyclamenwing.gateway import clock
 from cyclamenwing.gateway import configuration
+from cyclamenwing.gateway import watches
 from cyclamenwing.routing import endpoints
 from cyclamenwing.store import errors as store_errors
 from cyclamenwing.store import protocol
@@ -44,13 +45,14 @@
     `last_failure_s` is the time of the latest failed call, None once the
     store has answered for `UNCERTAIN_REMOVAL_S` since.
 
+    :param store: watches the store, maybe through a delegate
     :param load_snapshot: called with all entries after a full read
     :param apply_change: called with each later change
     """
 
     def __init__(
         self,
-        store: protocol.TransactionStore,
+        store: watches.DelegatedStore,
         board: blackboard.Blackboard,
         prefix: str,
         load_snapshot: Callable[[Sequence[protocol.Entry]], None],
@@ -59,6 +61,7 @@
         self._store = store
         self._board = board
         self._prefix = prefix
+        self._cache = store.open_cache(prefix)
         self._load_snapshot = load_snapshot
         self._apply_change = apply_change
         self.last_failure_s: float | None = clock.read_time()
@@ -90,33 +93,47 @@
 
     async def _read_snapshot(self) -> int:
         snapshot = await self._store.read(self._prefix)
+        self._note_failure(snapshot.failure_age_s)
         self._load_snapshot(snapshot.entries)
+        await self._cache.load(snapshot)
         return snapshot.revision
 
     async def _follow(self, revision: int) -> int:
         changes = await self._store.follow(
             self._prefix, revision, FOLLOW_WAIT_S
         )
+        self._note_failure(changes.failure_age_s)
         for change in changes.changes:
             self._apply_change(change)
+        await self._cache.apply(changes)
         return max(changes.revision, revision)
 
+    def _note_failure(self, age_s: float | None) -> None:
+        """Record that the delegate failed to reach the store."""
+        if age_s is not None:
+            failed_s = clock.read_time() - age_s
+            self.last_failure_s = max(self.last_failure_s or 0.0, failed_s)
+
     def _record_failure(self, err: errors.CodedError) -> None:
         if self.last_failure_s is None:
             eliot.log_message(
                 "follower:store_lost", prefix=self._prefix, code=err.code
             )
         self.last_failure_s = clock.read_time()
+        self._cache.failed_s = self.last_failure_s
 
     def _record_success(self) -> None:
         now_s = clock.read_time()
         self._board.store_contact_s = now_s
+        self._cache.answered_s = now_s
+        self._cache.failed_s = self.last_failure_s
         if (
             self.last_failure_s is not None
             and now_s - self.last_failure_s > UNCERTAIN_REMOVAL_S
         ):
             eliot.log_message("follower:store_regained", prefix=self._prefix)
             self.last_failure_s = None
+            self._cache.failed_s = None
 
 
 class ConfigurationFollower:
--- a/src/cyclamenwing/gateway/gossip.py
+++ b/src/cyclamenwing/gateway/gossip.py
@@ -1,4 +1,11 @@
-"""Gossip messages between gateways, and the state to build and merge them."""
+"""Gossip messages between gateways, and the state to build and merge them.
+
+Delegates exchange messages with each other, and with the gateways that are
+attached to them. A message to an attached gateway speaks for the whole fleet,
+one to another delegate for the sender and the gateways attached to it. So no
+load is counted twice, and the size of a message grows with the endpoints
+rather than with the gateways.
+"""
 
 from __future__ import annotations
 
@@ -12,6 +19,7 @@
 from cyclamenwing.gateway import blackboard
 from cyclamenwing.gateway import clock
 from cyclamenwing.gateway import poison_requests
+from cyclamenwing.membership import delegates
 from cyclamenwing.routing import placement
 from cyclamenwing.routing import quarantine
 
@@ -24,13 +32,13 @@
 RESTART_WINDOW_S = 10.0
 # Prompt parts are in gossip messages for this long, once for each peer.
 RECENT_PARTS_WINDOW_S = 2.5
-MAX_RECENT_PARTS = 200
+MAX_RECENT_PARTS = 1000
 
 
 class EndpointLoad(msgspec.Struct, array_like=True):
-    """Hold the load that a gateway puts on an endpoint.
+    """Hold the load that gateways put on an endpoint.
 
-    :param running: requests that the gateway has in flight
+    :param running: requests that the gateways have in flight
     :param prefill_tokens: estimated prompt tokens of these that await prefill
     """
 
@@ -56,9 +64,13 @@
 
     :param holder: name of the sender's incarnation in the pools
     :param version: version of its configuration
-    :param members: control addresses of its live peers by host
-    :param sites: the load that it puts on endpoints
-    :param sent: prompt parts that it sent to endpoints recently
+    :param member: the sender
+    :param attached: the sender uses the receiver as its delegate
+    :param members: members that the peer has not been told of yet
+    :param lost: delegates that have been silent for long
+    :param gateways: live gateways that the message speaks for
+    :param sites: the load that these put on endpoints
+    :param sent: prompt parts that these sent to endpoints recently
     :param available: tokens by workspace that it may use or transfer now
     :param held: tokens by workspace that it holds, including those that its
         usage bound does not allow yet
@@ -78,7 +90,11 @@
     address: str
     holder: str
     version: int
-    members: dict[str, str]
+    member: delegates.Member
+    attached: bool
+    members: list[delegates.Member]
+    lost: list[str]
+    gateways: int
     sites: list[EndpointLoad]
     sent: list[SentParts]
     available: dict[str, int]
@@ -124,12 +140,19 @@
 
 
 class RecentParts(NamedTuple):
-    """Hold the prompt parts of a request that was sent to an endpoint."""
+    """Hold the prompt parts of a request that was sent to an endpoint.
+
+    :param source: host of the peer that reported it, empty for this gateway
+    :param from_delegate: the peer is a delegate, which reports it to all
+        other delegates itself
+    """
 
     number: int
     endpoint: str
     parts: tuple[tuple[str, int], ...]
     sent_s: float
+    source: str = ""
+    from_delegate: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -138,10 +161,12 @@
 
     :param sent_number: newest `SentParts.number` that the peer has received
     :param revisions: revisions of the pools that it has received
+    :param members: start times of the members that it knows, by host
     """
 
     sent_number: int = 0
     revisions: dict[str, int] = dataclasses.field(default_factory=dict)
+    members: dict[str, int] = dataclasses.field(default_factory=dict)
 
 
 class GossipState:
@@ -168,73 +193,130 @@
         # Revisions of pools that came from peers: they are not passed on, as
         # the gateway that read them sends them to all peers itself.
         self._peer_pool_revisions: dict[str, int] = {}
-        self.registered = False
 
     def record_sent_parts(
-        self, endpoint: str, parts: tuple[tuple[str, int], ...]
+        self,
+        endpoint: str,
+        parts: tuple[tuple[str, int], ...],
+        source: str = "",
+        from_delegate: bool = False,
     ) -> None:
         """Record prompt parts for the next gossip messages."""
         self._parts_number += 1
         self._recent_parts.append(
-            RecentParts(self._parts_number, endpoint, parts, clock.read_time())
+            RecentParts(
+                self._parts_number,
+                endpoint,
+                parts,
+                clock.read_time(),
+                source,
+                from_delegate,
+            )
         )
 
-    def build_message(self, address: str) -> GossipMessage:
-        """Return the next message to the peer at an address."""
+    def build_message(self, address: str, host: str = "") -> GossipMessage:
+        """Return the next message to a peer.
+
+        :param host: its host, empty if it is not known yet
+        """
         delivered = self._delivered.setdefault(address, DeliveredGossip())
         board = self._board
+        roster = board.roster
         now_s = clock.read_time()
         self._message_number += 1
         config = board.configuration
-        names = {key: key[0] for key in board.placement.sites}
+        attached = roster.list_attached(now_s)
+        serves = host in attached
         return GossipMessage(
             host=board.settings.host,
             address=board.settings.control,
             holder=board.escrow.holder,
             version=config.version if config else 0,
-            members={
-                peer.host: peer.address
-                for peer in board.list_live_peers(now_s)
-            },
-            sites=[
-                EndpointLoad(
-                    names[key],
-                    len(endpoint_state.in_flight),
-                    int(endpoint_state.count_own_backlog(now_s)),
-                )
-                for key, endpoint_state in board.placement.sites.items()
-                if endpoint_state.in_flight
-            ],
-            sent=[
-                SentParts(item.number, item.endpoint, list(item.parts))
-                for item in self._recent_parts
-                if now_s - item.sent_s < RECENT_PARTS_WINDOW_S
-                and item.number > delivered.sent_number
+            member=roster.own,
+            attached=not roster.acts_as_delegate,
+            members=[
+                member
+                for member in roster.members.values()
+                if delivered.members.get(member.host) != member.started_ms
             ],
+            lost=roster.list_lost(now_s),
+            gateways=(
+                board.count_gateways(now_s)
+                if serves
+                else board.count_cluster(now_s)
+            ),
+            sites=self._sum_loads(None if serves else attached, host, now_s),
+            sent=self._list_parts(delivered, serves, host, now_s),
             available={
                 name: account.count_available(now_s)
                 for name, account in board.escrow.accounts.items()
-                if account.count_available(now_s) > 0
+                if not serves and account.count_available(now_s) > 0
             },
             held={
                 name: account.held
                 for name, account in board.escrow.accounts.items()
-                if account.held > 0
+                if not serves and account.held > 0
             },
             pools={
                 name: (pool.revision, pool.holders)
                 for name, pool in board.escrow.pools.items()
-                if pool.revision > delivered.revisions.get(name, 0)
+                if not serves
+                and roster.acts_as_delegate
+                and pool.revision > delivered.revisions.get(name, 0)
                 and pool.revision != self._peer_pool_revisions.get(name)
             },
             record_age_s=now_s - board.record_written_s,
             suspects=self._poison_requests.build_gossip(),
             store_age_s=now_s - board.direct_contact_s,
-            late=now_s - board.record_written_s > LATE_RECORD_AGE_S,
-            registered=self.registered,
+            late=self.has_late_record(now_s),
+            registered=board.registered,
             number=self._message_number,
         )
 
+    def has_late_record(self, now_s: float) -> bool:
+        """Return whether this gateway has a record that became old."""
+        written_s = self._board.record_written_s
+        return written_s > 0 and now_s - written_s > LATE_RECORD_AGE_S
+
+    def _sum_loads(
+        self, included: set[str] | None, receiver: str, now_s: float
+    ) -> list[EndpointLoad]:
+        """Return the loads of this gateway and of some of its peers.
+
+        :param included: hosts of these peers, None for all but the receiver
+        """
+        loads = []
+        for key, state in self._board.placement.sites.items():
+            others = [
+                load
+                for host, load in state.peer_loads.items()
+                if (host != receiver if included is None else host in included)
+                and now_s - load.received_s < placement.PEER_LOAD_TTL_S
+            ]
+            running = len(state.in_flight) + sum(o.running for o in others)
+            if running:
+                tokens = state.count_own_backlog(now_s) + sum(
+                    o.prefill_tokens for o in others
+                )
+                loads.append(EndpointLoad(key[0], running, int(tokens)))
+        return loads
+
+    def _list_parts(
+        self,
+        delivered: DeliveredGossip,
+        serves: bool,
+        receiver: str,
+        now_s: float,
+    ) -> list[SentParts]:
+        return [
+            SentParts(item.number, item.endpoint, list(item.parts))
+            for item in self._recent_parts
+            if item.number > delivered.sent_number
+            and now_s - item.sent_s < RECENT_PARTS_WINDOW_S
+            and not (item.source and item.source == receiver)
+            and (serves or not item.from_delegate)
+        ]
+
     def record_delivered(self, address: str, message: GossipMessage) -> None:
         """Record that a message has reached a peer."""
         delivered = self._delivered.setdefault(address, DeliveredGossip())
@@ -242,6 +324,8 @@
             delivered.sent_number = max(delivered.sent_number, item.number)
         for name, (revision, _) in message.pools.items():
             delivered.revisions[name] = revision
+        for member in message.members:
+            delivered.members[member.host] = member.started_ms
 
     def merge_message(self, message: GossipMessage) -> None:
         """Update the blackboard from a peer's message."""
@@ -265,11 +349,9 @@
             now_s,
             message.record_age_s,
             message.store_age_s,
+            message.gateways,
         )
-        board.members[message.host] = message.address
-        for host, address in message.members.items():
-            if host != board.settings.host:
-                board.members.setdefault(host, address)
+        self._merge_members(message, now_s)
         self._merge_loads(message, now_s)
         self._merge_pools(message, now_s)
         if message.suspects is not None:
@@ -301,6 +383,24 @@
             self._delivered.pop(message.address, None)
             self._replaced_peers[previous.holder] = previous
 
+    def _merge_members(self, message: GossipMessage, now_s: float) -> None:
+        roster = self._board.roster
+        roster.add(message.member)
+        for member in message.members:
+            roster.add(member)
+        delivered = self._delivered.setdefault(
+            message.address, DeliveredGossip()
+        )
+        for member in (message.member, *message.members):
+            # The peer knows them already.
+            delivered.members[member.host] = member.started_ms
+        roster.record_contact(message.host, now_s)
+        if message.attached:
+            roster.record_attached(message.host, now_s)
+        else:
+            roster.detach(message.host)
+            roster.merge_lost(message.lost)
+
     def _merge_pools(self, message: GossipMessage, now_s: float) -> None:
         own_escrow = self._board.escrow
         for name, (revision, holders) in message.pools.items():
@@ -312,7 +412,12 @@
     def _merge_loads(self, message: GossipMessage, now_s: float) -> None:
         own_placement = self._board.placement
         loads = {item.endpoint: item for item in message.sites}
+        # An attached gateway learns all loads from its delegate. Those of a
+        # former delegate would count twice.
+        alone = not self._board.roster.acts_as_delegate
         for key, endpoint_state in own_placement.sites.items():
+            if alone:
+                endpoint_state.peer_loads.clear()
             item = loads.get(key[0])
             if item is None:
                 endpoint_state.peer_loads.pop(message.host, None)
@@ -322,11 +427,19 @@
             )
         last_number = self._received_parts_numbers.get(message.host, 0)
         for sent in message.sent:
-            if sent.number > last_number:
-                target_state = own_placement.find_state(sent.endpoint)
-                if target_state is not None:
-                    target_state.cache_parts(sent.parts)
-                last_number = sent.number
+            if sent.number <= last_number:
+                continue
+            target_state = own_placement.find_state(sent.endpoint)
+            if target_state is not None:
+                target_state.cache_parts(sent.parts)
+            last_number = sent.number
+            if not alone:
+                self.record_sent_parts(
+                    sent.endpoint,
+                    tuple(sent.parts),
+                    message.host,
+                    not message.attached,
+                )
         self._received_parts_numbers[message.host] = last_number
 
 
--- /dev/null
+++ b/src/cyclamenwing/gateway/grants.py
@@ -0,0 +1,102 @@
+"""Calls of attached gateways to delegates for prepaid tokens."""
+
+from __future__ import annotations
+
+import eliot
+import msgspec
+
+from cyclamenwing import errors
+from cyclamenwing.gateway import blackboard
+from cyclamenwing.gateway import clock
+from cyclamenwing.gateway import reservations
+from cyclamenwing.transport import errors as transport_errors
+from cyclamenwing.transport import pooled_client
+
+GRANT_PATH = "/peers/grant"
+RETURN_PATH = "/peers/return"
+# Time for the call itself, on top of the delegate's wait for tokens.
+CALL_TIMEOUT_S = 0.15
+RETURN_TIMEOUT_S = 0.5
+MAX_DELEGATES_ASKED = 3
+
+
+class GrantClient:
+    """Ask delegates for tokens and give them back."""
+
+    def __init__(
+        self, board: blackboard.Blackboard, http: pooled_client.PooledClient
+    ) -> None:
+        self._board = board
+        self._caller = http
+
+    async def request_grant(
+        self, request: reservations.GrantRequest
+    ) -> reservations.GrantReply | None:
+        """Return the reply of the first delegate that answers, if any."""
+        roster = self._board.roster
+        body = msgspec.json.encode(request)
+        for member in roster.find_delegates(clock.read_time())[
+            :MAX_DELEGATES_ASKED
+        ]:
+            try:
+                status, answer = await self._caller.call(
+                    member.address,
+                    "POST",
+                    GRANT_PATH,
+                    body,
+                    request.wait_s + CALL_TIMEOUT_S,
+                )
+                if status != 200:
+                    continue
+                reply = msgspec.json.decode(
+                    answer, type=reservations.GrantReply
+                )
+            except (errors.CodedError, msgspec.DecodeError) as err:
+                roster.record_failure(member.host, clock.read_time())
+                eliot.log_message(
+                    "grant:delegate_failed",
+                    delegate=member.host,
+                    workspace=request.workspace,
+                    tokens=request.tokens,
+                    reason=str(err),
+                )
+                continue
+            roster.record_contact(member.host, clock.read_time())
+            return reply
+        return None
+
+    async def return_tokens(self, tokens: dict[str, int]) -> bool:
+        """Give tokens by workspace to a delegate.
+
+        Return False if it has certainly not received them. They are lost if
+        its answer is.
+        """
+        members = self._board.roster.find_delegates(clock.read_time())
+        if not members:
+            return False
+        try:
+            status, _ = await self._caller.call(
+                members[0].address,
+                "POST",
+                RETURN_PATH,
+                msgspec.json.encode(tokens),
+                RETURN_TIMEOUT_S,
+            )
+        except transport_errors.ConnectFailedError:
+            return False
+        except errors.CodedError as err:
+            eliot.log_message(
+                "grant:return_in_doubt",
+                delegate=members[0].host,
+                tokens=tokens,
+                reason=err.message,
+            )
+            return True
+        return status == 200
+
+
+__all__ = (
+    "GRANT_PATH",
+    "RETURN_PATH",
+    "GrantClient",
+)
--- a/src/cyclamenwing/gateway/peers.py
+++ b/src/cyclamenwing/gateway/peers.py
@@ -1,6 +1,7 @@
 """Gossip, token transfers and configurations exchanged between gateways.
 
-Of each pair the gateway with the lower host name calls, and the answer
+Delegates exchange gossip with each other, any other gateway with its delegate
+only. Of two delegates the one with the lower host name calls, and the answer
 carries the other's gossip message. The exchange needs no store, so peers keep
 each other informed during an outage of the store.
 """
@@ -18,12 +19,10 @@
 from cyclamenwing import errors
 from cyclamenwing.gateway import blackboard
 from cyclamenwing.gateway import clock
+from cyclamenwing.gateway import compression
 from cyclamenwing.gateway import gossip
 from cyclamenwing.gateway import poison_requests
 from cyclamenwing.gateway import record_age
-from cyclamenwing.gateway import relay
-from cyclamenwing.store import errors as store_errors
-from cyclamenwing.store import protocol
 from cyclamenwing.transport import h1
 from cyclamenwing.transport import pooled_client
 
@@ -31,7 +30,6 @@
 TRANSFER_PATH = "/peers/transfer"
 CONFIGURATION_PATH = "/peers/configuration"
 RECORD_AGE_PATH = "/peers/statement"
-HOSTS_PREFIX = "cyclamenwing/hosts/"
 
 GOSSIP_INTERVAL_S = 0.2
 # Bound on the gossip exchanges per second of one gateway. Each costs about
@@ -43,16 +41,19 @@
 SILENT_INTERVALS = 4
 GOSSIP_TIMEOUT_S = 0.5
 TRANSFER_TIMEOUT_S = 0.1
-CONFIGURATION_TIMEOUT_S = 1.0
+CONFIGURATION_TIMEOUT_S = 3.0
 RECORD_AGE_TIMEOUT_S = 0.3
+# A new configuration usually arrives by the watch within this time.
+FETCH_DELAY_S = 0.3
 # Delay before calling a gateway again that did not answer.
 RETRY_DELAY_S = 1.0
 
 TransferTokens = Callable[[str, int], Awaitable[int]]
+Answer = Callable[[bytes], Awaitable[bytes]]
 
 
 class Peers:
-    """Exchange gossip with all other gateways and answer their calls.
+    """Exchange gossip with other gateways and answer their calls.
 
     :param adopt: called with a peer's encoded configuration and its host
     """
@@ -68,32 +69,19 @@
         self._caller = http
         self._adopt = adopt
         self.gossip = gossip.GossipState(board, poison_tracker)
-        self.relayed_store: relay.RelayedStore | None = None
         self.transfer_tokens: TransferTokens | None = None
+        # Answers to calls of peers by path; other components add theirs.
+        self.handlers: dict[str, Answer] = {
+            GOSSIP_PATH: self._answer_gossip,
+            TRANSFER_PATH: self._answer_transfer,
+            CONFIGURATION_PATH: self._answer_configuration,
+            RECORD_AGE_PATH: self._answer_record_age,
+        }
         self._last_call_s: dict[str, float] = {}
         self._retry_at_s: dict[str, float] = {}
+        self._fetching = False
         self._tasks: set[asyncio.Task[None]] = set()
 
-    async def register(self, store: protocol.TransactionStore) -> None:
-        """Register this gateway's address in the store and read all others."""
-        board = self._board
-        key = HOSTS_PREFIX + board.settings.host
-        while True:
-            try:
-                await store.commit(
-                    [], [(key, board.settings.control.encode())]
-                )
-                snapshot = await store.read(HOSTS_PREFIX)
-            except store_errors.StoreError as err:
-                eliot.log_message("peers:register_failed", code=err.code)
-                await asyncio.sleep(RETRY_DELAY_S)
-                continue
-            for entry in snapshot.entries:
-                host = entry.key.removeprefix(HOSTS_PREFIX)
-                self._add_member(host, entry.value.decode())
-            self.gossip.registered = True
-            return
-
     async def run(self) -> None:
         """Exchange gossip until cancelled."""
         while True:
@@ -106,18 +94,12 @@
     ) -> None:
         """Answer a call of a peer."""
         path = request.target.decode("latin-1")
-        handler = _HANDLERS.get(path)
-        relayed_store = (
-            self.relayed_store if path == relay.RELAY_PATH else None
-        )
-        if handler is None and relayed_store is None:
+        handler = self.handlers.get(path)
+        if handler is None:
             await connection.respond(404, (), b"")
             return
         try:
-            if handler is not None:
-                body = await handler(self, request.body)
-            elif relayed_store is not None:
-                body = await relayed_store.answer_peer(request.body)
+            body = await handler(request.body)
         except msgspec.DecodeError as err:
             eliot.log_message("peers:unreadable", path=path, reason=str(err))
             await connection.respond(400, (), b"")
@@ -168,7 +150,7 @@
                     body,
                     RECORD_AGE_TIMEOUT_S,
                 )
-                for address in self._board.members.values()
+                for address in self._list_addresses()
             ),
             return_exceptions=True,
         )
@@ -190,45 +172,52 @@
                 )
         return evidence
 
-    def _add_member(self, host: str, address: str) -> None:
-        if host != self._board.settings.host:
-            self._board.members.setdefault(host, address)
+    def _list_addresses(self) -> list[str]:
+        members = self._board.roster.members.values()
+        return [member.address for member in members]
 
     def _start_due_exchanges(self, now_s: float) -> None:
-        board = self._board
-        own_host = board.settings.host
-        late = now_s - board.record_written_s > gossip.LATE_RECORD_AGE_S
-        targets = {
-            address: host
-            for host, address in board.members.items()
-            if host > own_host
-            or late
-            or not self._has_recent_gossip(host, now_s)
-        }
-        interval_s = compute_interval(len(board.members))
-        member_addresses = set(board.members.values())
-        for address in board.settings.seeds:
-            if (
-                address != board.settings.control
-                and address not in member_addresses
-            ):
-                targets.setdefault(address, address)
-        for address in targets:
+        roster = self._board.roster
+        roster.refresh(now_s)
+        targets = self._list_targets(now_s)
+        interval_s = compute_interval(len(targets))
+        known = set(self._list_addresses())
+        for address in self._board.settings.seeds:
+            if address != roster.own.address and address not in known:
+                targets.setdefault(address, "")
+        for address, host in targets.items():
             due_s = self._last_call_s.get(address, 0.0) + interval_s * 0.9
             if now_s < max(due_s, self._retry_at_s.get(address, 0.0)):
                 continue
             self._last_call_s[address] = now_s
-            self._start_task(self._exchange_gossip(address))
+            self._start_task(self._exchange_gossip(address, host))
+
+    def _list_targets(self, now_s: float) -> dict[str, str]:
+        """Return the hosts of the peers to call, by address."""
+        roster = self._board.roster
+        if not roster.acts_as_delegate:
+            chosen = roster.find_delegates(now_s)[:1]
+            chosen += roster.list_retries(now_s)
+            return {member.address: member.host for member in chosen}
+        late = self.gossip.has_late_record(now_s)
+        others = roster.list_delegates() + roster.list_retries(now_s)
+        max_silence_s = SILENT_INTERVALS * compute_interval(len(others))
+        return {
+            member.address: member.host
+            for member in others
+            if member.host > roster.own.host
+            or late
+            or not self._has_recent_gossip(member.host, now_s, max_silence_s)
+        }
 
-    def _has_recent_gossip(self, host: str, now_s: float) -> bool:
+    def _has_recent_gossip(
+        self, host: str, now_s: float, max_silence_s: float
+    ) -> bool:
         peer = self._board.peers.get(host)
-        max_silence_s = SILENT_INTERVALS * compute_interval(
-            len(self._board.members)
-        )
         return peer is not None and now_s - peer.received_s < max_silence_s
 
-    async def _exchange_gossip(self, address: str) -> None:
-        sent = self.gossip.build_message(address)
+    async def _exchange_gossip(self, address: str, host: str) -> None:
+        sent = self.gossip.build_message(address, host)
         record_written_s = self._board.record_written_s
         try:
             status, answer = await self._caller.call(
@@ -246,7 +235,10 @@
                 eliot.log_message(
                     "peers:lost", address=address, reason=str(err)
                 )
-            self._retry_at_s[address] = clock.read_time() + RETRY_DELAY_S
+            now_s = clock.read_time()
+            self._retry_at_s[address] = now_s + RETRY_DELAY_S
+            if host:
+                self._board.roster.record_failure(host, now_s)
             return
         self.gossip.record_delivered(address, sent)
         self._merge(reply)
@@ -259,13 +251,24 @@
     def _merge(self, message: gossip.GossipMessage) -> None:
         self.gossip.merge_message(message)
         config = self._board.configuration
-        if message.version > (config.version if config else 0):
+        newer = message.version > (config.version if config else 0)
+        if newer and not self._fetching:
+            self._fetching = True
             self._start_task(self._fetch_configuration(message))
 
     async def _fetch_configuration(
         self, message: gossip.GossipMessage
     ) -> None:
+        """Fetch a newer configuration unless it arrives by itself.
+
+        One fetch at a time: all peers announce a new version at once, and
+        answers to several fetches would share a slow link.
+        """
         try:
+            await asyncio.sleep(FETCH_DELAY_S)
+            config = self._board.configuration
+            if config is not None and config.version >= message.version:
+                return
             status, answer = await self._caller.call(
                 message.address,
                 "GET",
@@ -273,15 +276,16 @@
                 b"",
                 CONFIGURATION_TIMEOUT_S,
             )
+            if status == 200 and answer:
+                self._adopt(compression.unpack(answer), message.host)
         except errors.CodedError as err:
             eliot.log_message(
                 "peers:configuration_failed",
                 peer=message.host,
                 reason=err.message,
             )
-            return
-        if status == 200 and answer:
-            self._adopt(answer, message.host)
+        finally:
+            self._fetching = False
 
     def _start_task(self, coroutine: Coroutine[None, None, None]) -> None:
         task = asyncio.ensure_future(coroutine)
@@ -291,7 +295,7 @@
     async def _answer_gossip(self, body: bytes) -> bytes:
         received = msgspec.json.decode(body, type=gossip.GossipMessage)
         self._merge(received)
-        reply = self.gossip.build_message(received.address)
+        reply = self.gossip.build_message(received.address, received.host)
         # If the reply is lost, the peer learns of the pools by their next
         # revisions or by a conflict of its own commit.
         self.gossip.record_delivered(received.address, reply)
@@ -328,7 +332,7 @@
 
     async def _answer_configuration(self, _: bytes) -> bytes:
         config = self._board.configuration
-        return config.source if config else b""
+        return compression.pack(config.source) if config else b""
 
 
 def compute_interval(peers: int) -> float:
@@ -339,13 +343,6 @@
     return max(GOSSIP_INTERVAL_S, peers / MAX_GOSSIP_PER_S)
 
 
-_HANDLERS: dict[str, Callable[[Peers, bytes], Awaitable[bytes]]] = {
-    GOSSIP_PATH: Peers._answer_gossip,
-    TRANSFER_PATH: Peers._answer_transfer,
-    CONFIGURATION_PATH: Peers._answer_configuration,
-    RECORD_AGE_PATH: Peers._answer_record_age,
-}
-
 __all__ = (
     "Peers",
     "compute_interval",
--- a/src/cyclamenwing/gateway/pools.py
+++ b/src/cyclamenwing/gateway/pools.py
@@ -44,15 +44,25 @@
 class PoolClient:
     """Draw tokens from the pools and renew this gateway's record.
 
+    Only delegates do. A gateway that is none any more returns what it holds
+    and leaves its record as it is.
+
     The record holds the usage bounds of the gateway. Each commit renews it,
     together with the pools that are drawn from or returned to.
     """
 
     def __init__(
-        self, board: blackboard.Blackboard, store: protocol.TransactionStore
+        self,
+        board: blackboard.Blackboard,
+        store: protocol.TransactionStore,
+        settled: asyncio.Event,
     ) -> None:
         self._board = board
         self._store = store
+        # Set once it is known which gateways are delegates.
+        self._settled = settled
+        self._predecessor_checked = False
+        self._retired = False
         self._draw_requested = asyncio.Event()
         self._draw_ended = asyncio.Condition()
         self._process_start = records.ProcessStart(
@@ -71,14 +81,18 @@
 
     async def run(self) -> None:
         """Draw tokens and renew the record until cancelled."""
+        await self._settled.wait()
         while True:
             self._draw_requested.clear()
             delay_s = MIN_DRAW_INTERVAL_S
             try:
-                if self._record_revision is None:
-                    await self._replace_record()
-                else:
+                if self._record_revision is not None:
                     await self._renew()
+                elif (
+                    self._board.roster.acts_as_delegate
+                    or await self._has_predecessor()
+                ):
+                    await self._replace_record()
             except store_errors.StoreError as err:
                 eliot.log_message("funds:commit_failed", code=err.code)
                 delay_s = STORE_RETRY_DELAY_S
@@ -100,6 +114,22 @@
             if not changes or await self._commit(changes):
                 return
 
+    async def _has_predecessor(self) -> bool:
+        """Return whether an earlier process of the host wrote a record.
+
+        It may have died as a delegate with holdings to release.
+        """
+        if self._predecessor_checked:
+            return False
+        snapshot = await self._store.read(self._record_key)
+        self._predecessor_checked = True
+        records_found = [
+            msgspec.json.decode(entry.value, type=records.HolderRecord)
+            for entry in snapshot.entries
+            if entry.key == self._record_key
+        ]
+        return any(r.promises or r.former for r in records_found)
+
     async def _replace_record(self) -> None:
         """Read the pools and replace the record of the host's predecessor."""
         own_escrow = self._board.escrow
@@ -137,7 +167,11 @@
         board.predecessors = records.read_predecessors(
             record, self._process_start
         )
-        board.predecessor_wall_age_s = board.predecessors[-1].wall_elapsed_s
+        if record.promises:
+            # A retired gateway's record is not renewed; its age says nothing.
+            board.predecessor_wall_age_s = board.predecessors[
+                -1
+            ].wall_elapsed_s
 
     def _make_record(
         self, usage_bounds: Mapping[str, escrow.UsageBound], now_s: float
@@ -218,7 +252,11 @@
         if config is None:
             return
         now_s = clock.read_time()
-        gateways = board.count_gateways(now_s)
+        if not board.roster.acts_as_delegate:
+            await self._retire()
+            return
+        self._retired = False
+        gateways = board.count_holders(now_s)
         changes = {}
         for name, workspace in config.workspaces.items():
             if workspace.prepaid_tokens is None:
@@ -234,6 +272,25 @@
         if changes or self._is_renewal_due(now_s):
             await self._commit(changes)
 
+    async def _retire(self) -> None:
+        """Return all holdings, as this gateway is no delegate any more.
+
+        The record that remains has no usage bounds, so the next process of
+        the host has nothing to release.
+        """
+        if self._retired:
+            return
+        changes = {
+            name: -account.held
+            for name, account in self._board.escrow.accounts.items()
+            if account.held > 0 and account.drawn > 0
+        }
+        complete = len(changes) <= MAX_POOLS_PER_COMMIT
+        if await self._commit(changes, retires=complete) and complete:
+            self._retired = True
+            self._board.record_written_s = 0.0
+            eliot.log_message("funds:retired", changes=changes)
+
     def _is_renewal_due(self, now_s: float) -> bool:
         accounts = self._board.escrow.accounts
         if any(
@@ -260,7 +317,13 @@
             account.used - used_at_renewal > headroom * EARLY_RENEWAL_FRACTION
         )
 
-    async def _commit(self, changes: dict[str, int]) -> bool:
+    async def _commit(
+        self, changes: dict[str, int], retires: bool = False
+    ) -> bool:
+        """Change the pools and renew the record; return whether it worked.
+
+        :param retires: write a record without usage bounds
+        """
         names = sorted(changes, key=lambda n: -abs(changes[n]))[
             :MAX_POOLS_PER_COMMIT
         ]
@@ -268,7 +331,7 @@
         own_escrow = self._board.escrow
         now_s = clock.read_time()
         written, usage_bounds = own_escrow.begin_commit(chosen, now_s)
-        record = self._make_record(usage_bounds, now_s)
+        record = self._make_record({} if retires else usage_bounds, now_s)
         expected = [(self._record_key, self._record_revision or 0)]
         writes = [(self._record_key, msgspec.json.encode(record))]
         for name, holders in written.items():
--- a/src/cyclamenwing/gateway/record_age.py
+++ b/src/cyclamenwing/gateway/record_age.py
@@ -81,20 +81,24 @@
 
 
 def bound_age(
-    predecessor: Predecessor, other_hosts: int, evidence: Sequence[AgeEvidence]
+    predecessor: Predecessor,
+    other_hosts: int,
+    other_records: int,
+    evidence: Sequence[AgeEvidence],
 ) -> Age | None:
     """Return the best upper bound on the age of a predecessor's record.
 
     None means that there is no evidence, or none that is of use yet.
 
     :param other_hosts: number of hosts of the fleet besides this one
+    :param other_records: number of these that write records
     """
     if predecessor.age is not None:
         return predecessor.age
     bounds = [e.elapsed_s for e in evidence if e.elapsed_s is not None]
     if predecessor.boot_elapsed_s is not None:
         bounds.append(predecessor.boot_elapsed_s)
-    wall_bound_s = _bound_by_wall_clocks(predecessor, other_hosts, evidence)
+    wall_bound_s = _bound_by_wall_clocks(predecessor, other_records, evidence)
     if wall_bound_s is not None:
         bounds.append(wall_bound_s)
     if not bounds:
@@ -109,12 +113,14 @@
 
 
 def _bound_by_wall_clocks(
-    predecessor: Predecessor, other_hosts: int, evidence: Sequence[AgeEvidence]
+    predecessor: Predecessor,
+    other_records: int,
+    evidence: Sequence[AgeEvidence],
 ) -> float | None:
     ages = [e.restart_age_s for e in evidence if e.restart_age_s is not None]
     if predecessor.wall_elapsed_s is None:
         return None
-    if len(ages) < other_hosts or len(ages) + 1 < MIN_WALL_CLOCK_HOSTS:
+    if len(ages) < other_records or len(ages) + 1 < MIN_WALL_CLOCK_HOSTS:
         return None
     ages.append(predecessor.wall_elapsed_s)
     if max(ages) - min(ages) > MAX_WALL_SPREAD_S or min(ages) < 0:
--- /dev/null
+++ b/src/cyclamenwing/gateway/registration.py
@@ -0,0 +1,99 @@
+"""Registration of this gateway in the store, and the list of all others."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+import eliot
+import msgspec
+
+from cyclamenwing.gateway import blackboard
+from cyclamenwing.gateway import clock
+from cyclamenwing.membership import delegates
+from cyclamenwing.store import errors as store_errors
+from cyclamenwing.store import protocol
+
+HOSTS_PREFIX = "cyclamenwing/hosts/"
+RETRY_DELAY_S = 1.0
+# When the whole fleet starts for the first time, the list is complete after
+# this time; until then no gateway draws tokens.
+BOOTSTRAP_DELAY_S = 1.5
+# Interval at which the list is read again. New gateways also announce
+# themselves by gossip.
+REFRESH_INTERVAL_S = 15.0
+
+
+class Registration:
+    """Register this gateway and keep the roster up to date."""
+
+    def __init__(
+        self, board: blackboard.Blackboard, store: protocol.TransactionStore
+    ) -> None:
+        self._board = board
+        self._store = store
+        # Set once the roster is complete enough to know the delegates.
+        self.settled = asyncio.Event()
+
+    async def run(self) -> None:
+        """Register, then read the list of gateways until cancelled."""
+        while not await self._register():
+            await asyncio.sleep(RETRY_DELAY_S)
+        if self._board.settings.bootstrap:
+            await asyncio.sleep(BOOTSTRAP_DELAY_S)
+            await self._read_members(stale=False)
+        self._board.roster.settle(clock.read_time())
+        self.settled.set()
+        while True:
+            # Spread over time, so that the fleet does not read at once.
+            await asyncio.sleep(REFRESH_INTERVAL_S * random.uniform(0.8, 1.2))
+            await self._read_members(stale=True)
+
+    async def _register(self) -> bool:
+        own = self._board.roster.own
+        key = HOSTS_PREFIX + own.host
+        try:
+            await self._store.commit([], [(key, msgspec.json.encode(own))])
+        except store_errors.StoreError as err:
+            eliot.log_message("registration:failed", code=err.code)
+            return False
+        return await self._read_members(stale=False)
+
+    async def _read_members(self, stale: bool) -> bool:
+        """Read all registered gateways; return whether the store answered.
+
+        :param stale: accept a list that is some seconds old, which costs the
+            store less
+        """
+        try:
+            snapshot = await self._store.read(HOSTS_PREFIX, stale=stale)
+        except store_errors.StoreError as err:
+            eliot.log_message("registration:read_failed", code=err.code)
+            return False
+        roster = self._board.roster
+        for entry in snapshot.entries:
+            try:
+                member = msgspec.json.decode(
+                    entry.value, type=delegates.Member
+                )
+            except msgspec.DecodeError as err:
+                eliot.log_message(
+                    "registration:unreadable", key=entry.key, reason=str(err)
+                )
+                continue
+            roster.add(member)
+        self._board.registered = True
+        roster.refresh(clock.read_time())
+        eliot.log_message(
+            "registration:members",
+            members=len(roster.members),
+            delegates=roster.count_delegates(),
+            acts_as_delegate=roster.acts_as_delegate,
+        )
+        return True
+
+
+__all__ = (
+    "HOSTS_PREFIX",
+    "Registration",
+)
--- a/src/cyclamenwing/gateway/relay.py
+++ b/src/cyclamenwing/gateway/relay.py
@@ -71,10 +71,17 @@
         self._caller = http
         self._unreachable = False
 
-    async def read(self, prefix: str) -> protocol.Snapshot:
-        """Read all keys below a prefix."""
+    async def read(
+        self, prefix: str, stale: bool = False
+    ) -> protocol.Snapshot:
+        """Read all keys below a prefix.
+
+        :param stale: the entries may be some seconds old
+        """
         try:
-            return await self._call_direct(lambda: self._direct.read(prefix))
+            return await self._call_direct(
+                lambda: self._direct.read(prefix, stale)
+            )
         except errors.StoreError as err:
             reply = await self._relay(RelayRequest("read", prefix), err)
         return protocol.Snapshot(
@@ -133,6 +140,10 @@
             await asyncio.sleep(PROBE_INTERVAL_S)
             if not self._unreachable:
                 continue
+            if not self._board.roster.acts_as_delegate:
+                # Its few calls test the store themselves.
+                self._unreachable = False
+                continue
             try:
                 await self._direct.read(PROBE_PREFIX)
             except errors.StoreError:
--- a/src/cyclamenwing/gateway/reservations.py
+++ b/src/cyclamenwing/gateway/reservations.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 
 import eliot
+import msgspec
 
 from cyclamenwing.budget import escrow
 from cyclamenwing.gateway import blackboard
@@ -37,6 +38,9 @@
 # is the time until the late phase of the usage bound instead, if that lies
 # ahead.
 RETRY_AFTER_S = 1.0
+# Interval at which idle tokens go back to the delegate, and the time without
+# a request after which they count as idle.
+IDLE_RETURN_INTERVAL_S = 0.5
 # Peers learn of an outage of the store within a round of gossip.
 OUTAGE_GOSSIP_S = 0.4
 MIN_RETRY_AFTER_S = 0.5
@@ -44,11 +48,46 @@
 RequestTokens = Callable[[blackboard.Peer, str, int], Awaitable[int]]
 
 
+class GrantRequest(msgspec.Struct):
+    """Ask a delegate to reserve tokens and hand them over.
+
+    :param goal_s: latency goal of the request's route
+    :param wait_s: longest time to wait for tokens
+    """
+
+    host: str
+    workspace: str
+    tokens: int
+    goal_s: float
+    wait_s: float
+
+
+class GrantReply(msgspec.Struct):
+    """Hand over all tokens asked for, or none; they are lost with the reply.
+
+    :param spent: the budget has too few tokens left
+    :param retry_after_s: time after which to ask again
+    """
+
+    tokens: int
+    spent: bool = False
+    retry_after_s: float = 0.0
+
+
+RequestGrant = Callable[[GrantRequest], Awaitable[GrantReply | None]]
+ReturnTokens = Callable[[dict[str, int]], Awaitable[bool]]
+
+
 class Reservations:
     """Reserve and settle prepaid tokens of workspaces.
 
+    Delegates reserve from what they hold, all others through a delegate.
+
     :param request_tokens: asks a peer for tokens of a workspace; returns how
         many it transferred
+    :param request_grant: asks a delegate for the tokens of one request
+    :param return_tokens: gives tokens by workspace to a delegate; returns
+        False if it has certainly not received them
     """
 
     def __init__(
@@ -56,10 +95,14 @@
         board: blackboard.Blackboard,
         pool_client: pools.PoolClient,
         request_tokens: RequestTokens,
+        request_grant: RequestGrant,
+        return_tokens: ReturnTokens,
     ) -> None:
         self._board = board
         self._pools = pool_client
         self._request_tokens = request_tokens
+        self._request_grant = request_grant
+        self._return_tokens = return_tokens
         self._transfer_locks: dict[str, asyncio.Lock] = {}
 
     async def reserve(
@@ -69,12 +112,14 @@
         tokens: int,
         goal_s: float,
         remaining_s: float,
+        max_wait_s: float | None = None,
     ) -> None:
         """Reserve tokens, obtaining them from the pool or peers if needed.
 
         :param prepaid: tokens that the workspace has paid for
         :param goal_s: latency goal of the request's route
         :param remaining_s: time until the request's deadline
+        :param max_wait_s: longest wait; None for what suits the request
         :raises BudgetSpentError: if the budget has too few tokens left
         :raises BudgetUnreachableError: if enough may be left but can't be
             obtained in time
@@ -83,6 +128,11 @@
         account = self._board.escrow.open_account(workspace)
         if account.reserve(tokens, now_s):
             return
+        if max_wait_s is None and not self._board.roster.acts_as_delegate:
+            await self._reserve_by_grant(
+                workspace, tokens, goal_s, remaining_s
+            )
+            return
         if self._exceeds_budget(workspace, prepaid, tokens):
             raise self._make_refusal(workspace, prepaid, tokens, outage=False)
         account.wanted += tokens
@@ -98,6 +148,8 @@
                     max(wait_s, growth_s + wait_s),
                     remaining_s * GROWTH_WAIT_FRACTION,
                 )
+            if max_wait_s is not None:
+                wait_s = min(wait_s, max_wait_s)
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(wait_s):
                     if await self._acquire(workspace, prepaid, tokens):
@@ -113,6 +165,74 @@
         """End a reservation, of which `spent` tokens were used."""
         self._board.escrow.open_account(workspace).settle(reserved, spent)
 
+    async def answer_grant(self, body: bytes) -> bytes:
+        """Reserve tokens for an attached gateway and hand them over."""
+        request = msgspec.json.decode(body, type=GrantRequest)
+        board = self._board
+        board.roster.record_attached(request.host, clock.read_time())
+        config = board.configuration
+        workspace = config and config.workspaces.get(request.workspace)
+        if not workspace or workspace.prepaid_tokens is None:
+            # The configuration here is older than the asking gateway's.
+            return msgspec.json.encode(
+                GrantReply(0, retry_after_s=MIN_RETRY_AFTER_S)
+            )
+        try:
+            await self.reserve(
+                request.workspace,
+                workspace.prepaid_tokens,
+                request.tokens,
+                request.goal_s,
+                request.wait_s / GROWTH_WAIT_FRACTION,
+                request.wait_s,
+            )
+        except errors.BudgetSpentError:
+            return msgspec.json.encode(GrantReply(0, spent=True))
+        except errors.BudgetUnreachableError as err:
+            return msgspec.json.encode(
+                GrantReply(0, retry_after_s=err.retry_after_s or RETRY_AFTER_S)
+            )
+        account = board.escrow.open_account(request.workspace)
+        account.hand_over(request.tokens)
+        return msgspec.json.encode(GrantReply(request.tokens))
+
+    async def answer_return(self, body: bytes) -> bytes:
+        """Take back tokens that an attached gateway does not need."""
+        returned = msgspec.json.decode(body, type=dict[str, int])
+        for workspace, tokens in returned.items():
+            account = self._board.escrow.open_account(workspace)
+            account.add_transfer(max(tokens, 0))
+        return b"{}"
+
+    async def return_idle(self, idle_s: float) -> None:
+        """Give tokens that no request uses to the delegate.
+
+        :param idle_s: only of workspaces without requests for this long
+        """
+        now_s = clock.read_time()
+        escrows = self._board.escrow
+        surplus = {
+            name: tokens
+            for name, account in escrows.accounts.items()
+            if now_s - account.rate_at_s >= idle_s
+            and not account.reserved
+            and (tokens := account.deduct_transfer(account.held, now_s))
+        }
+        if not surplus:
+            return
+        if not await self._return_tokens(surplus):
+            for name, tokens in surplus.items():
+                escrows.open_account(name).add_transfer(tokens)
+            return
+        eliot.log_message("funds:returned_idle", tokens=surplus)
+
+    async def run(self) -> None:
+        """Return idle tokens of an attached gateway until cancelled."""
+        while True:
+            await asyncio.sleep(IDLE_RETURN_INTERVAL_S)
+            if not self._board.roster.acts_as_delegate:
+                await self.return_idle(IDLE_RETURN_INTERVAL_S)
+
     async def transfer_to_peer(self, workspace: str, tokens: int) -> int:
         """Transfer tokens to a peer; return how many.
 
@@ -133,6 +253,56 @@
             account.wanted -= missing
         return deducted + account.deduct_transfer(missing, clock.read_time())
 
+    async def _reserve_by_grant(
+        self, workspace: str, tokens: int, goal_s: float, remaining_s: float
+    ) -> None:
+        """Reserve tokens that a delegate hands over.
+
+        A delegate that can name a time at which it may have the tokens, as in
+        an outage of the store, is asked again then.
+        """
+        account = self._board.escrow.open_account(workspace)
+        until_s = clock.read_time() + remaining_s * GROWTH_WAIT_FRACTION
+        wait_s = max(goal_s * WAIT_GOAL_FRACTION, MIN_WAIT_S)
+        request = GrantRequest(
+            self._board.settings.host, workspace, tokens, goal_s, wait_s
+        )
+        while True:
+            # Tokens must be received even if the request is cancelled.
+            reply = await asyncio.shield(
+                asyncio.ensure_future(self._receive_grant(request))
+            )
+            now_s = clock.read_time()
+            if account.reserve(tokens, now_s):
+                return
+            if reply is not None and reply.spent:
+                raise errors.BudgetSpentError(
+                    f"{tokens} tokens exceed the rest of the budget"
+                )
+            retry_after_s = reply.retry_after_s if reply else RETRY_AFTER_S
+            if reply is None or now_s + retry_after_s >= until_s:
+                refusal = errors.BudgetUnreachableError(
+                    f"{tokens} tokens can't be obtained in time"
+                )
+                refusal.retry_after_s = retry_after_s
+                raise refusal
+            await asyncio.sleep(retry_after_s)
+
+    async def _receive_grant(self, request: GrantRequest) -> GrantReply | None:
+        reply = await self._request_grant(request)
+        if reply is not None and reply.tokens > 0:
+            account = self._board.escrow.open_account(request.workspace)
+            account.add_transfer(reply.tokens)
+        eliot.log_message(
+            "funds:grant",
+            workspace=request.workspace,
+            asked=request.tokens,
+            tokens=reply.tokens if reply else None,
+            spent=reply.spent if reply else None,
+            retry_after_s=reply.retry_after_s if reply else None,
+        )
+        return reply
+
     def _is_store_reachable(self, now_s: float) -> bool:
         return now_s - self._board.store_contact_s < STORE_REACHABLE_S
 
@@ -289,6 +459,8 @@
 
 
 __all__ = (
+    "GrantReply",
+    "GrantRequest",
     "Reservations",
     "compute_retry_after",
 )
--- a/src/cyclamenwing/gateway/settings.py
+++ b/src/cyclamenwing/gateway/settings.py
@@ -31,10 +31,22 @@
 
 
 class Limits(msgspec.Struct, kw_only=True):
-    """Hold resource limits of the process."""
+    """Hold resource limits of the process.
+
+    :param cpu_share: share of a core that the process may use
+    :param cpus: speed of that core, as a multiple of an ordinary one
+    """
 
     memory_mb: float = 150.0
     max_fds: int = 1024
+    link_mbps: float = 1000.0
+    cpu_share: float = 1.0
+    cpus: float = 1.0
+
+    @property
+    def capacity(self) -> float:
+        """Return a number that grows with the host's link and processors."""
+        return self.link_mbps * self.cpu_share * self.cpus
 
 
 class GatewaySettings(msgspec.Struct, kw_only=True):
@@ -45,6 +57,7 @@
     :param control: address for calls of other gateways
     :param metrics: address for metrics scrapes, empty for none
     :param seeds: control addresses of gateways to contact first
+    :param bootstrap: the whole fleet starts for the first time
     """
 
     host: str
@@ -55,6 +68,7 @@
     store: str
     metrics: str = ""
     seeds: list[str] = []
+    bootstrap: bool = False
     limits: Limits = msgspec.field(default_factory=Limits)
     bounds: Bounds = msgspec.field(default_factory=Bounds)
     log_lines_per_s: int = 200
--- a/src/cyclamenwing/membership/delegates.py
+++ b/src/cyclamenwing/membership/delegates.py
@@ -15,16 +15,20 @@
 
 from cyclamenwing.membership import rendezvous
 
-DELEGATES_PER_ZONE = 2
+# Each zone has one delegate. Fleets with few zones have more, so that some are
+# left where two are lost.
+MIN_DELEGATES = 5
 # A silent delegate is replaced after this time. Until then its attached
 # gateways use other delegates, as a killed process is soon back.
 PROMOTION_DELAY_S = 5.0
 # A gateway that has reached no delegate for this long acts for itself.
-ISOLATION_DELAY_S = 2.0
+ISOLATION_DELAY_S = 3.0
 # An attached gateway that has not called for this long has left.
 ATTACHMENT_TTL_S = 3.0
-# Delay before a delegate whose call failed is tried again.
+# Delay before a delegate whose call failed is tried again, and once it counts
+# as lost.
 RETRY_DELAY_S = 1.0
+LOST_RETRY_DELAY_S = 5.0
 # Delegates of other zones to try where no delegate of the own zone answers.
 MAX_REMOTE_DELEGATES = 3
 
@@ -45,12 +49,21 @@
     started_ms: int = 0
 
 
-def rank_candidates(members: Iterable[Member], zone: str) -> list[Member]:
-    """Return a zone's members, those that become delegates first ahead."""
-    return sorted(
-        (member for member in members if member.zone == zone),
-        key=lambda m: (-m.capacity, rendezvous.score_member(zone, m.host)),
+def choose_delegates(members: Iterable[Member]) -> list[Member]:
+    """Return the delegates among the members.
+
+    They are the best of each zone, and further ones up to `MIN_DELEGATES`.
+    """
+    ranked = sorted(
+        members,
+        key=lambda m: (-m.capacity, rendezvous.score_member(m.zone, m.host)),
     )
+    best: dict[str, Member] = {}
+    for member in ranked:
+        best.setdefault(member.zone, member)
+    chosen = list(best.values())
+    missing = max(MIN_DELEGATES - len(chosen), 0)
+    return chosen + [m for m in ranked if m not in chosen][:missing]
 
 
 class Roster:
@@ -69,9 +82,18 @@
         self._reported_lost: set[str] = set()
         self._attached_s: dict[str, float] = {}
         self._delegate_contact_s = now_s
-        self._delegates: dict[str, list[Member]] = {own.zone: [own]}
+        self._delegates = [own]
+        # Set once the roster is complete enough to derive the delegates.
+        # Until then each gateway acts for itself.
+        self.settled = False
         self.acts_as_delegate = True
 
+    def settle(self, now_s: float) -> None:
+        """Begin to use delegates, as all members are known."""
+        self.settled = True
+        self._delegate_contact_s = now_s
+        self.refresh(now_s)
+
     def add(self, member: Member) -> bool:
         """Add a member or its newer process; return whether it was new."""
         known = self.members.get(member.host)
@@ -92,12 +114,21 @@
 
     def record_failure(self, host: str, now_s: float) -> None:
         """Record that a call to a member failed."""
-        self._silent_since_s.setdefault(host, now_s)
-        self._retry_at_s[host] = now_s + RETRY_DELAY_S
+        since_s = self._silent_since_s.setdefault(host, now_s)
+        lost = now_s - since_s >= PROMOTION_DELAY_S
+        delay_s = LOST_RETRY_DELAY_S if lost else RETRY_DELAY_S
+        self._retry_at_s[host] = now_s + delay_s
+
+    def merge_lost(self, hosts: Iterable[str]) -> None:
+        """Merge the members that a delegate reports as lost.
 
-    def report_lost(self, hosts: Iterable[str]) -> None:
-        """Replace the members that a delegate has reported as lost."""
-        self._reported_lost = set(hosts) - {self.own.host}
+        A gateway that calls no other delegates believes its own one. A
+        delegate finds out itself, and only drops what others told it before.
+        """
+        reported = set(hosts) - {self.own.host}
+        if self.acts_as_delegate:
+            reported &= self._reported_lost
+        self._reported_lost = reported
 
     def record_attached(self, host: str, now_s: float) -> None:
         """Record that a gateway uses this one as its delegate."""
@@ -128,28 +159,30 @@
         lost = {*self.list_lost(now_s), *self._reported_lost}
         alive = [m for m in self.members.values() if m.host not in lost]
         alive.append(self.own)
-        self._delegates = {
-            zone: rank_candidates(alive, zone)[:DELEGATES_PER_ZONE]
-            for zone in {m.zone for m in alive}
-        }
+        self._delegates = choose_delegates(alive)
         self.acts_as_delegate = (
-            self._is_ranked(self.own.host)
+            not self.settled
+            or self._is_ranked(self.own.host)
             or bool(self.list_attached(now_s))
             or now_s - self._delegate_contact_s > ISOLATION_DELAY_S
         )
 
     def list_delegates(self) -> list[Member]:
         """Return the delegates of all zones except this gateway."""
+        return [m for m in self._delegates if m.host != self.own.host]
+
+    def list_retries(self, now_s: float) -> list[Member]:
+        """Return lost members that are due to be tried again."""
         return [
-            member
-            for members in self._delegates.values()
-            for member in members
-            if member.host != self.own.host
+            self.members[host]
+            for host in self.list_lost(now_s)
+            if host in self.members
+            and now_s >= self._retry_at_s.get(host, 0.0)
         ]
 
     def count_delegates(self) -> int:
         """Return the number of delegates of all zones."""
-        return sum(len(members) for members in self._delegates.values())
+        return len(self._delegates)
 
     def find_delegates(self, now_s: float) -> list[Member]:
         """Return the delegates to use, the preferred one first.
@@ -173,20 +206,16 @@
         return ranked[: local + MAX_REMOTE_DELEGATES]
 
     def _is_ranked(self, host: str) -> bool:
-        return any(
-            member.host == host
-            for members in self._delegates.values()
-            for member in members
-        )
+        return any(member.host == host for member in self._delegates)
 
 
 __all__ = (
     "ATTACHMENT_TTL_S",
-    "DELEGATES_PER_ZONE",
     "ISOLATION_DELAY_S",
+    "MIN_DELEGATES",
     "PROMOTION_DELAY_S",
     "RETRY_DELAY_S",
     "Member",
     "Roster",
-    "rank_candidates",
+    "choose_delegates",
 )
--- a/src/cyclamenwing/platform/store.py
+++ b/src/cyclamenwing/platform/store.py
@@ -19,6 +19,9 @@
 # Time after the end of a watch's own wait by which its answer must arrive;
 # a later one counts as lost.
 WATCH_GRACE_S = 1.0
+# Time for the body of an answer after its head: configurations with thousands
+# of routes take seconds on slow links.
+BODY_TIMEOUT_S = 5.0
 MS_PER_S = 1000
 
 T = TypeVar("T")
@@ -71,13 +74,20 @@
         self._caller = http
         self._address = address
 
-    async def read(self, prefix: str) -> protocol.Snapshot:
-        """Return the entries of all keys that start with a prefix."""
+    async def read(
+        self, prefix: str, stale: bool = False
+    ) -> protocol.Snapshot:
+        """Return the entries of all keys that start with a prefix.
+
+        :param stale: the entries may be some seconds old
+        """
         entries: list[protocol.Entry] = []
         after = ""
         revision = 0
         while True:
             query = {"prefix": prefix} | ({"after": after} if after else {})
+            if stale:
+                query["allow_stale"] = "1"
             status, body = await self._call("GET", "kv-range", query)
             reply = _decode(status, body, RangeReply)
             # The pages may be of different revisions. Following changes from
@@ -161,7 +171,12 @@
             target += "?" + urllib.parse.urlencode(query)
         try:
             status, answer = await self._caller.call(
-                self._address, method, target, body, timeout_s
+                self._address,
+                method,
+                target,
+                body,
+                timeout_s,
+                BODY_TIMEOUT_S,
             )
         except transport_errors.ConnectFailedError as err:
             raise errors.StoreUnavailableError(err.message) from err
--- a/src/cyclamenwing/store/protocol.py
+++ b/src/cyclamenwing/store/protocol.py
@@ -19,10 +19,15 @@
 
 
 class Snapshot(NamedTuple):
-    """Hold the entries with a prefix, each as of `revision` or newer."""
+    """Hold the entries with a prefix, each as of `revision` or newer.
+
+    :param failure_age_s: time since the gateway that read them last failed to
+        reach the store, None if it did not fail lately or read them here
+    """
 
     entries: list[Entry]
     revision: int
+    failure_age_s: float | None = None
 
 
 class Change(NamedTuple):
@@ -34,10 +39,14 @@
 
 
 class Changes(NamedTuple):
-    """Hold changes up to a revision, from which the next read continues."""
+    """Hold changes up to a revision, from which the next read continues.
+
+    :param failure_age_s: as in `Snapshot`
+    """
 
     changes: list[Change]
     revision: int
+    failure_age_s: float | None = None
 
 
 class Committed(NamedTuple):
@@ -62,8 +71,11 @@
     must read the prefix again.
     """
 
-    async def read(self, prefix: str) -> Snapshot:
-        """Return the entries of all keys that start with a prefix."""
+    async def read(self, prefix: str, stale: bool = False) -> Snapshot:
+        """Return the entries of all keys that start with a prefix.
+
+        :param stale: the entries may be some seconds old
+        """
 
     async def follow(
         self, prefix: str, revision: int, wait_s: float
--- a/src/cyclamenwing/transport/pooled_client.py
+++ b/src/cyclamenwing/transport/pooled_client.py
@@ -36,10 +36,13 @@
         target: str,
         body: bytes,
         timeout_s: float,
+        body_timeout_s: float | None = None,
     ) -> tuple[int, bytes]:
         """Send a request and return the status and body of the response.
 
         :param timeout_s: longest time for the whole exchange
+        :param body_timeout_s: longest time for the body of the response; if
+            set, `timeout_s` applies up to its head
         :raises TransportError: if the exchange fails
         """
         headers = [(b"Host", address.encode())]
@@ -57,8 +60,10 @@
         try:
             connection.send(request)
             head = await connection.read_head(deadline_s - time.monotonic())
+            if body_timeout_s is None:
+                body_timeout_s = deadline_s - time.monotonic()
             response_body = await connection.read_body(
-                max(deadline_s - time.monotonic(), 0.001), MAX_RESPONSE_BYTES
+                max(body_timeout_s, 0.001), MAX_RESPONSE_BYTES
             )
         except (TimeoutError, errors.ConnectionSilentError) as err:
             connection.close()
--- a/tests/budget/test_escrow.py
+++ b/tests/budget/test_escrow.py
@@ -250,6 +250,30 @@
     assert account.held == 10_000
 
 
+def test_return_that_conflicts_elsewhere_leaves_the_holdings_usable() -> None:
+    # A commit changes several pools; a conflict in one cancels it for all.
+    own = escrow.Escrow("a-1")
+    for workspace in ("one", "two"):
+        own.update_pool(workspace, 5, {"a-1": 1000})
+    changes = {"one": -1000, "two": -1000}
+    _, usage_bounds = own.begin_commit(changes, 0.0)
+    own.update_pool("two", 6, {"a-1": 1000, "b-1": 10})
+    own.cancel_commit(changes, usage_bounds)
+    assert own.accounts["one"].held == 1000
+    assert own.accounts["two"].held == 1000
+
+
+def test_conflict_after_an_uncertain_return_keeps_it_counted() -> None:
+    own = escrow.Escrow("a-1")
+    own.update_pool(WORKSPACE, 5, {"a-1": 1000})
+    # The answer to the first commit is lost.
+    own.begin_commit({WORKSPACE: -600}, 0.0)
+    changes = {WORKSPACE: -900}
+    _, usage_bounds = own.begin_commit(changes, 1.0)
+    own.cancel_commit(changes, usage_bounds)
+    assert own.accounts[WORKSPACE].held == 400
+
+
 def test_newer_pool_revision_discards_pending_draw() -> None:
     holder = escrow.Escrow("a")
     holder.begin_commit({WORKSPACE: 5000}, 0.0)
