Let two delegates hold each workspace's tokens

Ruled out: holdings at all delegates with rarer draws, which only delays. Change: a workspace's holders are the first two delegates by rendezvous hash; other gateways get each request's tokens from them and give back what is left.

--- a/src/cyclamenwing/budget/escrow.py
+++ b/src/cyclamenwing/budget/escrow.py
@@ -221,18 +221,23 @@
         idle_s = max(now_s - self.rate_at_s, 0.0)
         return self.rate * math.exp(-idle_s / RATE_WINDOW_S)
 
-    def plan_change(self, free: int, gateways: int, now_s: float) -> int:
+    def plan_change(
+        self, free: int, gateways: int, now_s: float, keeps: bool = True
+    ) -> int:
         """Return the tokens to draw from the pool.
 
         A negative number is the tokens to return to it.
 
         :param free: tokens of the pool that no gateway holds
         :param gateways: number of gateways that draw from the pool
+        :param keeps: this gateway is one of them; others draw only what a
+            request waits for
         """
         rate = self.measure_rate(now_s)
         per_gateway = (free + max(self.held, 0) * gateways) / gateways
         target = max(rate * OUTAGE_COVERAGE_S, per_gateway * MIN_HELD_SHARE)
-        target = min(target, per_gateway * MAX_HELD_SHARE) + self.wanted
+        target = min(target, per_gateway * MAX_HELD_SHARE) if keeps else 0.0
+        target += self.wanted
         if self.held > target * RETURN_FACTOR and self.min_drawn is None:
             surplus = self.held - int(target)
             return -surplus if surplus >= MIN_CHANGE_TOKENS else 0
--- a/src/cyclamenwing/gateway/app.py
+++ b/src/cyclamenwing/gateway/app.py
@@ -296,10 +296,9 @@
     async def _return_holdings(self) -> None:
         try:
             async with asyncio.timeout(RETURN_TIMEOUT_S):
+                await self._reservations.return_idle(0.0)
                 if self.board.roster.acts_as_delegate:
                     await self._pools.return_holdings()
-                else:
-                    await self._reservations.return_idle(0.0)
         except (store_errors.StoreError, TimeoutError) as err:
             eliot.log_message("funds:return_failed", reason=str(err))
 
--- a/src/cyclamenwing/gateway/blackboard.py
+++ b/src/cyclamenwing/gateway/blackboard.py
@@ -124,12 +124,13 @@
         return 1 + sum(peer.host in attached for peer in live)
 
     def count_holders(self, now_s: float) -> int:
-        """Return the number of live delegates, including this gateway.
+        """Return the number of gateways that draw from a workspace's pool.
 
-        Only they draw tokens from the pools.
+        These are the delegates, or fewer where there are many.
         """
         live = self.list_live_peers(now_s)
-        return 2 + len(live) - self.count_cluster(now_s)
+        live_delegates = 2 + len(live) - self.count_cluster(now_s)
+        return min(live_delegates, delegates.HOLDERS_PER_WORKSPACE)
 
     def count_gateways(self, now_s: float) -> int:
         """Return the number of live gateways of the whole fleet."""
--- a/src/cyclamenwing/gateway/grants.py
+++ b/src/cyclamenwing/gateway/grants.py
@@ -35,9 +35,8 @@
         """Return the reply of the first delegate that answers, if any."""
         roster = self._board.roster
         body = msgspec.json.encode(request)
-        for member in roster.find_delegates(clock.read_time())[
-            :MAX_DELEGATES_ASKED
-        ]:
+        holders = roster.find_holders(request.workspace, clock.read_time())
+        for member in holders[:MAX_DELEGATES_ASKED]:
             try:
                 status, answer = await self._caller.call(
                     member.address,
@@ -65,21 +64,21 @@
             return reply
         return None
 
-    async def return_tokens(self, tokens: dict[str, int]) -> bool:
-        """Give tokens by workspace to a delegate.
+    async def return_tokens(self, workspace: str, tokens: int) -> bool:
+        """Give tokens to a delegate that holds the workspace's.
 
         Return False if it has certainly not received them. They are lost if
         its answer is.
         """
-        members = self._board.roster.find_delegates(clock.read_time())
-        if not members:
+        holders = self._board.roster.find_holders(workspace, clock.read_time())
+        if not holders:
             return False
         try:
             status, _ = await self._caller.call(
-                members[0].address,
+                holders[0].address,
                 "POST",
                 RETURN_PATH,
-                msgspec.json.encode(tokens),
+                msgspec.json.encode({workspace: tokens}),
                 RETURN_TIMEOUT_S,
             )
         except transport_errors.ConnectFailedError:
@@ -87,7 +86,8 @@
         except errors.CodedError as err:
             eliot.log_message(
                 "grant:return_in_doubt",
-                delegate=members[0].host,
+                delegate=holders[0].host,
+                workspace=workspace,
                 tokens=tokens,
                 reason=err.message,
             )
--- a/src/cyclamenwing/gateway/pools.py
+++ b/src/cyclamenwing/gateway/pools.py
@@ -263,7 +263,9 @@
                 continue
             account = board.escrow.open_account(name)
             free = board.escrow.count_free(name, workspace.prepaid_tokens)
-            change = account.plan_change(free, gateways, now_s)
+            change = account.plan_change(
+                free, gateways, now_s, board.roster.holds(name)
+            )
             if change or (
                 account.wanted
                 and now_s - board.pools_updated_s.get(name, 0) > MAX_POOL_AGE_S
--- a/src/cyclamenwing/gateway/reservations.py
+++ b/src/cyclamenwing/gateway/reservations.py
@@ -38,7 +38,7 @@
 # is the time until the late phase of the usage bound instead, if that lies
 # ahead.
 RETRY_AFTER_S = 1.0
-# Interval at which idle tokens go back to the delegate, and the time without
+# Interval at which idle tokens go back to the holders, and the time without
 # a request after which they count as idle.
 IDLE_RETURN_INTERVAL_S = 0.5
 # Peers learn of an outage of the store within a round of gossip.
@@ -75,18 +75,19 @@
 
 
 RequestGrant = Callable[[GrantRequest], Awaitable[GrantReply | None]]
-ReturnTokens = Callable[[dict[str, int]], Awaitable[bool]]
+ReturnTokens = Callable[[str, int], Awaitable[bool]]
 
 
 class Reservations:
     """Reserve and settle prepaid tokens of workspaces.
 
-    Delegates reserve from what they hold, all others through a delegate.
+    The holders of a workspace reserve from what they hold, all other gateways
+    through one of them.
 
     :param request_tokens: asks a peer for tokens of a workspace; returns how
         many it transferred
     :param request_grant: asks a delegate for the tokens of one request
-    :param return_tokens: gives tokens by workspace to a delegate; returns
+    :param return_tokens: gives tokens of a workspace to a holder; returns
         False if it has certainly not received them
     """
 
@@ -128,7 +129,7 @@
         account = self._board.escrow.open_account(workspace)
         if account.reserve(tokens, now_s):
             return
-        if max_wait_s is None and not self._board.roster.acts_as_delegate:
+        if max_wait_s is None and not self._board.roster.holds(workspace):
             await self._reserve_by_grant(
                 workspace, tokens, goal_s, remaining_s
             )
@@ -205,7 +206,7 @@
         return b"{}"
 
     async def return_idle(self, idle_s: float) -> None:
-        """Give tokens that no request uses to the delegate.
+        """Give tokens that no request uses to the workspaces' holders.
 
         :param idle_s: only of workspaces without requests for this long
         """
@@ -214,24 +215,22 @@
         surplus = {
             name: tokens
             for name, account in escrows.accounts.items()
-            if now_s - account.rate_at_s >= idle_s
+            if not self._board.roster.holds(name)
+            and now_s - account.rate_at_s >= idle_s
             and not account.reserved
             and (tokens := account.deduct_transfer(account.held, now_s))
         }
-        if not surplus:
-            return
-        if not await self._return_tokens(surplus):
-            for name, tokens in surplus.items():
+        for name, tokens in surplus.items():
+            if not await self._return_tokens(name, tokens):
                 escrows.open_account(name).add_transfer(tokens)
-            return
-        eliot.log_message("funds:returned_idle", tokens=surplus)
+        if surplus:
+            eliot.log_message("funds:returned_idle", tokens=surplus)
 
     async def run(self) -> None:
-        """Return idle tokens of an attached gateway until cancelled."""
+        """Return idle tokens to their holders until cancelled."""
         while True:
             await asyncio.sleep(IDLE_RETURN_INTERVAL_S)
-            if not self._board.roster.acts_as_delegate:
-                await self.return_idle(IDLE_RETURN_INTERVAL_S)
+            await self.return_idle(IDLE_RETURN_INTERVAL_S)
 
     async def transfer_to_peer(self, workspace: str, tokens: int) -> int:
         """Transfer tokens to a peer; return how many.
--- a/src/cyclamenwing/membership/delegates.py
+++ b/src/cyclamenwing/membership/delegates.py
@@ -18,6 +18,9 @@
 # Each zone has one delegate. Fleets with few zones have more, so that some are
 # left where two are lost.
 MIN_DELEGATES = 5
+# Delegates that hold the tokens of a workspace. With more of them the holdings
+# are split into parts too small for large requests, and draws conflict.
+HOLDERS_PER_WORKSPACE = 2
 # A silent delegate is replaced after this time. Until then its attached
 # gateways use other delegates, as a killed process is soon back.
 PROMOTION_DELAY_S = 5.0
@@ -87,6 +90,8 @@
         # Until then each gateway acts for itself.
         self.settled = False
         self.acts_as_delegate = True
+        self._isolated = False
+        self._holders: dict[str, list[Member]] = {}
 
     def settle(self, now_s: float) -> None:
         """Begin to use delegates, as all members are known."""
@@ -159,12 +164,16 @@
         lost = {*self.list_lost(now_s), *self._reported_lost}
         alive = [m for m in self.members.values() if m.host not in lost]
         alive.append(self.own)
-        self._delegates = choose_delegates(alive)
+        chosen = choose_delegates(alive)
+        if chosen != self._delegates:
+            self._delegates = chosen
+            self._holders.clear()
+        self._isolated = now_s - self._delegate_contact_s > ISOLATION_DELAY_S
         self.acts_as_delegate = (
             not self.settled
             or self._is_ranked(self.own.host)
             or bool(self.list_attached(now_s))
-            or now_s - self._delegate_contact_s > ISOLATION_DELAY_S
+            or self._isolated
         )
 
     def list_delegates(self) -> list[Member]:
@@ -205,6 +214,35 @@
         local = sum(m.zone == self.own.zone for m in ranked)
         return ranked[: local + MAX_REMOTE_DELEGATES]
 
+    def holds(self, workspace: str) -> bool:
+        """Return whether this gateway keeps tokens of a workspace."""
+        if not self.settled or self._isolated:
+            return True
+        return (
+            self.own in self._rank_holders(workspace)[:HOLDERS_PER_WORKSPACE]
+        )
+
+    def find_holders(self, workspace: str, now_s: float) -> list[Member]:
+        """Return the delegates to ask for tokens, the best one first.
+
+        Delegates whose last call failed are left out for a while.
+        """
+        return [
+            member
+            for member in self._rank_holders(workspace)
+            if member.host != self.own.host
+            and now_s >= self._retry_at_s.get(member.host, 0.0)
+        ]
+
+    def _rank_holders(self, workspace: str) -> list[Member]:
+        ranked = self._holders.get(workspace)
+        if ranked is None:
+            ranked = self._holders[workspace] = sorted(
+                self._delegates,
+                key=lambda m: rendezvous.score_member(workspace, m.host),
+            )
+        return ranked
+
     def _is_ranked(self, host: str) -> bool:
         return any(member.host == host for member in self._delegates)
 
--- a/tests/gateway/deployments.py
+++ b/tests/gateway/deployments.py
@@ -13,6 +13,7 @@
 from cyclamenwing.cli import gateway as cli
 from cyclamenwing.gateway import app
 from cyclamenwing.gateway import settings
+from cyclamenwing.membership import delegates
 from cyclamenwing.platform import messages
 from cyclamenwing.platform import store
 from cyclamenwing.standin import metadata_store
@@ -97,9 +98,17 @@
             )
         await self.store.put("op/config", make_configuration())
         for number in range(gateways):
-            await self.add_gateway(f"g{number}")
+            await self.add_gateway(
+                f"g{number}", number < delegates.MIN_DELEGATES
+            )
+
+    async def add_gateway(
+        self, host: str, with_record: bool = True
+    ) -> app.Gateway:
+        """Start a gateway; return once it is ready.
 
-    async def add_gateway(self, host: str) -> app.Gateway:
+        :param with_record: wait for its record of usage bounds too
+        """
         seeds = [g._settings.control for g in self.gateways]
         gateway = app.Gateway.from_config(
             settings.GatewaySettings(
@@ -118,7 +127,9 @@
         )
         self.gateways.append(gateway)
         async with asyncio.timeout(5):
-            while not (gateway.board.ready and gateway.board.record_written_s):
+            while not gateway.board.ready or (
+                with_record and not gateway.board.record_written_s
+            ):
                 await asyncio.sleep(0.01)
         return gateway
 
--- a/tests/gateway/test_delegates.py
+++ b/tests/gateway/test_delegates.py
@@ -7,11 +7,13 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 from collections.abc import Awaitable
 from collections.abc import Callable
 
 from tests.gateway import deployments
 
+from cyclamenwing.budget import escrow
 from cyclamenwing.gateway import app
 from cyclamenwing.gateway import blackboard
 from cyclamenwing.gateway import clock
@@ -149,18 +151,31 @@
     run(check)
 
 
-def test_gateway_that_is_no_delegate_any_more_returns_its_holdings() -> None:
+def test_only_the_holders_of_a_workspace_keep_its_tokens() -> None:
+    # Each gateway drew tokens while it knew of too few others.
     async def check(deployment: deployments.Deployment) -> None:
-        leaf = deployment.gateways[list_attached(deployment)[0]]
-        roster = leaf.board.roster
-        # Another zone's gateway used it for a while.
-        roster.record_attached("other", 1e12)
-        await wait_until(lambda: leaf.board.escrow.open_account("t1").held > 0)
-        roster.detach("other")
-        await wait_until(
-            lambda: leaf.board.escrow.open_account("t1").held == 0
-        )
-        await wait_until(lambda: leaf.board.record_written_s == 0)
+        boards = [gateway.board for gateway in deployment.gateways]
+        holders = [b for b in boards if b.roster.holds("t1")]
+        assert len(holders) == delegates.HOLDERS_PER_WORKSPACE
+        for board in boards:
+            if board not in holders:
+                account = board.escrow.open_account("t1")
+                await wait_until(functools.partial(is_empty, account))
+        assert all(b.escrow.open_account("t1").held > 0 for b in holders)
+
+    run(check)
+
+
+def test_restarted_gateway_that_was_no_delegate_has_nothing_to_free() -> None:
+    async def check(deployment: deployments.Deployment) -> None:
+        leaf = list_attached(deployment)[0]
+        host = deployment.gateways[leaf].board.settings.host
+        deployment.gateways[leaf].stop()
+        gateway = await deployment.add_gateway(host, with_record=False)
+        await asyncio.sleep(0.5)
+        assert gateway.board.predecessors == []
+        assert gateway.board.record_written_s == 0
+        assert not gateway.board.roster.acts_as_delegate
 
     run(check)
 
