--- a/src/cyclamenwing/gateway/blackboard.py
+++ b/src/cyclamenwing/gateway/blackboard.py
@@ -130,7 +130,7 @@
         """
         live = self.list_live_peers(now_s)
         live_delegates = 2 + len(live) - self.count_cluster(now_s)
-        return min(live_delegates, delegates.HOLDERS_PER_WORKSPACE)
+        return min(live_delegates, self.roster.count_holders())
 
     def count_gateways(self, now_s: float) -> int:
         """Return the number of live gateways of the whole fleet."""
--- a/src/cyclamenwing/membership/delegates.py
+++ b/src/cyclamenwing/membership/delegates.py
@@ -18,8 +18,9 @@
 # Each zone has one delegate. Fleets with few zones have more, so that some are
 # left where two are lost.
 MIN_DELEGATES = 5
-# Delegates that hold the tokens of a workspace. With more of them the holdings
-# are split into parts too small for large requests, and draws conflict.
+# Delegates that hold the tokens of a workspace, unless all gateways are
+# delegates. With more of them the holdings are split into parts too small for
+# large requests, and draws conflict.
 HOLDERS_PER_WORKSPACE = 2
 # A silent delegate is replaced after this time. Until then its attached
 # gateways use other delegates, as a killed process is soon back.
@@ -218,9 +219,18 @@
         """Return whether this gateway keeps tokens of a workspace."""
         if not self.settled or self._isolated:
             return True
-        return (
-            self.own in self._rank_holders(workspace)[:HOLDERS_PER_WORKSPACE]
-        )
+        holders = self._rank_holders(workspace)[: self.count_holders()]
+        return self.own in holders
+
+    def count_holders(self) -> int:
+        """Return the number of delegates that hold a workspace's tokens.
+
+        Where all gateways are delegates all do, so that no request needs a
+        call to another one.
+        """
+        if len(self.members) < MIN_DELEGATES:
+            return MIN_DELEGATES
+        return HOLDERS_PER_WORKSPACE
 
     def find_holders(self, workspace: str, now_s: float) -> list[Member]:
         """Return the delegates to ask for tokens, the best one first.
--- a/tests/gateway/test_delegates.py
+++ b/tests/gateway/test_delegates.py
@@ -1,7 +1,8 @@
 """Gateways that use a delegate: watches, tokens, loads, and its loss.
 
-One gateway more than there are delegates: it is attached to one of them. With all of them at the store, large fleets spend more on its calls
-than on anything else.
+There is one gateway more than delegates, so it is attached to one of them. In
+a large fleet whose gateways all call the store, these calls cost more than
+anything else.
 """
 
 from __future__ import annotations
@@ -54,6 +55,10 @@
     ]
 
 
+def is_empty(account: escrow.WorkspaceAccount) -> bool:
+    return account.held == 0
+
+
 def find_delegate(
     deployment: deployments.Deployment, leaf: int
 ) -> app.Gateway:
--- a/tests/membership/test_delegates.py
+++ b/tests/membership/test_delegates.py
@@ -203,3 +203,27 @@
     return next(
         r for r in rosters if r.acts_as_delegate and r.own.zone != "z1"
     )
+
+
+@pytest.mark.parametrize(
+    ("gateways", "zones", "holders"),
+    [(4, 4, 4), (5, 3, 5), (6, 6, 2), (20, 4, 2), (68, 6, 2), (340, 6, 2)],
+)
+def test_number_of_holders_of_a_workspace(
+    gateways: int, zones: int, holders: int
+) -> None:
+    rosters = make_rosters(gateways, zones)
+    for workspace in ("w1", "w2", "w3"):
+        assert sum(r.holds(workspace) for r in rosters) == holders
+        first = next(r for r in rosters if r.holds(workspace))
+        asked = first.find_holders(workspace, 0.0)
+        others = {r.own.host for r in rosters if r.holds(workspace)}
+        others.discard(first.own.host)
+        assert {m.host for m in asked[: holders - 1]} == others
+
+
+def test_holders_that_fail_are_passed_over() -> None:
+    leaf = next(r for r in make_rosters(68) if not r.acts_as_delegate)
+    first, second = leaf.find_holders("w1", 0.0)[:2]
+    leaf.record_failure(first.host, 0.0)
+    assert leaf.find_holders("w1", 0.1)[0] == second
