Compare a sample of endpoints in large fleets

Change: beyond 12 endpoints only the preferred two, four that have cached the prompt and four random ones are compared; the deepest shared part names the preferred endpoint, as few first parts are common to a whole kind.

--- a/src/cyclamenwing/routing/placement.py
+++ b/src/cyclamenwing/routing/placement.py
@@ -1,14 +1,17 @@
 """Choice of an endpoint by predicted cost, from load and prefix caches.
 
-Handles two load patterns. Requests with long shared prompt parts go to an
+Handles three load patterns. Requests with long shared prompt parts go to an
 endpoint that has already cached the part. In a burst that arrives at
 several gateways at once, each adds the load that its peers report by
-gossip to its own, so that they don't all choose the same endpoint.
+gossip to its own, so that they don't all choose the same endpoint. In a large
+fleet many gateways choose between two reports, so each compares only the
+endpoints that may have cached the prompt and a few random ones.
 """
 
 from __future__ import annotations
 
 import dataclasses
+import random
 from collections.abc import Iterable
 from collections.abc import Sequence
 from typing import NamedTuple
@@ -33,6 +36,13 @@
 # Another endpoint is chosen over a prompt part's preferred one only if its
 # predicted cost is lower by more than this.
 AFFINITY_BONUS_MS = 30.0
+# Services with more endpoints are compared by sample.
+MAX_COMPARED = 12
+SAMPLED_ENDPOINTS = 4
+# Endpoints that every gateway prefers for a prompt part, in order.
+PREFERRED_ENDPOINTS = 2
+# Endpoints compared because they have cached the start of the prompt.
+CACHING_ENDPOINTS = 4
 # Cost added for each failure; it halves every `FAILURE_HALF_LIFE_S`.
 FAILURE_COST_MS = 400.0
 FAILURE_HALF_LIFE_S = 1.0
@@ -218,19 +228,48 @@
         if not candidates:
             return None
         preferred = (
-            find_preferred(candidates, demand.parts[0][0])
+            rank_preferred(candidates, demand.parts[-2][0])
             if len(demand.parts) > 1
-            else ""
+            else []
         )
+        best = preferred[0].name if preferred else ""
+        compared = self._sample(candidates, demand, preferred, cache_tokens)
         return min(
-            candidates,
+            compared,
             key=lambda e: (
                 self.predict_cost(e, demand, cache_tokens, now_s)
-                - (AFFINITY_BONUS_MS if e.name == preferred else 0.0),
+                - (AFFINITY_BONUS_MS if e.name == best else 0.0),
                 e.name,
             ),
         )
 
+    def _sample(
+        self,
+        candidates: Sequence[endpoints.Endpoint],
+        demand: Demand,
+        preferred: Sequence[endpoints.Endpoint],
+        cache_tokens: int,
+    ) -> Sequence[endpoints.Endpoint]:
+        """Return the endpoints to compare for a request."""
+        if len(candidates) <= MAX_COMPARED:
+            return candidates
+        chosen = {e.name: e for e in preferred[:PREFERRED_ENDPOINTS]}
+        caching = [
+            (uncached, e.name, e)
+            for e in candidates
+            if (
+                uncached := self.ensure_state(e, cache_tokens).count_uncached(
+                    demand
+                )
+            )
+            < demand.prompt_tokens
+        ]
+        caching.sort(key=lambda item: item[:2])
+        chosen.update((e.name, e) for _, _, e in caching[:CACHING_ENDPOINTS])
+        for endpoint in random.sample(candidates, SAMPLED_ENDPOINTS):
+            chosen[endpoint.name] = endpoint
+        return list(chosen.values())
+
     def predict_cost(
         self,
         endpoint: endpoints.Endpoint,
@@ -280,16 +319,19 @@
             state.in_flight.pop(number, None)
 
 
-def find_preferred(candidates: Sequence[endpoints.Endpoint], part: str) -> str:
-    """Return the endpoint preferred for a prompt part.
+def rank_preferred(
+    candidates: Sequence[endpoints.Endpoint], part: str
+) -> list[endpoints.Endpoint]:
+    """Return the endpoints in the order preferred for a prompt part.
 
-    Rendezvous hashing gives the same one at every gateway, without any
+    Rendezvous hashing gives the same order at every gateway, without any
     exchange between them.
     """
-    return max(
+    return sorted(
         candidates,
         key=lambda e: xxhash.xxh64_intdigest(f"{part} {e.name}".encode()),
-    ).name
+        reverse=True,
+    )
 
 
 __all__ = (
@@ -298,5 +340,5 @@
     "InFlightRequest",
     "PeerLoad",
     "Placement",
-    "find_preferred",
+    "rank_preferred",
 )
--- a/tests/routing/test_placement.py
+++ b/tests/routing/test_placement.py
@@ -125,9 +125,10 @@
     remaining = [e for e in FLEET if e is not lost]
     for number in range(50):
         part = f"doc{number}"
-        preferred = placement.find_preferred(FLEET, part)
+        preferred = placement.rank_preferred(FLEET, part)[0].name
         if preferred != lost.name:
-            assert placement.find_preferred(remaining, part) == preferred
+            first = placement.rank_preferred(remaining, part)[0]
+            assert first.name == preferred
 
 
 def test_own_zone_is_preferred_for_equal_loads() -> None:
@@ -136,3 +137,70 @@
     chosen = chooser.choose(fleet, placement.Demand([], 0), 0, 0.0)
     assert chosen is not None
     assert chosen.zone == "b"
+
+
+def choose_blindly(
+    gateways: int, fleet: list[endpoints.Endpoint], parts: bool
+) -> collections.Counter[str]:
+    """Return the endpoints that gateways choose before any load report."""
+    chosen: collections.Counter[str] = collections.Counter()
+    for number in range(gateways):
+        chooser = placement.Placement("a")
+        names = [("doc", 2000), (f"own{number}", 500)] if parts else []
+        demand = placement.Demand(names, 2500)
+        endpoint = chooser.choose(fleet, demand, CACHE_TOKENS, 0.0)
+        assert endpoint is not None
+        chosen[endpoint.name] += 1
+    return chosen
+
+
+def test_many_gateways_between_two_reports_do_not_choose_one_endpoint() -> (
+    None
+):
+    # 68 gateways before 60 endpoints: at the start of a burst all know the
+    # same, and the endpoint with the lowest name got each first request.
+    random.seed(7)
+    fleet = [make_endpoint(i) for i in range(60)]
+    chosen = choose_blindly(68, fleet, parts=False)
+    assert max(chosen.values()) <= 8
+    assert len(chosen) >= 20
+
+
+def test_sample_keeps_the_endpoints_that_have_cached_the_prompt() -> None:
+    random.seed(7)
+    fleet = [make_endpoint(i) for i in range(60)]
+    chooser = placement.Placement("a")
+    demand = make_demand(1)
+    home = send_to(chooser, fleet, demand)
+    for _ in range(20):
+        assert send_to(chooser, fleet, make_demand(1)) == home
+
+
+def test_session_part_has_one_preferred_endpoint_at_all_gateways() -> None:
+    # Few first parts are shared by all requests of a kind; preferring one
+    # endpoint for each of them would send the whole kind there.
+    random.seed(7)
+    fleet = [make_endpoint(i) for i in range(60)]
+    homes = set()
+    for session in range(40):
+        parts = [("all", 2500), (f"session{session}", 3800), ("own", 500)]
+        demand = placement.Demand(parts, 6800)
+        found = {
+            send_to(placement.Placement("a"), fleet, demand) for _ in range(5)
+        }
+        assert len(found) == 1
+        homes |= found
+    assert len(homes) >= 20
+
+
+def send_to(
+    chooser: placement.Placement,
+    fleet: list[endpoints.Endpoint],
+    demand: placement.Demand,
+) -> str:
+    chosen = chooser.choose(fleet, demand, CACHE_TOKENS, 0.0)
+    assert chosen is not None
+    number = chooser.start(chosen, demand, 0.0)
+    chooser.mark_answering(chosen, number)
+    chooser.end(chosen, number)
+    return chosen.name
