--- a/src/cyclamenwing/budget/escrow.py
+++ b/src/cyclamenwing/budget/escrow.py
@@ -109,6 +109,8 @@
     :param drawn: tokens that the pool lists for this gateway, as last read
     :param min_drawn: lowest value of `drawn` that commits with an unknown
         result may lead to; None if there are no such commits
+    :param open_commits: commits to the pool's present revision that are under
+        way or have an unknown result
     :param received: tokens received from other gateways
     :param given: tokens given to other gateways
     :param spent: tokens that requests have used
@@ -121,6 +123,7 @@
 
     drawn: int = 0
     min_drawn: int | None = None
+    open_commits: int = 0
     received: int = 0
     given: int = 0
     spent: int = 0
@@ -291,8 +294,6 @@
         self.holder = holder
         self.accounts: dict[str, WorkspaceAccount] = {}
         self.pools: dict[str, Pool] = {}
-        # `min_drawn` and revision of the pools before the present commit.
-        self._before: dict[str, tuple[int | None, int]] = {}
 
     def open_account(self, workspace: str) -> WorkspaceAccount:
         """Return a workspace's account, creating an empty one if absent."""
@@ -323,6 +324,7 @@
         account = self.open_account(workspace)
         account.drawn = pool.holders.get(self.holder, 0)
         account.min_drawn = None
+        account.open_commits = 0
 
     def begin_commit(
         self, changes: Mapping[str, int], now_s: float
@@ -332,11 +334,10 @@
         :param changes: tokens to draw, or to return if negative, by workspace
         """
         written = {}
-        self._before = {}
         for workspace, change in changes.items():
             account = self.open_account(workspace)
             pool = self.open_pool(workspace)
-            self._before[workspace] = (account.min_drawn, pool.revision)
+            account.open_commits += 1
             holders = dict(pool.holders)
             holders[self.holder] = account.drawn + change
             min_drawn = (
@@ -381,14 +382,14 @@
     ) -> None:
         """Record a commit that had no effect and never will.
 
-        Earlier commits may still take effect, so `min_drawn` gets the value
-        that it had before, unless a newer revision of the pool was read.
+        Another commit may still take effect. Then a lowered `min_drawn` stays
+        until a newer revision of the pool is read.
         """
         for workspace in changes:
             account = self.open_account(workspace)
-            min_drawn, revision = self._before[workspace]
-            if self.open_pool(workspace).revision == revision:
-                account.min_drawn = min_drawn
+            account.open_commits = max(account.open_commits - 1, 0)
+            if not account.open_commits:
+                account.min_drawn = None
         for workspace, bound in usage_bounds.items():
             account = self.accounts[workspace]
             account.usage_bounds = [
--- a/src/cyclamenwing/gateway/app.py
+++ b/src/cyclamenwing/gateway/app.py
@@ -107,11 +107,12 @@
             board, http, self._configurations.adopt, poison_tracker
         )
         self._store = relay.RelayedStore(store, board, http)
-        self._watched = watches.DelegatedStore(self._store, board, http)
         self._registration = registration.Registration(board, self._store)
-        self._pools = pools.PoolClient(
-            board, self._store, self._registration.settled
+        settled = self._registration.settled
+        self._watched = watches.DelegatedStore(
+            self._store, board, http, settled
         )
+        self._pools = pools.PoolClient(board, self._store, settled)
         grant_client = grants.GrantClient(board, http)
         self._reservations = reservations.Reservations(
             board,
--- a/src/cyclamenwing/gateway/watches.py
+++ b/src/cyclamenwing/gateway/watches.py
@@ -40,6 +40,10 @@
 # answer. The delegate's own long poll takes up to 3 s.
 MAX_VIEW_AGE_S = 5.0
 FALLBACK_INTERVAL_S = 2.0
+# At its start a gateway waits this long to learn of the delegates, and for a
+# delegate that has just started itself to load its entries.
+SETTLE_WAIT_S = 2.5
+LOAD_WAIT_S = 0.4
 # Removals kept for attached gateways; who has missed more reads all entries.
 MAX_REMOVALS = 500
 
@@ -177,6 +181,7 @@
     """Watch the store, through a delegate unless this gateway is one.
 
     :param store: reaches the store itself
+    :param settled: set once the delegates are known
     """
 
     def __init__(
@@ -184,8 +189,10 @@
         store: protocol.TransactionStore,
         board: blackboard.Blackboard,
         http: pooled_client.PooledClient,
+        settled: asyncio.Event,
     ) -> None:
         self._store = store
+        self._settled = settled
         self._board = board
         self._caller = http
         self.caches: dict[str, WatchCache] = {}
@@ -244,6 +251,8 @@
         request = msgspec.json.decode(body, type=WatchRequest)
         self._board.roster.record_attached(request.host, clock.read_time())
         cache = self.open_cache(request.prefix)
+        if cache.revision < 0:
+            await cache.wait(-1, LOAD_WAIT_S)
         if request.wait_s > 0 and cache.revision >= 0:
             await cache.wait(request.revision, min(request.wait_s, WAIT_S))
         return msgspec.json.encode(
@@ -254,6 +263,7 @@
         self, prefix: str, revision: int, wait_s: float
     ) -> WatchReply | None:
         """Return a delegate's answer, None if the store is to be called."""
+        await self._wait_settled()
         roster = self._board.roster
         if roster.acts_as_delegate:
             return None
@@ -272,6 +282,22 @@
             outdated = reply
         return outdated if self._spare_store(prefix) else None
 
+    async def _wait_settled(self) -> None:
+        """Wait for the delegates to be known, for some time after the start.
+
+        A whole fleet that starts would otherwise watch the store at once.
+        """
+        waited_s = clock.read_time() - self._board.started_s
+        if self._settled.is_set() or waited_s >= SETTLE_WAIT_S:
+            return
+        try:
+            async with asyncio.timeout(SETTLE_WAIT_S - waited_s):
+                await self._settled.wait()
+        except TimeoutError:
+            eliot.log_message(
+                "watch:delegates_unknown", waited_s=SETTLE_WAIT_S
+            )
+
     def _spare_store(self, prefix: str) -> bool:
         """Return whether the store was called too recently."""
         now_s = clock.read_time()
