--- a/src/cyclamenwing/standin/metadata_store.py
+++ b/src/cyclamenwing/standin/metadata_store.py
@@ -26,6 +26,7 @@
     """Serve ranges, watches and transactions, with faults set by tests.
 
     :ivar error_status: status that answers every call; 0 disables it
+    :ivar txn_pause_s: delay before each transaction is applied
     :ivar lose_txn_answers: whether transactions are applied, but the
         connection is closed without an answer
     """
@@ -36,6 +37,7 @@
         self.revision = 1
         self.compacted_revision = 0
         self.error_status = 0
+        self.txn_pause_s = 0.0
         self.lose_txn_answers = False
         self.calls: list[str] = []
         self._changed = asyncio.Condition()
@@ -117,6 +119,7 @@
         }
 
     async def _txn(self, _: dict[str, str], body: bytes) -> Answer:
+        await asyncio.sleep(self.txn_pause_s)
         txn = msgspec.json.decode(body)
         expected, writes = txn["expected"], txn["replace"]
         if len(expected) + len(writes) > MAX_TXN_ENTRIES:
