Let no request begin while a leaving gateway returns its holdings

Cause: the drain ended at a moment without active requests, and the state it had checked was not kept: the listener stayed open for the 0.4 s in which holdings go back to the pools, then all connections were closed. The class is a check whose result is used after a wait. Two more of the class: a connection was idle by a flag that its reader sets one step after the bytes arrive, and the end of the grace cut what was active.

Change: admission is closed and the listener stopped before holdings are returned; a connection is idle only while its stream waits for data; requests active at the end of the grace are interrupted and answered by what is known of their run. Why it works: after that step nothing can become active, and the wait for the last answers is bounded.

--- a/src/cyclamenwing/gateway/admission.py
+++ b/src/cyclamenwing/gateway/admission.py
@@ -33,6 +33,8 @@
     :param started_s: time at which the request arrived
     :raises GatewayError: if the request is refused
     """
+    if board.admission_closed:
+        raise errors.LeavingError("the process stops")
     config = board.configuration
     if config is None:
         raise errors.NoConfigurationError("no configuration loaded yet")
--- a/src/cyclamenwing/gateway/app.py
+++ b/src/cyclamenwing/gateway/app.py
@@ -44,11 +44,13 @@
 # this long: the load balancer removes a host only after two failed readiness
 # checks, a second apart.
 LOAD_BALANCER_DELAY_S = 2.6
-# Time at the end of the shutdown grace that is reserved for returning holdings
-# to the pools and for stopping the process.
+# Time at the end of the shutdown grace that is reserved for answering the
+# requests still in progress, returning holdings to the pools and stopping.
 SHUTDOWN_MARGIN_S = 0.7
+FINAL_ANSWERS_TIMEOUT_S = 0.1
 RETURN_TIMEOUT_S = 0.4
 DRAIN_POLL_INTERVAL_S = 0.05
+FINAL_ANSWERS_POLL_INTERVAL_S = 0.005
 # A new process tries for this long to bound the age of its predecessors'
 # records, so that it can release their holdings to the pools.
 PREDECESSOR_WINDOW_S = 12.0
@@ -218,7 +220,8 @@
 
         Draining ends once no request is active and the load balancer has
         had time to remove the host, at the latest shortly before the end of
-        the shutdown grace.
+        the shutdown grace. From then on no request begins, so that none is
+        active when the connections close.
         """
         board = self.board
         started_s = clock.read_time()
@@ -228,21 +231,40 @@
         )
         eliot.log_message("gateway:leaving", active=board.active_requests)
         self._client_server.drain()
-        while True:
-            await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
-            now_s = clock.read_time()
-            if now_s >= board.shutdown_deadline_s:
-                break
+        await self._drain(started_s, board.shutdown_deadline_s)
+        await self._end_requests()
+        await self._return_holdings()
+        cut = len(self._client_server.connections)
+        self.stop()
+        eliot.log_message(
+            "gateway:stopped", active=board.active_requests, cut=cut
+        )
+
+    async def _drain(self, started_s: float, deadline_s: float) -> None:
+        while (now_s := clock.read_time()) < deadline_s:
             if now_s - started_s >= LOAD_BALANCER_DELAY_S:
                 self._client_server.close_idle()
                 if (
-                    not board.active_requests
+                    not self.board.active_requests
                     and not self._client_server.count_active()
                 ):
-                    break
-        await self._return_holdings()
-        self.stop()
-        eliot.log_message("gateway:stopped", active=board.active_requests)
+                    return
+            await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
+
+    async def _end_requests(self) -> None:
+        """Accept no more requests and answer those in progress."""
+        self.board.admission_closed = True
+        self._client_server.stop()
+        eliot.log_message(
+            "gateway:admission_closed",
+            active=self.board.active_requests,
+            connections=len(self._client_server.connections),
+        )
+        self._handler.interrupt()
+        until_s = clock.read_time() + FINAL_ANSWERS_TIMEOUT_S
+        while self._client_server.connections and clock.read_time() < until_s:
+            self._client_server.close_idle()
+            await asyncio.sleep(FINAL_ANSWERS_POLL_INTERVAL_S)
 
     def stop(self) -> None:
         """Cancel all tasks and close all connections at once."""
--- a/src/cyclamenwing/gateway/blackboard.py
+++ b/src/cyclamenwing/gateway/blackboard.py
@@ -63,6 +63,7 @@
     :param endpoints_loaded: the endpoints were read from the store
     :param drain_started_s: start of draining, None until then
     :param shutdown_deadline_s: latest end of draining, None until it starts
+    :param admission_closed: every request is refused, as the process stops
     :param predecessors: earlier processes of the host whose holdings still
         count in the pools
     :param record_written_s: write time of this gateway's record in the store
@@ -92,6 +93,7 @@
     pools_updated_s: dict[str, float] = dataclasses.field(default_factory=dict)
     drain_started_s: float | None = None
     shutdown_deadline_s: float | None = None
+    admission_closed: bool = False
     predecessors: list[record_age.Predecessor] = dataclasses.field(
         default_factory=list
     )
--- a/src/cyclamenwing/gateway/handler.py
+++ b/src/cyclamenwing/gateway/handler.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+
 import eliot
 
 from cyclamenwing.gateway import admission
@@ -47,6 +49,7 @@
         self._reservations = token_reservations
         self._poison_requests = poison_tracker
         self._attempts = endpoint_attempts
+        self._time_limits: set[asyncio.Timeout] = set()
 
     async def handle(
         self, connection: h1.ServerConnection, request: h1.Request
@@ -59,6 +62,15 @@
         finally:
             self._board.active_requests -= 1
 
+    def interrupt(self) -> None:
+        """Answer all requests in progress at once, as the process stops.
+
+        A client whose answer has begun sees it end incomplete.
+        """
+        now_s = asyncio.get_running_loop().time()
+        for time_limit in self._time_limits:
+            time_limit.reschedule(now_s)
+
     async def _handle(
         self,
         connection: h1.ServerConnection,
@@ -76,13 +88,8 @@
         code = "cancelled"
         try:
             self._poison_requests.check_quarantine(context)
-            await self._reserve(context)
-            context.reserved_s = clock.read_time()
-            try:
-                await self._try_endpoints(context, forwarder)
-                code = "passed"
-            finally:
-                self._settle(context)
+            await self._serve_until_interrupted(context, forwarder)
+            code = "passed"
         except errors.GatewayError as err:
             code = err.code
             if forwarder.started:
@@ -94,6 +101,39 @@
         finally:
             self._record_outcome(context, code)
 
+    async def _serve_until_interrupted(
+        self,
+        context: request_context.RequestContext,
+        forwarder: forwarding.AnswerForwarder,
+    ) -> None:
+        time_limit = asyncio.timeout(None)
+        try:
+            async with time_limit:
+                self._time_limits.add(time_limit)
+                await self._serve(context, forwarder)
+        except TimeoutError as err:
+            if not time_limit.expired():
+                raise
+            if context.may_have_run:
+                raise errors.AnswerLateError(
+                    "the process stops before the answer", "unknown"
+                ) from err
+            raise errors.LeavingError("the process stops") from err
+        finally:
+            self._time_limits.discard(time_limit)
+
+    async def _serve(
+        self,
+        context: request_context.RequestContext,
+        forwarder: forwarding.AnswerForwarder,
+    ) -> None:
+        await self._reserve(context)
+        context.reserved_s = clock.read_time()
+        try:
+            await self._try_endpoints(context, forwarder)
+        finally:
+            self._settle(context)
+
     async def _reserve(self, context: request_context.RequestContext) -> None:
         workspace = context.workspace
         if workspace is None or workspace.prepaid_tokens is None:
--- a/src/cyclamenwing/transport/h1.py
+++ b/src/cyclamenwing/transport/h1.py
@@ -128,6 +128,15 @@
         """Return whether either side has closed the connection."""
         return bool(self.stream.closed())
 
+    @property
+    def idle(self) -> bool:
+        """Return whether the connection waits for the first byte of a request.
+
+        Once a byte has arrived the stream is not reading any more, though
+        the coroutine that parses the request may not have resumed yet.
+        """
+        return not self.request_in_progress and bool(self.stream.reading())
+
     def set_close_callback(self, call: Callable[[], None] | None) -> None:
         """Set or remove the call made when the connection closes."""
         self.stream.set_close_callback(call)
--- a/src/cyclamenwing/transport/h1_server.py
+++ b/src/cyclamenwing/transport/h1_server.py
@@ -87,14 +87,14 @@
         self.draining = True
 
     def close_idle(self) -> None:
-        """Close the connections that have no request in progress."""
+        """Close the connections that wait for a request."""
         for connection in list(self.connections):
-            if not connection.request_in_progress:
+            if connection.idle:
                 connection.close()
 
     def count_active(self) -> int:
-        """Return the number of connections with a request in progress."""
-        return sum(1 for c in self.connections if c.request_in_progress)
+        """Return the number of connections that may have a request."""
+        return sum(1 for c in self.connections if not c.idle)
 
     async def _serve_one(self, connection: h1.ServerConnection) -> bool:
         try:
