Hold the ports that tests reserve for processes

Change: one reserve_address keeps a bound socket that does not listen. The kernel gives its port to nobody, and a server with SO_REUSEADDR still binds it. It replaces three copies. Ruled out: port 0 in all processes, as peers and seeds must know addresses before the processes start.

Conclusion: the flaky bind is mended at its cause.

--- a/src/cyclamenwing/bench/control_fleet.py
+++ b/src/cyclamenwing/bench/control_fleet.py
@@ -7,7 +7,6 @@
 import os
 import pathlib
 import signal
-import socket
 import sys
 import time
 import uuid
@@ -19,6 +18,7 @@
 from cyclamenwing.catalog import publication
 from cyclamenwing.catalog import types as catalog_types
 from cyclamenwing.cli import survey
+from cyclamenwing.standin import addresses
 from cyclamenwing.standin import store
 from cyclamenwing.store import client as store_client
 from cyclamenwing.transport import client
@@ -81,7 +81,7 @@
         self.store_client = store_client.StoreClient(
             self.client, self.store.address
         )
-        self.peers = [f"127.0.0.1:{pick_port()}" for _ in range(entries)]
+        self.peers = [addresses.reserve_address() for _ in range(entries)]
 
     async def start(self) -> None:
         """Start all processes and wait until the entries list all of them.
@@ -153,7 +153,7 @@
         settings: dict[str, Any] = {
             "host": f"{role}-{number}",
             "zone": f"zone-{number % ZONES}",
-            "listen": f"127.0.0.1:{pick_port()}",
+            "listen": addresses.reserve_address(),
             "store": self.store.address,
             "fleet_keys": [FLEET_KEY],
             "entries": self.peers[:3],
@@ -255,13 +255,6 @@
     }
 
 
-def pick_port() -> int:
-    """Return a free port on loopback."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return int(probe.getsockname()[1])
-
-
 def read_usage(pid: int) -> Usage:
     """Return the resource usage of a process from ``/proc``."""
     fields = pathlib.Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2]
--- a/tests/gateway/deployments.py
+++ b/tests/gateway/deployments.py
@@ -16,6 +16,7 @@
 from cyclamenwing.membership import delegates
 from cyclamenwing.platform import messages
 from cyclamenwing.platform import store
+from cyclamenwing.standin import addresses
 from cyclamenwing.standin import metadata_store
 from cyclamenwing.standin import platform_endpoint
 from cyclamenwing.transport import h1
@@ -115,8 +116,8 @@
                 host=host,
                 availability_zone="z1",
                 listen="127.0.0.1:0",
-                ready=reserve_address(),
-                control=reserve_address(),
+                ready=addresses.reserve_address(),
+                control=addresses.reserve_address(),
                 store=self.store_address,
                 seeds=seeds,
                 bounds=settings.Bounds(grace_s=4.0),
@@ -186,15 +187,6 @@
         return connection
 
 
-def reserve_address() -> str:
-    """Return a local address with a port that is free at the moment."""
-    import socket  # noqa: PLC0415
-
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{sock.getsockname()[1]}"
-
-
 @contextlib.asynccontextmanager
 async def deploy(gateways: int = 1) -> AsyncIterator[Deployment]:
     deployment = Deployment()
--- a/tests/process/fleet.py
+++ b/tests/process/fleet.py
@@ -9,7 +9,6 @@
 import os
 import pathlib
 import signal
-import socket
 import sys
 import time
 from collections.abc import Awaitable
@@ -24,6 +23,7 @@
 from cyclamenwing import errors
 from cyclamenwing.catalog import index
 from cyclamenwing.cli import remote
+from cyclamenwing.standin import addresses
 from cyclamenwing.standin import store
 from cyclamenwing.transport import client
 from cyclamenwing.transport import protocol
@@ -66,12 +66,6 @@
 }
 
 
-def pick_port() -> int:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return int(probe.getsockname()[1])
-
-
 async def wait_until(
     check: Callable[[], Awaitable[bool]], description: str
 ) -> None:
@@ -93,8 +87,8 @@
     ) -> None:
         self._folder = folder
         self._routes = ["assistant"] * chat + ["records"] * plain
-        self.peers = [f"127.0.0.1:{pick_port()}" for _ in range(entries)]
-        self.entries = [f"127.0.0.1:{pick_port()}" for _ in range(entries)]
+        self.peers = [addresses.reserve_address() for _ in range(entries)]
+        self.entries = [addresses.reserve_address() for _ in range(entries)]
         self.processes: dict[str, asyncio.subprocess.Process] = {}
         self.client = client.CurlClient(FLEET_KEY)
 
--- a/tests/process/test_gateway.py
+++ b/tests/process/test_gateway.py
@@ -14,6 +14,7 @@
 from tests.gateway import deployments
 
 from cyclamenwing.cli import protocol
+from cyclamenwing.standin import addresses
 from cyclamenwing.standin import platform_endpoint
 
 PROGRAM = pathlib.Path(__file__).parents[2] / "src" / "gateway.py"
@@ -24,10 +25,10 @@
     return {
         "host": "g0",
         "availability_zone": "z1",
-        "listen": deployments.reserve_address(),
-        "ready": deployments.reserve_address(),
-        "control": deployments.reserve_address(),
-        "metrics": deployments.reserve_address(),
+        "listen": addresses.reserve_address(),
+        "ready": addresses.reserve_address(),
+        "control": addresses.reserve_address(),
+        "metrics": addresses.reserve_address(),
         "store": store,
         "bounds": {"grace_s": 5.0},
     } | changes
