--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -10,6 +10,7 @@
 import pathlib
 from typing import NamedTuple
 
+import eliot
 import pytest
 
 KNOWN_RED = pathlib.Path(__file__).parents[1] / "KNOWN-RED.txt"
@@ -57,6 +58,16 @@
     return None
 
 
+def pytest_configure() -> None:
+    # Until the first destination is added, eliot keeps all messages and then
+    # writes them there, into the output that some later test checks.
+    eliot.add_destinations(_drop_message)
+
+
+def _drop_message(message: dict[str, object]) -> None:
+    """Do nothing with a log message."""
+
+
 def pytest_collection_modifyitems(
     config: pytest.Config, items: list[pytest.Item]
 ) -> None:
