Wait for the line being written before the log of a process ends

Callers saw: nothing. tests/process/test_gateway.py:: test_process_serves_reloads_and_drains failed once in seven runs: the last line of the process's log was funds:committed and not gateway:stopped.

Cause: the writer thread takes a line from the queue and then writes it. Meanwhile `flush` finds the queue shorter, writes the lines after it, and the process ends; the line in between comes last or, as the thread ends with the process, is lost.

Ruled out: nothing in the failed run itself, whose log was not kept; one of the two happened there, or something else. The race by itself is shown by the new test, which failed on the code before this change.

Change: a lock is held while lines are taken and written; `flush` waits for it for 0.2 s at most, as a reader may have stopped reading.

Conclusion: counts taken from the ends of logs (stops, active requests) may lack processes whose last line was lost.

--- a/src/cyclamenwing/gateway/logs.py
+++ b/src/cyclamenwing/gateway/logs.py
@@ -14,6 +14,9 @@
 from cyclamenwing.gateway import clock
 
 MAX_QUEUED_LINES = 2000
+# The thread may be stuck in a write if the reader of the log has stopped
+# reading; the process must end all the same.
+FLUSH_TIMEOUT_S = 0.2
 
 
 class BoundedLog:
@@ -36,6 +39,8 @@
         self._line_bytes = line_bytes
         self._queue: collections.deque[bytes] = collections.deque()
         self._wake = threading.Event()
+        # Held while a line is being written that is not queued any more.
+        self._writing = threading.Lock()
         self._current_second = 0
         self._lines_this_second = 0
         self.dropped = 0
@@ -72,8 +77,12 @@
         self._wake.set()
 
     def flush(self) -> None:
-        """Write the queued lines."""
-        self._write_queued()
+        """Write the queued lines after those that the thread has taken."""
+        if self._writing.acquire(timeout=FLUSH_TIMEOUT_S):
+            try:
+                self._write_queued()
+            finally:
+                self._writing.release()
 
     def _encode(self, fields: dict[str, Any]) -> bytes:
         try:
@@ -93,7 +102,8 @@
         while True:
             self._wake.wait()
             self._wake.clear()
-            self._write_queued()
+            with self._writing:
+                self._write_queued()
 
     def _write_queued(self) -> None:
         while self._queue:
--- a/tests/gateway/test_logs.py
+++ b/tests/gateway/test_logs.py
@@ -7,6 +7,7 @@
 
 import json
 import os
+import threading
 import time
 
 import pytest
@@ -73,3 +74,30 @@
     assert log.dropped > 0
     log.stop()
     os.close(read)
+
+
+def test_flush_waits_for_a_line_that_the_thread_is_writing(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    written = []
+    taken = threading.Event()
+
+    def write_slowly(_: int, data: bytes) -> int:
+        if not taken.is_set():
+            taken.set()
+            time.sleep(0.1)
+        written.append(json.loads(data)["message_type"])
+        return len(data)
+
+    monkeypatch.setattr(os, "write", write_slowly)
+    log = logs.BoundedLog(-1, 100, 1000)
+    log.start()
+    try:
+        log.enqueue({"message_type": "first"})
+        assert taken.wait(1.0)
+        log.enqueue({"message_type": "last"})
+        log.flush()
+        # The process ends now, and the thread with it.
+        assert written == ["first", "last"]
+    finally:
+        log.stop()
