Return all holdings of a gateway that stops

Callers saw: no test of the users has shown it. Tokens that a leaving gateway keeps can't be used by others until a new process of its host frees them.

Cause: the holdings to return were computed once, before up to three commits. One commit takes 15 pools, and the return ended after the first that worked; a draw of the process itself that was under way took effect in between and its tokens were left out. Besides, the process went on drawing for whoever waited.

Ruled out: a return of more than is held, which would overspend a budget; nothing can be deducted while a commit with the return is under way, and the retry follows without a wait.

Change: what is held is computed for each commit until nothing is left, three conflicts or the time-out of the return; no draws once admission is closed.

Conclusion: returned in full unless the store is too slow for the time-out.

--- a/src/cyclamenwing/gateway/pools.py
+++ b/src/cyclamenwing/gateway/pools.py
@@ -34,6 +34,7 @@
 # Shortest time between draws that requests wait for.
 MIN_DRAW_INTERVAL_S = 0.02
 STORE_RETRY_DELAY_S = 0.3
+MAX_RETURN_CONFLICTS = 3
 # A usage bound is renewed at the shorter interval once this fraction of what
 # it allowed at first is used.
 EARLY_RENEWAL_FRACTION = 0.5
@@ -105,14 +106,19 @@
 
     async def return_holdings(self) -> None:
         """Return unused holdings to the pools."""
-        changes = {
-            name: -account.held
-            for name, account in self._board.escrow.accounts.items()
-            if account.held > 0
-        }
-        for _ in range(3):
-            if not changes or await self._commit(changes):
+        conflicts = 0
+        while conflicts < MAX_RETURN_CONFLICTS:
+            # Computed for each commit: one takes a limited number of pools,
+            # and a draw that was under way may have changed the holdings.
+            changes = {
+                name: -account.held
+                for name, account in self._board.escrow.accounts.items()
+                if account.held > 0
+            }
+            if not changes:
                 return
+            if not await self._commit(changes):
+                conflicts += 1
 
     async def _has_predecessor(self) -> bool:
         """Return whether an earlier process of the host wrote a record.
@@ -249,7 +255,8 @@
     async def _renew(self) -> None:
         board = self._board
         config = board.configuration
-        if config is None:
+        if config is None or board.admission_closed:
+            # Holdings are being returned as the process stops.
             return
         now_s = clock.read_time()
         if not board.roster.acts_as_delegate:
