Take no tokens in a gateway that returns its holdings

Callers saw: no test of the users has shown it. Tokens lost this way are missing from the workspace's budget for good: their giver counts them as used.

Cause: what a stopping gateway had given back was not kept empty. Its control server took tokens that attached gateways returned until the process ended; and a grant or transfer on its way to an interrupted or cancelled request, which is received all the same, arrived after the return. An attached gateway offered its tokens to one delegate only.

Ruled out: reservations of interrupted requests; they are settled in the same step, before anything is returned.

Change: once admission is closed, calls for grants, returns and transfers get 503, on which peers already ask another gateway or keep their tokens. Returns try up to three delegates. The return of holdings first waits, 0.2 s at most, for tokens on their way.

Conclusion: a return whose answer is lost, and tokens that an attached gateway can't hand to any delegate at its end, are lost as before.

--- a/src/cyclamenwing/gateway/app.py
+++ b/src/cyclamenwing/gateway/app.py
@@ -49,6 +49,8 @@
 SHUTDOWN_MARGIN_S = 0.7
 FINAL_ANSWERS_TIMEOUT_S = 0.1
 RETURN_TIMEOUT_S = 0.4
+# Part of it in which tokens that are on their way here may still arrive.
+INCOMING_TIMEOUT_S = 0.2
 DRAIN_POLL_INTERVAL_S = 0.05
 FINAL_ANSWERS_POLL_INTERVAL_S = 0.005
 # A new process tries for this long to bound the age of its predecessors'
@@ -319,6 +321,7 @@
     async def _return_holdings(self) -> None:
         try:
             async with asyncio.timeout(RETURN_TIMEOUT_S):
+                await self._reservations.wait_for_incoming(INCOMING_TIMEOUT_S)
                 await self._reservations.return_idle(0.0)
                 if self.board.roster.acts_as_delegate:
                     await self._pools.return_holdings()
--- a/src/cyclamenwing/gateway/grants.py
+++ b/src/cyclamenwing/gateway/grants.py
@@ -67,32 +67,33 @@
     async def return_tokens(self, workspace: str, tokens: int) -> bool:
         """Give tokens to a delegate that holds the workspace's.
 
-        Return False if it has certainly not received them. They are lost if
-        its answer is.
+        Return False if none has received them for certain. They are lost if
+        the answer is.
         """
         holders = self._board.roster.find_holders(workspace, clock.read_time())
-        if not holders:
-            return False
-        try:
-            status, _ = await self._caller.call(
-                holders[0].address,
-                "POST",
-                RETURN_PATH,
-                msgspec.json.encode({workspace: tokens}),
-                RETURN_TIMEOUT_S,
-            )
-        except transport_errors.ConnectFailedError:
-            return False
-        except errors.CodedError as err:
-            eliot.log_message(
-                "grant:return_in_doubt",
-                delegate=holders[0].host,
-                workspace=workspace,
-                tokens=tokens,
-                reason=err.message,
-            )
-            return True
-        return status == 200
+        for member in holders[:MAX_DELEGATES_ASKED]:
+            try:
+                status, _ = await self._caller.call(
+                    member.address,
+                    "POST",
+                    RETURN_PATH,
+                    msgspec.json.encode({workspace: tokens}),
+                    RETURN_TIMEOUT_S,
+                )
+            except transport_errors.ConnectFailedError:
+                continue
+            except errors.CodedError as err:
+                eliot.log_message(
+                    "grant:return_in_doubt",
+                    delegate=member.host,
+                    workspace=workspace,
+                    tokens=tokens,
+                    reason=err.message,
+                )
+                return True
+            if status == 200:
+                return True
+        return False
 
 
 __all__ = (
--- a/src/cyclamenwing/gateway/peers.py
+++ b/src/cyclamenwing/gateway/peers.py
@@ -20,6 +20,7 @@
 from cyclamenwing.gateway import blackboard
 from cyclamenwing.gateway import clock
 from cyclamenwing.gateway import compression
+from cyclamenwing.gateway import errors as gateway_errors
 from cyclamenwing.gateway import gossip
 from cyclamenwing.gateway import poison_requests
 from cyclamenwing.gateway import record_age
@@ -104,6 +105,9 @@
             eliot.log_message("peers:unreadable", path=path, reason=str(err))
             await connection.respond(400, (), b"")
             return
+        except gateway_errors.LeavingError as err:
+            await connection.respond(err.status, (), b"")
+            return
         await connection.respond(200, pooled_client.JSON_HEADERS, body)
 
     async def request_tokens(
--- a/src/cyclamenwing/gateway/reservations.py
+++ b/src/cyclamenwing/gateway/reservations.py
@@ -6,6 +6,9 @@
 import contextlib
 from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Coroutine
+from typing import Any
+from typing import TypeVar
 
 import eliot
 import msgspec
@@ -45,6 +48,7 @@
 OUTAGE_GOSSIP_S = 0.4
 MIN_RETRY_AFTER_S = 0.5
 
+T = TypeVar("T")
 RequestTokens = Callable[[blackboard.Peer, str, int], Awaitable[int]]
 
 
@@ -105,6 +109,8 @@
         self._request_grant = request_grant
         self._return_tokens = return_tokens
         self._transfer_locks: dict[str, asyncio.Lock] = {}
+        # Calls that may bring tokens, whether their request still waits.
+        self._incoming: set[asyncio.Task[Any]] = set()
 
     async def reserve(
         self,
@@ -167,7 +173,11 @@
         self._board.escrow.open_account(workspace).settle(reserved, spent)
 
     async def answer_grant(self, body: bytes) -> bytes:
-        """Reserve tokens for an attached gateway and hand them over."""
+        """Reserve tokens for an attached gateway and hand them over.
+
+        :raises LeavingError: if the process stops
+        """
+        self._check_leaving()
         request = msgspec.json.decode(body, type=GrantRequest)
         board = self._board
         board.roster.record_attached(request.host, clock.read_time())
@@ -198,7 +208,11 @@
         return msgspec.json.encode(GrantReply(request.tokens))
 
     async def answer_return(self, body: bytes) -> bytes:
-        """Take back tokens that an attached gateway does not need."""
+        """Take back tokens that an attached gateway does not need.
+
+        :raises LeavingError: if the process stops
+        """
+        self._check_leaving()
         returned = msgspec.json.decode(body, type=dict[str, int])
         for workspace, tokens in returned.items():
             account = self._board.escrow.open_account(workspace)
@@ -226,6 +240,11 @@
         if surplus:
             eliot.log_message("funds:returned_idle", tokens=surplus)
 
+    async def wait_for_incoming(self, timeout_s: float) -> None:
+        """Wait until no call that may bring tokens is under way."""
+        if self._incoming:
+            await asyncio.wait(self._incoming, timeout=timeout_s)
+
     async def run(self) -> None:
         """Return idle tokens to their holders until cancelled."""
         while True:
@@ -237,7 +256,10 @@
 
         Tokens that are held but exceed the usage bound need a renewed bound
         first, which takes a reachable store.
+
+        :raises LeavingError: if the process stops
         """
+        self._check_leaving()
         account = self._board.escrow.open_account(workspace)
         deducted = account.deduct_transfer(tokens, clock.read_time())
         missing = min(tokens - deducted, account.held)
@@ -252,6 +274,20 @@
             account.wanted -= missing
         return deducted + account.deduct_transfer(missing, clock.read_time())
 
+    def _check_leaving(self) -> None:
+        # Tokens that a process takes or draws while it returns its holdings
+        # would be lost with it.
+        if self._board.admission_closed:
+            raise errors.LeavingError("the process stops")
+
+    def _start_incoming(
+        self, coroutine: Coroutine[Any, Any, T]
+    ) -> asyncio.Task[T]:
+        task = asyncio.ensure_future(coroutine)
+        self._incoming.add(task)
+        task.add_done_callback(self._incoming.discard)
+        return task
+
     async def _reserve_by_grant(
         self, workspace: str, tokens: int, goal_s: float, remaining_s: float
     ) -> None:
@@ -269,7 +305,7 @@
         while True:
             # Tokens must be received even if the request is cancelled.
             reply = await asyncio.shield(
-                asyncio.ensure_future(self._receive_grant(request))
+                self._start_incoming(self._receive_grant(request))
             )
             now_s = clock.read_time()
             if account.reserve(tokens, now_s):
@@ -362,7 +398,11 @@
             if missing > 0 and offer > 0:
                 # If the request is cancelled, the tokens that the peer has
                 # transferred must still be received.
-                await asyncio.shield(self._transfer(peer, workspace, missing))
+                await asyncio.shield(
+                    self._start_incoming(
+                        self._transfer(peer, workspace, missing)
+                    )
+                )
             if account.reserve(tokens, clock.read_time()):
                 return True
         return False
