Let a whole answer be written at the end of the grace

Callers saw: no test of the users has shown it. A client that had begun to read a whole answer saw it cut.

Nothing better can be answered then, and the connection could stay open until the process stops.

Change: such requests are not interrupted. Streams are interrupted as before: their end is not here yet.

Conclusion: tokens of such a request are settled only when it ends, which may be after the return; a new process of the host frees what is left.

--- a/src/cyclamenwing/gateway/forwarding.py
+++ b/src/cyclamenwing/gateway/forwarding.py
@@ -30,12 +30,15 @@
         self._context = context
         self.reader = events.EventReader()
         self.started = False
+        # The whole answer of the endpoint is here and only has to be written.
+        self.complete = False
         self.client_lost = False
 
     async def forward_whole(self, head: h1.ResponseHead, body: bytes) -> None:
         """Send a complete answer to the client."""
         self._record_first_byte(head)
         self.started = True
+        self.complete = True
         await self._write_to_client(
             self._connection.respond(head.status, head.headers, body)
         )
--- a/src/cyclamenwing/gateway/handler.py
+++ b/src/cyclamenwing/gateway/handler.py
@@ -49,7 +49,9 @@
         self._reservations = token_reservations
         self._poison_requests = poison_tracker
         self._attempts = endpoint_attempts
-        self._time_limits: set[asyncio.Timeout] = set()
+        self._interruptible: dict[
+            asyncio.Timeout, forwarding.AnswerForwarder
+        ] = {}
 
     async def handle(
         self, connection: h1.ServerConnection, request: h1.Request
@@ -65,11 +67,13 @@
     def interrupt(self) -> None:
         """Answer all requests in progress at once, as the process stops.
 
-        A client whose answer has begun sees it end incomplete.
+        A client whose answer has begun sees it end incomplete, unless all
+        of it is here; that may still be written until connections close.
         """
         now_s = asyncio.get_running_loop().time()
-        for time_limit in self._time_limits:
-            time_limit.reschedule(now_s)
+        for time_limit, forwarder in self._interruptible.items():
+            if not forwarder.complete:
+                time_limit.reschedule(now_s)
 
     async def _handle(
         self,
@@ -109,7 +113,7 @@
         time_limit = asyncio.timeout(None)
         try:
             async with time_limit:
-                self._time_limits.add(time_limit)
+                self._interruptible[time_limit] = forwarder
                 await self._serve(context, forwarder)
         except TimeoutError as err:
             if not time_limit.expired():
@@ -120,7 +124,7 @@
                 ) from err
             raise errors.LeavingError("the process stops") from err
         finally:
-            self._time_limits.discard(time_limit)
+            self._interruptible.pop(time_limit, None)
 
     async def _serve(
         self,
--- a/tests/gateway/test_shutdown.py
+++ b/tests/gateway/test_shutdown.py
@@ -179,3 +179,49 @@
         assert b'"run":"%s"' % run_state in body
 
     run(check)
+
+
+def test_answer_that_a_client_reads_slowly_ends_after_the_grace(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # The grace ends at once. The bound of the last answers is long, so that a
+    # busy machine does not decide the outcome.
+    monkeypatch.setattr(app, "SHUTDOWN_MARGIN_S", 4.0)
+    monkeypatch.setattr(app, "FINAL_ANSWERS_TIMEOUT_S", 3.0)
+    # More than the buffers of the sockets take.
+    body = b"x" * 4_000_000
+
+    async def check(deployment: deployments.Deployment) -> None:
+        gateway = deployment.gateways[0]
+        for endpoint in deployment.endpoints:
+            endpoint.pause_s = 0.0
+        connection = await h1_client.ClientConnection.open(
+            gateway.address, 1.0
+        )
+        headers = (
+            (b"Host", deployments.HOST),
+            (b"Request-Id", b"r1"),
+            (b"Key", deployments.KEY),
+        )
+        connection.send(h1.Request(b"POST", b"/write/x", headers, body))
+        async with asyncio.timeout(5):
+            while not any(
+                server_side.stream.writing()
+                for server_side in gateway._client_server.connections
+            ):
+                await asyncio.sleep(0.01)
+        # The sockets take in no more.
+        await asyncio.sleep(0.3)
+        (server_side,) = gateway._client_server.connections
+        assert server_side.stream.writing()
+        closing = asyncio.ensure_future(gateway.close())
+        while not gateway.board.admission_closed:
+            await asyncio.sleep(0)
+        await asyncio.sleep(0.05)
+        head = await connection.read_head(3.0)
+        assert head.status == 200
+        assert await connection.read_body(3.0, len(body)) == body
+        connection.close()
+        await closing
+
+    run(check)
