Renew the usage bound alone after a conflict in a pool

Cause: a gateway that holds enough tokens for a request, but whose usage bound does not allow them yet, renewed the bound in one commit with draws from pools. While all gateways draw at once, as after a start, these commits conflict for longer than the 60 ms that a request waits, which then got 503. Found by the test of an attached gateway that failed once in review: in six copies beside each other it fails, and the holder's log has held 17,796, available 355, free 50,276 and only conflicts.

Ruled out: too few tokens; a delegate that had not drawn yet (in two of the failures it had). Change: after such a conflict the record is committed alone, which no other gateway's commit can conflict with.

--- a/src/cyclamenwing/gateway/pools.py
+++ b/src/cyclamenwing/gateway/pools.py
@@ -278,8 +278,12 @@
                 and now_s - board.pools_updated_s.get(name, 0) > MAX_POOL_AGE_S
             ):
                 changes[name] = change
-        if changes or self._is_renewal_due(now_s):
-            await self._commit(changes)
+        if not changes and not self._is_renewal_due(now_s):
+            return
+        committed = await self._commit(changes)
+        if not committed and self._is_bound_awaited():
+            # Without the pools no other gateway's commit is in the way.
+            await self._commit({})
 
     async def _retire(self) -> None:
         """Return all holdings, as this gateway is no delegate any more.
@@ -300,12 +304,16 @@
             self._board.record_written_s = 0.0
             eliot.log_message("funds:retired", changes=changes)
 
+    def _is_bound_awaited(self) -> bool:
+        """Return whether a request waits only for a higher usage bound."""
+        return any(
+            account.wanted and account.held >= account.wanted
+            for account in self._board.escrow.accounts.values()
+        )
+
     def _is_renewal_due(self, now_s: float) -> bool:
         accounts = self._board.escrow.accounts
-        if any(
-            account.wanted and account.held >= account.wanted
-            for account in accounts.values()
-        ):
+        if self._is_bound_awaited():
             return True
         age_s = now_s - self._renewed_s
         if age_s < RENEW_INTERVAL_S:
--- a/tests/gateway/test_serving.py
+++ b/tests/gateway/test_serving.py
@@ -10,6 +10,7 @@
 import json
 from collections.abc import Callable
 from collections.abc import Coroutine
+from collections.abc import Sequence
 
 import msgspec
 import pytest
@@ -25,6 +26,7 @@
 from cyclamenwing.gateway import reservations
 from cyclamenwing.platform import store
 from cyclamenwing.standin import platform_endpoint
+from cyclamenwing.store import protocol
 from cyclamenwing.transport import errors
 from cyclamenwing.transport import h1
 from cyclamenwing.transport import pooled_client
@@ -536,6 +538,38 @@
     run(check, gateways=2)
 
 
+def test_conflicts_in_a_pool_do_not_delay_tokens_that_are_held(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # At the start all gateways draw from the same pools, and a gateway's
+    # commits may conflict for longer than a request waits for tokens.
+    async def check(deployment: deployments.Deployment) -> None:
+        (gateway,) = deployment.gateways
+        await deployment.send("chat", headers=SIZE)
+        account = gateway.board.escrow.accounts["t1"]
+        commit = gateway._pools._store.commit
+
+        async def conflict_on_pools(
+            expected: Sequence[tuple[str, int]],
+            writes: Sequence[tuple[str, bytes]],
+        ) -> protocol.Committed | protocol.Conflict:
+            if any(key.startswith(pools.POOL_PREFIX) for key, _ in writes):
+                return protocol.Conflict([])
+            return await commit(expected, writes)
+
+        monkeypatch.setattr(gateway._pools._store, "commit", conflict_on_pools)
+        monkeypatch.setattr(
+            escrow.WorkspaceAccount, "plan_change", lambda *_: 5000
+        )
+        tokens = account.count_available(clock.read_time()) + 2000
+        assert tokens <= account.held
+        size = {"Token-Counts": b"%d,0" % tokens}
+        head, _ = await deployment.send("chat", headers=size)
+        assert head.status == 200
+
+    run(check)
+
+
 def test_store_is_called_directly_again_after_an_outage() -> None:
     async def check(deployment: deployments.Deployment) -> None:
         gateway = deployment.gateways[0]
