Decode what endpoints say of leaving and of pauses in answers

An endpoint that leaves says so in all its answers, and one that turns a request away with 503 may name a time for which it wants nothing from this gateway. Both headers were ignored.

Change: two fields of calls.AnswerMetadata, which nothing reads yet. The Retry-After that the gateway itself sends is rounded up to hundredths, since rounding down sends clients back too early. The stand-in of an endpoint has both behaviours, a start time in its entry and a count of arrivals.

Conclusion: the wire's names stay in platform/ and standin/.

--- a/src/cyclamenwing/gateway/calls.py
+++ b/src/cyclamenwing/gateway/calls.py
@@ -70,6 +70,9 @@
     :param closes: the endpoint closes the connection after this answer
     :param keep_alive_s: idle time after which the endpoint closes it
     :param encoded: the body has a content encoding
+    :param leaving: the endpoint takes no new requests any more and will exit
+    :param refuse_s: time for which the endpoint wants no requests from this
+        gateway; its header reads like advice on one request, but concerns all
     """
 
     request_id: bytes | None
@@ -78,6 +81,8 @@
     closes: bool
     keep_alive_s: float | None
     encoded: bool
+    leaving: bool = False
+    refuse_s: float | None = None
 
 
 class Refusal(NamedTuple):
--- a/src/cyclamenwing/platform/messages.py
+++ b/src/cyclamenwing/platform/messages.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import re
 
 from cyclamenwing.gateway import calls
@@ -9,6 +10,9 @@
 from cyclamenwing.transport import h1
 
 MS_PER_S = 1000.0
+# Longer than any process runs. Far larger values of an endpoint would
+# overflow when they are rounded.
+MAX_REFUSE_S = 1e9
 
 _DROPPED_HEADERS = h1.HOP_BY_HOP | {
     # The client's API key, and headers that clients may not set themselves.
@@ -25,6 +29,7 @@
     b"pin-ms",
 }
 _REQUEST_ID = re.compile(rb"[\x21-\x7e]{1,128}")
+_SECONDS = re.compile(rb"\d+(\.\d*)?|\.\d+")
 
 
 def read_call(request: h1.Request) -> calls.Call:
@@ -89,6 +94,8 @@
         closes=b"close" in get_header(b"connection", b"").lower(),
         keep_alive_s=float(keep_alive[1]) if keep_alive else None,
         encoded=b"content-encoding" in dict(head.headers),
+        leaving=get_header(b"server-leaving") == b"1",
+        refuse_s=_read_refuse_time(head.status, get_header(b"retry-after")),
     )
 
 
@@ -100,7 +107,9 @@
     if request_id is not None:
         headers.append((b"Request-Id", request_id))
     if refusal.retry_after_s is not None:
-        headers.append((b"Retry-After", b"%.2f" % refusal.retry_after_s))
+        # Rounded up, so that no client returns too early.
+        hundredths = math.ceil(round(refusal.retry_after_s * 100, 6))
+        headers.append((b"Retry-After", b"%.2f" % (hundredths / 100)))
     body = b'{"code":"%s","run":"%s"}' % (
         refusal.code.encode(),
         refusal.run.encode(),
@@ -121,6 +130,14 @@
     return wait_s
 
 
+def _read_refuse_time(status: int, value: bytes | None) -> float | None:
+    """Return seconds; None if not asked for or not a finite number."""
+    if status != 503 or value is None or not _SECONDS.fullmatch(value):
+        return None
+    refuse_s = float(value)
+    return min(refuse_s, MAX_REFUSE_S) if math.isfinite(refuse_s) else None
+
+
 def _read_size(value: bytes | None) -> calls.Size | None:
     if value is None:
         return None
@@ -141,6 +158,7 @@
 
 
 __all__ = (
+    "MAX_REFUSE_S",
     "read_answer",
     "read_call",
     "write_call",
--- a/src/cyclamenwing/standin/platform_endpoint.py
+++ b/src/cyclamenwing/standin/platform_endpoint.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from collections.abc import Awaitable
 from collections.abc import Callable
 
@@ -13,6 +14,8 @@
 
 STAMP_HEADER = (b"Replica-Stamp", b"signed")
 STREAM_EVENTS = 5
+MS_PER_S = 1000
+NO_HEADERS: h1.Headers = ()
 
 
 class EndpointStandin:
@@ -22,6 +25,11 @@
     :param service: the service that the endpoint belongs to
     :ivar behaviour: a key of `BEHAVIOURS`, ``shed`` or ``crash``
     :ivar pause_s: delay before each answer
+    :ivar leaving: whether all answers say that it leaves
+    :ivar refuse_time: time in seconds for which it asks a caller to wait
+        when it sheds a request, as text; empty for none
+    :ivar started_ms: start time in its entry, 0 for none
+    :ivar arrivals: number of requests that reached it, executed or not
     :ivar runs: the requests that were executed
     :ivar cancelled: number of requests cancelled during the delay
     """
@@ -31,6 +39,10 @@
         self.service = service
         self.behaviour = "serve"
         self.pause_s = 0.0
+        self.leaving = False
+        self.refuse_time = b""
+        self.started_ms = int(time.time() * MS_PER_S)
+        self.arrivals = 0
         self.runs: list[h1.Request] = []
         self.cancelled = 0
         self.address = ""
@@ -52,8 +64,13 @@
             "state": state,
             "cold_left_ms": 0,
             "seq": 1,
+            "born": self.started_ms,
         })
 
+    def count_connections(self) -> int:
+        """Return the number of open connections to the endpoint."""
+        return len(self._server.connections)
+
     def stop(self) -> None:
         """Stop immediately, as a killed process does."""
         self._server.stop()
@@ -63,12 +80,17 @@
     async def _handle(
         self, connection: h1.ServerConnection, request: h1.Request
     ) -> None:
+        self.arrivals += 1
+        extra = self._make_extra_headers()
         expected = h1.find_header(request.headers, b"expect-replica")
         if expected not in (None, self.name.encode()):
-            await connection.respond(421, (), b"")
+            await connection.respond(421, extra, b"")
             return
         if self.behaviour == "shed":
-            await connection.respond(503, ((b"Not-Executed", b"1"),), b"")
+            headers = (*extra, (b"Not-Executed", b"1"))
+            if self.refuse_time:
+                headers = (*headers, (b"Retry-After", self.refuse_time))
+            await connection.respond(503, headers, b"")
             return
         self.runs.append(request)
         if self.behaviour == "crash":
@@ -79,31 +101,41 @@
         except asyncio.CancelledError:
             self.cancelled += 1
             raise
-        await BEHAVIOURS[self.behaviour](connection, request)
+        await BEHAVIOURS[self.behaviour](
+            connection, request, self._make_extra_headers()
+        )
+
+    def _make_extra_headers(self) -> h1.Headers:
+        return ((b"Server-Leaving", b"1"),) if self.leaving else NO_HEADERS
 
 
-def make_headers(request: h1.Request) -> tuple[tuple[bytes, bytes], ...]:
+def make_headers(
+    request: h1.Request, extra: h1.Headers = NO_HEADERS
+) -> h1.Headers:
     """Return the headers of a signed answer to a request."""
     request_id = h1.find_header(request.headers, b"request-id") or b""
-    return (STAMP_HEADER, (b"Request-Id", request_id))
+    return (STAMP_HEADER, (b"Request-Id", request_id), *extra)
 
 
 async def _answer(
-    connection: h1.ServerConnection, request: h1.Request
+    connection: h1.ServerConnection, request: h1.Request, extra: h1.Headers
 ) -> None:
     if h1.find_header(request.headers, b"token-counts") is None:
         body = request.body or b"ok"
-        await connection.respond(200, make_headers(request), body)
+        await connection.respond(200, make_headers(request, extra), body)
         return
-    await _stream(connection, request, STREAM_EVENTS)
+    await _stream(connection, request, extra, STREAM_EVENTS)
     await connection.finish()
 
 
 async def _stream(
-    connection: h1.ServerConnection, request: h1.Request, events: int
+    connection: h1.ServerConnection,
+    request: h1.Request,
+    extra: h1.Headers,
+    events: int,
 ) -> None:
     content_type = (b"Content-Type", b"text/event-stream")
-    headers = (*make_headers(request), content_type)
+    headers = (*make_headers(request, extra), content_type)
     await connection.start(h1.ResponseHead(200, b"OK", headers), None)
     last_event_id = h1.find_header(request.headers, b"last-event-id") or b"0"
     for number in range(int(last_event_id) + 1, events + 1):
@@ -111,36 +143,37 @@
 
 
 async def _answer_error(
-    connection: h1.ServerConnection, request: h1.Request
+    connection: h1.ServerConnection, request: h1.Request, extra: h1.Headers
 ) -> None:
-    await connection.respond(500, make_headers(request), b"failed")
+    await connection.respond(500, make_headers(request, extra), b"failed")
 
 
 async def _cut_answer(
-    connection: h1.ServerConnection, request: h1.Request
+    connection: h1.ServerConnection, request: h1.Request, extra: h1.Headers
 ) -> None:
     if h1.find_header(request.headers, b"token-counts") is not None:
-        await _stream(connection, request, STREAM_EVENTS // 2)
+        await _stream(connection, request, extra, STREAM_EVENTS // 2)
         await connection.write(b"id: 3\nda")
     connection.close()
 
 
 async def _answer_other_request(
-    connection: h1.ServerConnection, request: h1.Request
+    connection: h1.ServerConnection, request: h1.Request, extra: h1.Headers
 ) -> None:
-    headers = (STAMP_HEADER, (b"Request-Id", b"another"))
+    headers = (STAMP_HEADER, (b"Request-Id", b"another"), *extra)
     await connection.respond(200, headers, b"of another request")
 
 
 async def _answer_unsigned(
-    connection: h1.ServerConnection, request: h1.Request
+    connection: h1.ServerConnection, request: h1.Request, extra: h1.Headers
 ) -> None:
-    headers = make_headers(request)[1:]
+    headers = make_headers(request, extra)[1:]
     await connection.respond(200, headers, b"not signed")
 
 
 BEHAVIOURS: dict[
-    str, Callable[[h1.ServerConnection, h1.Request], Awaitable[None]]
+    str,
+    Callable[[h1.ServerConnection, h1.Request, h1.Headers], Awaitable[None]],
 ] = {
     "serve": _answer,
     "fail": _answer_error,
--- a/tests/platform/test_messages.py
+++ b/tests/platform/test_messages.py
@@ -133,6 +133,62 @@
     )
 
 
+@pytest.mark.parametrize("status", [200, 421, 429, 500, 503])
+@pytest.mark.parametrize(
+    ("value", "leaving"), [(b"1", True), (b"0", False), (None, False)]
+)
+def test_any_answer_may_say_that_its_endpoint_leaves(
+    status: int, value: bytes | None, leaving: bool
+) -> None:
+    headers = () if value is None else ((b"server-leaving", value),)
+    head = h1.ResponseHead(status, b"", headers)
+    assert messages.read_answer(head).leaving is leaving
+
+
+@pytest.mark.parametrize(
+    ("status", "value", "refuse_s"),
+    [
+        (503, b"2", 2.0),
+        (503, b"0.25", 0.25),
+        (503, b".5", 0.5),
+        (503, b"0", 0.0),
+        # Longer than any process runs, and small enough to calculate with.
+        (503, b"9" * 300, messages.MAX_REFUSE_S),
+        (503, None, None),
+        (503, b"", None),
+        (503, b"soon", None),
+        (503, b"-1", None),
+        (503, b"inf", None),
+        (503, b"9" * 400, None),
+        (503, b"nan", None),
+        (503, b"1_0", None),
+        (503, b"Fri, 31 Dec 2027 23:59:59 GMT", None),
+        # Only an endpoint that turns a request away asks for a pause.
+        (200, b"2", None),
+        (421, b"2", None),
+        (429, b"2", None),
+    ],
+)
+def test_retry_after_of_an_endpoint_must_be_a_finite_number_of_seconds(
+    status: int, value: bytes | None, refuse_s: float | None
+) -> None:
+    headers = () if value is None else ((b"retry-after", value),)
+    head = h1.ResponseHead(status, b"", headers)
+    assert messages.read_answer(head).refuse_s == refuse_s
+
+
+@pytest.mark.parametrize(
+    ("retry_after_s", "value"),
+    [(0.001, b"0.01"), (0.3, b"0.30"), (1.001, b"1.01"), (1.1, b"1.10")],
+)
+def test_retry_after_is_not_rounded_to_an_earlier_time(
+    retry_after_s: float, value: bytes
+) -> None:
+    refusal = calls.Refusal(503, "overloaded", "not_run", retry_after_s)
+    _, headers, _ = messages.write_refusal(refusal, None)
+    assert (b"Retry-After", value) in headers
+
+
 def test_refusal_has_retry_after_and_request_id() -> None:
     status, headers, body = messages.write_refusal(
         calls.Refusal(503, "overloaded", "not_run", 0.25), b"9c41"
