Keep leaving and waiting endpoints out, whatever the store says

Cause: whether an endpoint gets requests was read from its entry alone. An older copy of the store that says ready brought a draining or removed endpoint back, and nothing could hold that an endpoint leaves, or wants a pause, without the store saying so.

Ruled out: an order of incarnations by start time (a host's clock may be set back); a removal that is final (a registration also expires when only that endpoint can't reach the store); marks by name (the next process would be excluded too).

Change: routing/exclusions.py holds three kinds of records by incarnation. Leaving is final. A removal or replacement holds until an entry of a higher revision, which an older copy never has, so the follower passes revisions on. A wait ends at the latest time asked for. An older copy of another incarnation does not replace the registered one. Without a start time a process can't be told from the next at its address: after its own word it stays excluded, after a draining entry a later entry ends that. At most 1,024 records a kind are kept of endpoints that are no longer registered.

Conclusion: gateways can act on what answers say.

--- a/src/cyclamenwing/gateway/connections.py
+++ b/src/cyclamenwing/gateway/connections.py
@@ -7,6 +7,7 @@
 from cyclamenwing.gateway import calls
 from cyclamenwing.gateway import clock
 from cyclamenwing.routing import endpoints
+from cyclamenwing.routing import exclusions
 from cyclamenwing.transport import h1_client
 
 CONNECT_TIMEOUT_S = 0.25
@@ -26,7 +27,8 @@
 
     def __init__(self) -> None:
         self._idle: dict[
-            tuple[str, int, str], collections.deque[h1_client.ClientConnection]
+            exclusions.Incarnation,
+            collections.deque[h1_client.ClientConnection],
         ] = {}
 
     async def acquire(
--- a/src/cyclamenwing/gateway/follower.py
+++ b/src/cyclamenwing/gateway/follower.py
@@ -199,7 +199,7 @@
         names = set()
         for entry in entries:
             names.add(self._codec.read_endpoint_name(entry.key))
-            self._put(entry.key, entry.value)
+            self._put(entry.key, entry.value, entry.revision)
         for name in set(self._board.directory.registered) - names:
             self._drop(name, now_s, in_doubt=True)
         self._board.endpoints_loaded = True
@@ -208,7 +208,7 @@
     def apply_change(self, change: protocol.Change) -> None:
         """Apply one change to the directory."""
         if change.value is not None:
-            self._put(change.key, change.value)
+            self._put(change.key, change.value, change.revision)
             return
         now_s = clock.read_time()
         last_failure_s = (
@@ -220,29 +220,32 @@
             now_s,
             in_doubt=last_failure_s is not None
             and now_s - last_failure_s < UNCERTAIN_REMOVAL_S,
+            revision=change.revision,
         )
         self._board.placement.forget(self._list_names())
 
-    def _put(self, key: str, value: bytes) -> None:
+    def _put(self, key: str, value: bytes, revision: int) -> None:
         try:
             endpoint = self._codec.read_endpoint(key, value)
         except errors.CodedError as err:
             eliot.log_message("endpoint:unreadable", reason=err.message)
-            self._drop(
-                self._codec.read_endpoint_name(key), clock.read_time(), False
-            )
+            name = self._codec.read_endpoint_name(key)
+            self._drop(name, clock.read_time(), False, revision)
             return
-        if self._board.directory.put(endpoint):
+        if self._board.directory.put(endpoint, revision):
             eliot.log_message(
                 "endpoint:seen",
                 endpoint=endpoint.name,
                 service=endpoint.service,
                 address=endpoint.address,
                 draining=endpoint.draining,
+                excluded=self._board.directory.is_gone(endpoint),
             )
 
-    def _drop(self, name: str, now_s: float, in_doubt: bool) -> None:
-        if self._board.directory.drop(name, now_s, in_doubt):
+    def _drop(
+        self, name: str, now_s: float, in_doubt: bool, revision: int = 0
+    ) -> None:
+        if self._board.directory.drop(name, now_s, in_doubt, revision):
             eliot.log_message(
                 "endpoint:gone", endpoint=name, in_doubt=in_doubt
             )
--- a/src/cyclamenwing/routing/endpoints.py
+++ b/src/cyclamenwing/routing/endpoints.py
@@ -5,6 +5,8 @@
 import dataclasses
 from typing import NamedTuple
 
+from cyclamenwing.routing import exclusions
+
 # An endpoint whose registration lapsed during a store outage registers again
 # within two seconds of the store's return. The grace time is a little shorter,
 # to leave time for requests that are already on their way.
@@ -27,9 +29,9 @@
     started_ms: int = 0
 
     @property
-    def incarnation(self) -> tuple[str, int, str]:
+    def incarnation(self) -> exclusions.Incarnation:
         """Return a key that differs for each process behind a name."""
-        return (self.name, self.started_ms, self.address)
+        return exclusions.Incarnation(self.name, self.started_ms, self.address)
 
 
 @dataclasses.dataclass(slots=True)
@@ -38,51 +40,165 @@
 
     An endpoint whose registration lapsed around a store outage may still
     run. It is kept as lapsed for `LAPSE_GRACE_S` and used only if its
-    service has no registered endpoint. `version` grows with each change.
+    service has no registered endpoint in use. `version` grows with each
+    change.
     """
 
     registered: dict[str, Endpoint] = dataclasses.field(default_factory=dict)
     lapsed: dict[str, tuple[Endpoint, float]] = dataclasses.field(
         default_factory=dict
     )
+    exclusions: exclusions.Exclusions = dataclasses.field(
+        default_factory=exclusions.Exclusions
+    )
     version: int = 0
+    # Registered endpoints that are not gone, by service, until a change.
+    _remaining: dict[str, list[Endpoint]] = dataclasses.field(
+        default_factory=dict
+    )
 
-    def put(self, endpoint: Endpoint) -> bool:
-        """Add or replace an endpoint; return whether anything changed."""
+    def put(self, endpoint: Endpoint, revision: int = 0) -> bool:
+        """Add or replace an endpoint; return whether anything changed.
+
+        An entry older than its own removal or replacement, as an older copy
+        of the store may hold, does not replace another incarnation.
+
+        :param revision: revision of its entry in the store
+        """
+        incarnation = endpoint.incarnation
+        self._remaining.clear()
+        self.exclusions.restore(incarnation, revision)
+        gone = self.exclusions.is_gone(incarnation)
+        if endpoint.draining:
+            self.exclusions.mark_draining(incarnation, revision)
+        known = self.registered.get(endpoint.name)
+        if known is None and endpoint.name in self.lapsed:
+            known = self.lapsed[endpoint.name][0]
+        if known is not None and known.incarnation != incarnation:
+            if gone:
+                return False
+            self.exclusions.mark_superseded(known.incarnation, revision)
         self.lapsed.pop(endpoint.name, None)
         if self.registered.get(endpoint.name) == endpoint:
             return False
         self.registered[endpoint.name] = endpoint
-        self.version += 1
+        self._record_change()
         return True
 
-    def drop(self, name: str, now_s: float, in_doubt: bool) -> bool:
+    def drop(
+        self, name: str, now_s: float, in_doubt: bool, revision: int = 0
+    ) -> bool:
         """Remove an endpoint; return whether it was registered.
 
         :param in_doubt: whether it may still run, as its registration
             ended during or shortly after a store outage
+        :param revision: revision of the removal in the store
         """
         endpoint = self.registered.pop(name, None)
         if endpoint is None:
             return False
-        self.version += 1
-        if in_doubt and not endpoint.draining:
+        if not in_doubt:
+            self.exclusions.mark_superseded(endpoint.incarnation, revision)
+        elif not endpoint.draining:
             self.lapsed[name] = (endpoint, now_s + LAPSE_GRACE_S)
+        self._record_change()
+        return True
+
+    def record_leaving(self, endpoint: Endpoint) -> bool:
+        """Record that an endpoint says it leaves; return whether new."""
+        if not self.exclusions.mark_leaving(endpoint.incarnation):
+            return False
+        self._record_change()
         return True
 
+    def record_wait(
+        self, endpoint: Endpoint, now_s: float, wait_s: float
+    ) -> bool:
+        """Exclude an endpoint for a time; return whether it ends later now.
+
+        A shorter time that is asked for later does not end an earlier one.
+        """
+        later = self.exclusions.extend_wait(
+            endpoint.incarnation, now_s + wait_s
+        )
+        self.exclusions.trim(self.registered)
+        return later
+
+    def is_gone(self, endpoint: Endpoint) -> bool:
+        """Return whether an endpoint leaves or was removed."""
+        return self.exclusions.is_gone(endpoint.incarnation)
+
+    def accepts(self, endpoint: Endpoint, now_s: float) -> bool:
+        """Return whether an endpoint may get new requests now."""
+        incarnation = endpoint.incarnation
+        return not (
+            self.exclusions.is_gone(incarnation)
+            or self.exclusions.read_wait(incarnation, now_s)
+        )
+
     def list_usable(self, service: str, now_s: float) -> list[Endpoint]:
         """Return the endpoints of a service that accept new requests."""
-        usable = [
-            e
-            for e in self.registered.values()
-            if e.service == service and not e.draining
-        ]
+        usable = self._list_remaining(service)
+        if self.exclusions.waits:
+            usable = [
+                e
+                for e in usable
+                if not self.exclusions.read_wait(e.incarnation, now_s)
+            ]
         if usable:
-            return usable
+            return [*usable]
         for name, (_, until_s) in list(self.lapsed.items()):
             if until_s <= now_s:
                 del self.lapsed[name]
-        return [e for e, _ in self.lapsed.values() if e.service == service]
+        return [
+            e
+            for e, _ in self.lapsed.values()
+            if e.service == service and self.accepts(e, now_s)
+        ]
+
+    def measure_wait(self, service: str, now_s: float) -> float | None:
+        """Return the seconds until an endpoint of a service accepts requests.
+
+        It is None if one accepts them now or none will.
+        """
+        if not self.exclusions.waits or self.list_usable(service, now_s):
+            return None
+        lapsed = [
+            e
+            for e, _ in self.lapsed.values()
+            if e.service == service and not self.is_gone(e)
+        ]
+        waits = [
+            self.exclusions.read_wait(e.incarnation, now_s)
+            for e in (*self._list_remaining(service), *lapsed)
+        ]
+        return min(waits, default=None)
+
+    def count_leaving(self) -> int:
+        """Return the number of registered endpoints that leave."""
+        return sum(self.is_gone(e) for e in self.registered.values())
+
+    def count_waiting(self, now_s: float) -> int:
+        """Return the number of registered endpoints that want no requests."""
+        return sum(
+            self.exclusions.read_wait(e.incarnation, now_s) > 0
+            for e in self.registered.values()
+        )
+
+    def _list_remaining(self, service: str) -> list[Endpoint]:
+        remaining = self._remaining.get(service)
+        if remaining is None:
+            remaining = self._remaining[service] = [
+                e
+                for e in self.registered.values()
+                if e.service == service and not self.is_gone(e)
+            ]
+        return remaining
+
+    def _record_change(self) -> None:
+        self.version += 1
+        self._remaining.clear()
+        self.exclusions.trim(self.registered)
 
 
 __all__ = (
