Send nothing to endpoints that leave or ask for a pause

Cause: a gateway went by the store alone. An endpoint that leaves without telling the store went on getting requests, one that answered 503 with Retry-After got the next ones at once, and a request for a service whose endpoints all want a pause was tried at them, after waiting for its tokens.

Ruled out: to act at the end of an answer (a stream may last for many seconds); to hold requests until a pause ends (nobody should wait for what is known not to be served, and all would start at once); to shorten a pause by a later shorter one (each answer holds for its own time).

Change: the head of any answer, also of a failure, a 421 or an answer to another request, excludes its endpoint. What runs there goes on; idle connections of a leaving endpoint are closed and returning ones not kept. A request that was chosen before and has only got its connection since is not sent. The check for a crash opens no connection to an excluded endpoint; the exit of a leaving one no longer counts as a crash. If all endpoints of a service want a pause, requests get 503 endpoints_waiting with the shortest time left, before any tokens are reserved.

--- a/src/cyclamenwing/gateway/attempts.py
+++ b/src/cyclamenwing/gateway/attempts.py
@@ -12,6 +12,7 @@
 from cyclamenwing.gateway import configuration
 from cyclamenwing.gateway import connections
 from cyclamenwing.gateway import errors
+from cyclamenwing.gateway import exclusions
 from cyclamenwing.gateway import forwarding
 from cyclamenwing.gateway import peers
 from cyclamenwing.gateway import poison_requests
@@ -83,6 +84,7 @@
         self._peers = gateway_peers
         self._connections = connection_pool
         self._poison_requests = poison_tracker
+        self._observer = exclusions.AnswerObserver(board, connection_pool)
 
     def choose(self, context: request_context.RequestContext) -> Target | None:
         """Return an endpoint for a request, None if there is none.
@@ -132,15 +134,7 @@
         """
         endpoint = target.endpoint
         endpoint_state = self._board.placement.ensure_state(endpoint)
-        remaining_s = context.deadline_s - clock.read_time()
-        try:
-            connection = await self._connections.acquire(
-                endpoint, context.route.repeatable, remaining_s
-            )
-        except transport_errors.ConnectFailedError as err:
-            endpoint_state.record_failure(clock.read_time())
-            self._board.metrics.count(ATTEMPTS, "connect_failed")
-            raise AttemptNotRunError(err.message) from err
+        connection = await self._connect(context, endpoint)
         done = False
         try:
             metadata = await self._send(
@@ -167,7 +161,32 @@
         endpoint_state.record_success()
         self._poison_requests.clear_answered(context)
         self._board.metrics.count(ATTEMPTS, "answered")
-        self._connections.release(endpoint, connection, metadata)
+        if self._board.directory.is_gone(endpoint):
+            connection.close()
+        else:
+            self._connections.release(endpoint, connection, metadata)
+
+    async def _connect(
+        self,
+        context: request_context.RequestContext,
+        endpoint: endpoints.Endpoint,
+    ) -> h1_client.ClientConnection:
+        remaining_s = context.deadline_s - clock.read_time()
+        try:
+            connection = await self._connections.acquire(
+                endpoint, context.route.repeatable, remaining_s
+            )
+        except transport_errors.ConnectFailedError as err:
+            self._board.placement.ensure_state(endpoint).record_failure(
+                clock.read_time()
+            )
+            self._board.metrics.count(ATTEMPTS, "connect_failed")
+            raise AttemptNotRunError(err.message) from err
+        if not self._board.directory.accepts(endpoint, clock.read_time()):
+            connection.close()
+            self._board.metrics.count(ATTEMPTS, "excluded")
+            raise AttemptNotRunError("the endpoint was excluded meanwhile")
+        return connection
 
     async def _send(
         self,
@@ -202,7 +221,7 @@
             slow_after_s = context.route.goal_s * SLOW_ATTEMPT_GOALS
             wait_s = min(remaining_s, max(slow_after_s, MIN_SLOW_ATTEMPT_S))
         head, metadata = await self._read_matching_head(
-            context, connection, wait_s
+            context, target.endpoint, connection, wait_s
         )
         if metadata.not_run:
             context.may_have_run = ran_earlier
@@ -222,6 +241,7 @@
     async def _read_matching_head(
         self,
         context: request_context.RequestContext,
+        endpoint: endpoints.Endpoint,
         connection: h1_client.ClientConnection,
         wait_s: float,
     ) -> tuple[h1.ResponseHead, calls.AnswerMetadata]:
@@ -231,6 +251,7 @@
                 max(until_s - clock.read_time(), 0.0)
             )
             metadata = self._dialect.read_answer(head)
+            self._observer.observe(endpoint, head.status, metadata)
             if metadata.request_id in (None, context.call.request_id):
                 return head, metadata
             eliot.log_message(
--- a/src/cyclamenwing/gateway/errors.py
+++ b/src/cyclamenwing/gateway/errors.py
@@ -79,6 +79,15 @@
     retry_after_s = 0.5
 
 
+class EndpointsWaitingError(GatewayError):
+    """Report a service whose endpoints all want no requests for a time.
+
+    `retry_after_s` is the shortest of these times.
+    """
+
+    code = "endpoints_waiting"
+
+
 class OverloadedError(GatewayError):
     """Report that endpoints refused the request, or a spent retry budget."""
 
@@ -127,6 +136,7 @@
     "BudgetSpentError",
     "BudgetUnreachableError",
     "DeadlineError",
+    "EndpointsWaitingError",
     "GatewayError",
     "LeavingError",
     "NoConfigurationError",
--- a/src/cyclamenwing/gateway/handler.py
+++ b/src/cyclamenwing/gateway/handler.py
@@ -12,6 +12,7 @@
 from cyclamenwing.gateway import calls
 from cyclamenwing.gateway import clock
 from cyclamenwing.gateway import errors
+from cyclamenwing.gateway import exclusions
 from cyclamenwing.gateway import forwarding
 from cyclamenwing.gateway import poison_requests
 from cyclamenwing.gateway import request_context
@@ -127,6 +128,12 @@
         context: request_context.RequestContext,
         forwarder: forwarding.AnswerForwarder,
     ) -> None:
+        # Before the reservation, which may wait for tokens.
+        waiting = exclusions.make_waiting_error(
+            self._board, context.service.name
+        )
+        if waiting is not None:
+            raise waiting
         await self._reserve(context)
         context.reserved_s = clock.read_time()
         try:
@@ -246,6 +253,11 @@
             return errors.AnswerLostError(
                 last_error.message if last_error else "", "unknown"
             )
+        waiting = exclusions.make_waiting_error(
+            self._board, context.service.name
+        )
+        if waiting is not None:
+            return waiting
         if last_error is None:
             return errors.NoEndpointError(context.service.name)
         return errors.OverloadedError(last_error.message)
--- a/src/cyclamenwing/gateway/poison_requests.py
+++ b/src/cyclamenwing/gateway/poison_requests.py
@@ -9,6 +9,7 @@
 import xxhash
 
 from cyclamenwing.gateway import blackboard
+from cyclamenwing.gateway import clock
 from cyclamenwing.gateway import errors
 from cyclamenwing.gateway import request_context
 from cyclamenwing.routing import endpoints
@@ -59,6 +60,9 @@
     ) -> None:
         """Check in the background whether an endpoint has crashed.
 
+        An endpoint that leaves or asked for a pause is not called. One that
+        leaves exits soon by itself, which would look like a crash.
+
         :param context: request whose answer the endpoint lost
         """
         task = asyncio.ensure_future(self._confirm_crash(context, endpoint))
@@ -95,6 +99,8 @@
         endpoint: endpoints.Endpoint,
     ) -> None:
         await asyncio.sleep(CONFIRM_DELAY_S)
+        if not self._board.directory.accepts(endpoint, clock.read_time()):
+            return
         try:
             connection = await h1_client.ClientConnection.open(
                 endpoint.address, CONFIRM_TIMEOUT_S
