Prove the age of a record by a wall clock that peers confirm

After a loss of power of all hosts in a cut of the store, no holdings of the dead processes were released: wall clocks proved the ages of records only if all ages lay within 2.5 s of each other. All eight predecessors that had holdings were kept, pools were empty, and requests got 402.

Each record now says whether peers confirmed, by the times in their gossip, that the writer's wall clock was not ahead. After a restart the replies of the peers bound how far the clock was behind. Both checks err to the safe side with delays of messages. If both hold, the clock of the host alone proves the age, plus 1 s. As before, this assumes that not all clocks are set by the same amount in between, and three hosts or more must agree. The older proofs stay.

The new test of a loss of all hosts fails without the change.

What is left: usage bounds in their late phase still count most holdings as used if the outage lasts longer.

--- a/src/cyclamenwing/gateway/app.py
+++ b/src/cyclamenwing/gateway/app.py
@@ -99,6 +99,8 @@
                 ),
                 clock.read_time(),
             ),
+            # A pause between the two readings must not make peers seem behind.
+            started_wall_s=time.time(),
             started_s=clock.read_time(),
         )
         self._configurations = follower.ConfigurationFollower(board, codec)
--- a/src/cyclamenwing/gateway/blackboard.py
+++ b/src/cyclamenwing/gateway/blackboard.py
@@ -33,6 +33,8 @@
     :param record_age_s: age of its record in the store at that time
     :param store_age_s: time since it last reached the store directly
     :param gateways: live gateways that the message speaks for
+    :param wall_offset_s: its wall clock less this gateway's clock, as far as
+        the message's delay shows
     """
 
     host: str
@@ -45,6 +47,7 @@
     record_age_s: float
     store_age_s: float
     gateways: int = 1
+    wall_offset_s: float | None = None
 
 
 @dataclasses.dataclass(slots=True)
@@ -67,6 +70,7 @@
     :param predecessors: earlier processes of the host whose holdings still
         count in the pools
     :param record_written_s: write time of this gateway's record in the store
+    :param started_wall_s: wall clock at `started_s`
     :param predecessor_wall_age_s: age of the latest predecessor's record at
         the start of this process, by wall clock
     """
@@ -98,6 +102,7 @@
         default_factory=list
     )
     started_s: float = 0.0
+    started_wall_s: float = 0.0
     record_written_s: float = 0.0
     predecessor_wall_age_s: float | None = None
     active_requests: int = 0
@@ -119,6 +124,21 @@
             if now_s - peer.received_s < PEER_TIMEOUT_S
         ]
 
+    def confirm_clock(self, wall_s: float, now_s: float) -> bool:
+        """Return whether live peers confirm that the wall clock is not ahead.
+
+        :param wall_s: time by the wall clock at `now_s`
+        """
+        return record_age.confirm_clock(
+            wall_s,
+            [
+                peer.wall_offset_s + now_s
+                for peer in self.list_live_peers(now_s)
+                if peer.wall_offset_s is not None
+            ],
+            min(len(self.roster.members), self.roster.count_delegates() - 1),
+        )
+
     def count_cluster(self, now_s: float) -> int:
         """Return the number of this gateway and those attached to it."""
         attached = self.roster.list_attached(now_s)
--- a/src/cyclamenwing/gateway/gossip.py
+++ b/src/cyclamenwing/gateway/gossip.py
@@ -11,6 +11,7 @@
 
 import collections
 import dataclasses
+import time
 from typing import NamedTuple
 
 import eliot
@@ -84,6 +85,7 @@
     :param registered: the store lists it, so any other gateway can find and
         ask it
     :param number: sequence number among the messages of its incarnation
+    :param wall_s: time of sending by its wall clock
     """
 
     host: str
@@ -106,6 +108,7 @@
     late: bool
     registered: bool
     number: int
+    wall_s: float | None = None
 
 
 class RecordAgeRequest(msgspec.Struct):
@@ -118,11 +121,14 @@
     """Report the age of a dead process's record.
 
     The fields are those of `record_age.AgeEvidence`.
+
+    :param wall_s: time of the reply by the peer's wall clock
     """
 
     elapsed_s: float | None
     late: bool | None
     restart_age_s: float | None
+    wall_s: float | None = None
 
 
 class TransferRequest(msgspec.Struct):
@@ -271,6 +277,7 @@
             late=self.has_late_record(now_s),
             registered=board.registered,
             number=self._message_number,
+            wall_s=time.time(),
         )
 
     def has_late_record(self, now_s: float) -> bool:
@@ -350,6 +357,7 @@
             message.record_age_s,
             message.store_age_s,
             message.gateways,
+            None if message.wall_s is None else message.wall_s - now_s,
         )
         self._merge_members(message, now_s)
         self._merge_loads(message, now_s)
@@ -369,6 +377,7 @@
             peer and peer.record_age_s + now_s - peer.received_s,
             self._late_records.get(holder),
             board.predecessor_wall_age_s if restarted else None,
+            time.time(),
         )
 
     def _record_incarnation(self, message: GossipMessage) -> None:
--- a/src/cyclamenwing/gateway/peers.py
+++ b/src/cyclamenwing/gateway/peers.py
@@ -141,6 +141,11 @@
     ) -> list[record_age.AgeEvidence]:
         """Ask all members about the record of a process that has died."""
         body = msgspec.json.encode(gossip.RecordAgeRequest(holder))
+        board = self._board
+        # A wall clock that was wrong at the start may have been set since, so
+        # peers are compared with the time that it showed then. The time taken
+        # by the calls makes peers seem ahead, which is safe.
+        wall_s = board.started_wall_s + clock.read_time() - board.started_s
         answers = await asyncio.gather(
             *(
                 self._caller.call(
@@ -167,7 +172,12 @@
                 )
                 evidence.append(
                     record_age.AgeEvidence(
-                        reply.elapsed_s, reply.late, reply.restart_age_s
+                        reply.elapsed_s,
+                        reply.late,
+                        reply.restart_age_s,
+                        None
+                        if reply.wall_s is None
+                        else reply.wall_s - wall_s,
                     )
                 )
         return evidence
--- a/src/cyclamenwing/gateway/pools.py
+++ b/src/cyclamenwing/gateway/pools.py
@@ -176,13 +176,15 @@
     def _make_record(
         self, usage_bounds: Mapping[str, escrow.UsageBound], now_s: float
     ) -> records.HolderRecord:
+        wall_s = time.time()
         return records.HolderRecord(
             self._board.escrow.holder,
             self._process_start.boot_id,
             now_s,
-            time.time(),
+            wall_s,
             records.write_usage_bounds(usage_bounds),
             records.write_predecessors(self._board.predecessors),
+            self._board.confirm_clock(wall_s, now_s),
         )
 
     async def release_predecessor(
--- a/src/cyclamenwing/gateway/record_age.py
+++ b/src/cyclamenwing/gateway/record_age.py
@@ -6,7 +6,10 @@
 
 - the boot clock, if the host has not restarted;
 - a peer that received gossip of the process and has run ever since;
-- the wall clocks of all hosts, if all of them restarted and the clocks agree.
+- the wall clocks of all hosts, if all of them restarted and the records have
+  about the same age;
+- the host's own wall clock, if peers confirmed it both when the record was
+  written and after the restart.
 
 If all peers have run ever since and none received that the record was late,
 as in an outage of the store, the usage bound has not entered its late phase,
@@ -33,6 +36,8 @@
 MAX_AGE_S = 10.0
 # Added because clocks drift and differ a little even if none was set.
 WALL_SLACK_S = 0.5
+# Peers confirm a wall clock that differs from theirs by at most this.
+MAX_CLOCK_LEAD_S = 0.5
 
 
 class Age(NamedTuple):
@@ -55,6 +60,8 @@
         has written the record since, as the wall clocks of other hosts are
         then no evidence
     :param age: upper bound on the age of its record if one was proved already
+    :param clock_confirmed: peers confirmed that the wall clock was not ahead
+        when the record was written
     """
 
     holder: str
@@ -62,6 +69,7 @@
     boot_elapsed_s: float | None
     wall_elapsed_s: float | None
     age: Age | None = None
+    clock_confirmed: bool = False
 
 
 class AgeEvidence(NamedTuple):
@@ -73,11 +81,30 @@
         peer received none
     :param restart_age_s: age of the record of the peer's own predecessor by
         wall clock, None unless the peer itself has just started
+    :param clock_lead_s: upper bound on how far the peer's wall clock is ahead
+        of this host's at the start of this process
     """
 
     elapsed_s: float | None
     late: bool | None
     restart_age_s: float | None
+    clock_lead_s: float | None = None
+
+
+def confirm_clock(
+    wall_s: float, peer_walls: Sequence[float], other_records: int
+) -> bool:
+    """Return whether peers confirm that a wall clock is not ahead.
+
+    :param wall_s: present time by the clock
+    :param peer_walls: the same by the peers' clocks; a delay of their messages
+        makes them less
+    :param other_records: number of other hosts that write records
+    """
+    return (
+        len(peer_walls) >= max(other_records, MIN_WALL_CLOCK_HOSTS - 1)
+        and wall_s - min(peer_walls) <= MAX_CLOCK_LEAD_S
+    )
 
 
 def bound_age(
@@ -98,9 +125,11 @@
     bounds = [e.elapsed_s for e in evidence if e.elapsed_s is not None]
     if predecessor.boot_elapsed_s is not None:
         bounds.append(predecessor.boot_elapsed_s)
-    wall_bound_s = _bound_by_wall_clocks(predecessor, other_records, evidence)
-    if wall_bound_s is not None:
-        bounds.append(wall_bound_s)
+    wall_bounds = (
+        _bound_by_wall_clocks(predecessor, other_records, evidence),
+        _bound_by_confirmed_clock(predecessor, other_records, evidence),
+    )
+    bounds += [bound_s for bound_s in wall_bounds if bound_s is not None]
     if not bounds:
         return None
     no_outage_noticed = len(evidence) >= max(other_hosts, 1) and all(
@@ -130,9 +159,31 @@
     return max(ages) + WALL_SLACK_S
 
 
+def _bound_by_confirmed_clock(
+    predecessor: Predecessor,
+    other_records: int,
+    evidence: Sequence[AgeEvidence],
+) -> float | None:
+    """Return a bound by the wall clock of this host alone.
+
+    Records of different ages are no contradiction here: hosts may have lost
+    the store at different times.
+    """
+    wall_s = predecessor.wall_elapsed_s
+    leads = [e.clock_lead_s for e in evidence if e.clock_lead_s is not None]
+    if wall_s is None or not predecessor.clock_confirmed:
+        return None
+    if len(leads) < max(other_records, MIN_WALL_CLOCK_HOSTS - 1):
+        return None
+    if max(leads) > MAX_CLOCK_LEAD_S or wall_s < 0:
+        return None
+    return wall_s + 2 * MAX_CLOCK_LEAD_S
+
+
 __all__ = (
     "Age",
     "AgeEvidence",
     "Predecessor",
     "bound_age",
+    "confirm_clock",
 )
--- a/src/cyclamenwing/gateway/records.py
+++ b/src/cyclamenwing/gateway/records.py
@@ -49,6 +49,7 @@
     :param since_s: time of writing by the boot clock of the host
     :param wall_s: time of writing in Unix seconds
     :param former: predecessors whose holdings still count in the pools
+    :param clock_confirmed: peers confirmed that the wall clock was not ahead
     """
 
     holder: str
@@ -57,6 +58,7 @@
     wall_s: float
     promises: dict[str, UsageBoundRecord]
     former: list[PredecessorRecord] = []
+    clock_confirmed: bool = False
 
 
 class ProcessStart(msgspec.Struct, frozen=True):
@@ -138,6 +140,7 @@
                 elapsed_s if same_boot and elapsed_s >= 0 else None
             ),
             wall_elapsed_s=start.wall_s - record.wall_s,
+            clock_confirmed=record.clock_confirmed,
         )
     )
     return predecessors
--- a/tests/gateway/test_record_age.py
+++ b/tests/gateway/test_record_age.py
@@ -13,6 +13,8 @@
 CONTACTED = record_age.AgeEvidence(2.0, False, None)
 SAW_OUTAGE = record_age.AgeEvidence(2.5, True, None)
 RESTARTED = record_age.AgeEvidence(None, None, 1.5)
+SAME_CLOCK = record_age.AgeEvidence(None, None, 1.5, 0.1)
+CLOCK_AHEAD = record_age.AgeEvidence(None, None, 1.5, 0.7)
 NO_EVIDENCE = record_age.AgeEvidence(None, None, None)
 
 
@@ -20,8 +22,11 @@
     boot_s: float | None = None,
     wall_s: float | None = 1.2,
     age: record_age.Age | None = None,
+    clock_confirmed: bool = False,
 ) -> record_age.Predecessor:
-    return record_age.Predecessor("a-1", {}, boot_s, wall_s, age)
+    return record_age.Predecessor(
+        "a-1", {}, boot_s, wall_s, age, clock_confirmed
+    )
 
 
 @pytest.mark.parametrize(
@@ -101,3 +106,58 @@
         record_age.bound_age(predecessor, other_hosts, other_hosts, evidence)
         == age
     )
+
+
+@pytest.mark.parametrize(
+    ("wall_s", "clock_confirmed", "evidence", "age"),
+    [
+        # All hosts were lost in an outage of the store, and this one had lost
+        # the store before the others.
+        (5.2, True, [SAME_CLOCK] * 2, record_age.Age(6.2, True)),
+        # Some peers ran on or have no record, but their clocks agree.
+        (
+            5.2,
+            True,
+            [SAME_CLOCK, record_age.AgeEvidence(None, None, None, -0.1)],
+            record_age.Age(6.2, True),
+        ),
+        # The clock may have been ahead when the record was written.
+        (5.2, False, [SAME_CLOCK] * 2, None),
+        # The clock was behind at the start of this process.
+        (5.2, True, [SAME_CLOCK, CLOCK_AHEAD], None),
+        # A peer has not answered, or there are too few hosts.
+        (5.2, True, [SAME_CLOCK], None),
+        # The clock was set back.
+        (-0.1, True, [SAME_CLOCK] * 2, None),
+        # The bound is too large to be of use.
+        (40_000.0, True, [SAME_CLOCK] * 2, None),
+    ],
+)
+def test_confirmed_clock_bounds_the_age_in_a_loss_of_all_hosts(
+    wall_s: float,
+    clock_confirmed: bool,
+    evidence: list[record_age.AgeEvidence],
+    age: record_age.Age | None,
+) -> None:
+    predecessor = make_dead(wall_s=wall_s, clock_confirmed=clock_confirmed)
+    assert record_age.bound_age(predecessor, 2, 2, evidence) == age
+
+
+@pytest.mark.parametrize(
+    ("wall_s", "peer_walls", "confirmed"),
+    [
+        (100.0, [100.1, 99.9], True),
+        # Set back: the age is too large, which is safe.
+        (98.0, [100.1, 99.9], True),
+        # Set ahead.
+        (102.0, [100.1, 99.9], False),
+        (100.6, [100.6, 100.0], False),
+        # Too few peers.
+        (100.0, [100.1], False),
+        (100.0, [], False),
+    ],
+)
+def test_clock_is_confirmed_unless_it_is_ahead_of_a_peer(
+    wall_s: float, peer_walls: list[float], confirmed: bool
+) -> None:
+    assert record_age.confirm_clock(wall_s, peer_walls, 2) == confirmed
