Release predecessors' holdings also after a start in a long outage

A new process tried for 12 s from its start to release what the processes before it had held. It learns of these from the store, so if the store stayed away longer, it released nothing. The time now begins once the store has shown which predecessors there are.

A gateway that is no delegate looked for predecessors once. If the store was lost between finding them and replacing the record, it never tried again. It now keeps what it found.

Both tests fail without the change they belong to.

--- a/src/cyclamenwing/gateway/app.py
+++ b/src/cyclamenwing/gateway/app.py
@@ -51,8 +51,9 @@
 RETURN_TIMEOUT_S = 0.4
 DRAIN_POLL_INTERVAL_S = 0.05
 FINAL_ANSWERS_POLL_INTERVAL_S = 0.005
-# A new process tries for this long to bound the age of its predecessors'
-# records, so that it can release their holdings to the pools.
+# Once a new process has read which predecessors there are, it tries for this
+# long to bound the age of their records, so that it can release their holdings
+# to the pools.
 PREDECESSOR_WINDOW_S = 12.0
 PREDECESSOR_POLL_INTERVAL_S = 0.05
 MAX_PREDECESSOR_POLL_INTERVAL_S = 1.0
@@ -282,6 +283,9 @@
         until_s = clock.read_time() + PREDECESSOR_WINDOW_S
         delay_s = PREDECESSOR_POLL_INTERVAL_S
         while clock.read_time() < until_s:
+            if not self._pools.predecessors_read:
+                # The store may be away when the process starts.
+                until_s = clock.read_time() + PREDECESSOR_WINDOW_S
             members = len(self.board.roster.members)
             await asyncio.sleep(max(delay_s, members / MAX_STATEMENTS_PER_S))
             if self.board.predecessors:
--- a/src/cyclamenwing/gateway/pools.py
+++ b/src/cyclamenwing/gateway/pools.py
@@ -61,7 +61,7 @@
         self._store = store
         # Set once it is known which gateways are delegates.
         self._settled = settled
-        self._predecessor_checked = False
+        self._predecessor_found: bool | None = None
         self._retired = False
         self._draw_requested = asyncio.Event()
         self._draw_ended = asyncio.Condition()
@@ -73,6 +73,14 @@
         self._renewed_s = 0.0
         self._used_at_renewal: dict[str, int] = {}
 
+    @property
+    def predecessors_read(self) -> bool:
+        """Return whether the store has shown which predecessors there are."""
+        return (
+            self._record_revision is not None
+            or self._predecessor_found is False
+        )
+
     async def wait_for_draw(self) -> None:
         """Request a draw; return when one has ended, successful or not."""
         async with self._draw_ended:
@@ -119,16 +127,18 @@
 
         It may have died as a delegate with holdings to release.
         """
-        if self._predecessor_checked:
-            return False
+        if self._predecessor_found is not None:
+            return self._predecessor_found
         snapshot = await self._store.read(self._record_key)
-        self._predecessor_checked = True
         records_found = [
             msgspec.json.decode(entry.value, type=records.HolderRecord)
             for entry in snapshot.entries
             if entry.key == self._record_key
         ]
-        return any(r.promises or r.former for r in records_found)
+        self._predecessor_found = any(
+            r.promises or r.former for r in records_found
+        )
+        return self._predecessor_found
 
     async def _replace_record(self) -> None:
         """Read the pools and replace the record of the host's predecessor."""
--- a/tests/gateway/test_recovery.py
+++ b/tests/gateway/test_recovery.py
@@ -12,8 +12,11 @@
 import pytest
 from tests.gateway import deployments
 
+from cyclamenwing.gateway import app
 from cyclamenwing.gateway import pools
 from cyclamenwing.gateway import record_age
+from cyclamenwing.membership import delegates
+from cyclamenwing.store import errors as store_errors
 
 SIZE = {"Token-Counts": b"300,100"}
 
@@ -45,3 +48,41 @@
                 assert not lost & pool.holders.keys()
 
     asyncio.run(check())
+
+
+@pytest.mark.parametrize("is_delegate", [True, False])
+def test_holdings_are_released_after_a_start_in_a_long_outage(
+    is_delegate: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(app, "PREDECESSOR_WINDOW_S", 0.4)
+    replace = pools.PoolClient._replace_record
+    ended = asyncio.Event()
+
+    async def replace_after_outage(client: pools.PoolClient) -> None:
+        if not ended.is_set():
+            raise store_errors.StoreUnavailableError("no answer")
+        await replace(client)
+
+    async def check() -> None:
+        async with deployments.deploy() as deployment:
+            await deployment.send("chat", headers=SIZE)
+            await asyncio.sleep(0.8)
+            holder = deployment.gateways[0].board.escrow.holder
+            deployment.gateways[0].stop()
+            monkeypatch.setattr(
+                pools.PoolClient, "_replace_record", replace_after_outage
+            )
+            if not is_delegate:
+                monkeypatch.setattr(
+                    delegates.Roster,
+                    "acts_as_delegate",
+                    property(lambda _: False, lambda *_: None),
+                    raising=False,
+                )
+            gateway = await deployment.add_gateway("g0", with_record=False)
+            await asyncio.sleep(1.0)
+            ended.set()
+            await asyncio.sleep(1.2)
+            assert holder not in gateway.board.escrow.pools["t1"].holders
+
+    asyncio.run(check())
