Leave out endpoints whose address belongs to another incarnation

Cause: endpoints that crash and restart while the store is away keep their old registration. The incarnation that has the address answers 421 to each request for the former one.

Change: a 421 marks the incarnation as superseded; the choice leaves it out until it registers anew, and for 3 s at most, should the 421 be a fault.

Conclusion: each gateway still finds out for itself, and again each 3 s.

--- a/src/cyclamenwing/gateway/attempts.py
+++ b/src/cyclamenwing/gateway/attempts.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import http
 from typing import NamedTuple
 
 import eliot
@@ -207,10 +208,13 @@
         if metadata.not_run:
             context.may_have_run = ran_earlier
             await connection.read_body(remaining_s, MAX_ANSWER_BYTES)
-            if head.status != 421:
-                self._board.placement.ensure_state(
-                    target.endpoint
-                ).record_failure(clock.read_time())
+            endpoint_state = self._board.placement.ensure_state(
+                target.endpoint
+            )
+            if head.status == http.HTTPStatus.MISDIRECTED_REQUEST:
+                endpoint_state.mark_superseded(clock.read_time())
+            else:
+                endpoint_state.record_failure(clock.read_time())
             raise AttemptNotRunError(f"status {head.status}, request not run")
         self._check_answer(head, metadata)
         self._board.placement.mark_answering(
--- a/src/cyclamenwing/routing/placement.py
+++ b/src/cyclamenwing/routing/placement.py
@@ -1,11 +1,13 @@
 """Choice of an endpoint by predicted cost, from load and prefix caches.
 
-Handles three load patterns. Requests with long shared prompt parts go to an
+Handles four load patterns. Requests with long shared prompt parts go to an
 endpoint that has already cached the part. In a burst that arrives at
 several gateways at once, each adds the load that its peers report by
 gossip to its own, so that they don't all choose the same endpoint. In a large
 fleet many gateways choose between two reports, so each compares only the
-endpoints that may have cached the prompt and a few random ones.
+endpoints that may have cached the prompt and a few random ones. Endpoints that
+restart while the store is away keep an outdated registration; the first
+rejection of a request that names the former incarnation rules it out.
 """
 
 from __future__ import annotations
@@ -48,6 +50,9 @@
 FAILURE_HALF_LIFE_S = 1.0
 MAX_FAILURE_COST_MS = 8000.0
 MIN_FAILURE_COST_MS = 1.0
+# An incarnation whose address belongs to another one is tried again after this
+# time, in case the rejection that said so was a fault.
+SUPERSEDED_TTL_S = 3.0
 # Typical duration of one request at a service without an engine.
 PLAIN_REQUEST_COST_MS = 30.0
 # The load that a peer reported is ignored after this time without gossip.
@@ -97,6 +102,7 @@
     cached_tokens: int = 0
     failure_cost_ms: float = 0.0
     failed_s: float = 0.0
+    superseded_until_s: float = 0.0
 
     def cache_parts(self, parts: Iterable[tuple[str, int]]) -> None:
         """Record prompt parts as cached and evict the least recently used."""
@@ -159,6 +165,10 @@
         """Halve the cost of earlier failures."""
         self.failure_cost_ms /= 2
 
+    def mark_superseded(self, now_s: float) -> None:
+        """Record that another incarnation has the endpoint's address."""
+        self.superseded_until_s = now_s + SUPERSEDED_TTL_S
+
     def read_failure_cost(self, now_s: float) -> float:
         """Return the remaining cost of earlier failures, in milliseconds."""
         if not self.failure_cost_ms:
@@ -220,11 +230,16 @@
         cache_tokens: int,
         now_s: float,
     ) -> endpoints.Endpoint | None:
-        """Return the endpoint with the lowest predicted cost.
+        """Return the endpoint with the lowest predicted cost, if any is left.
 
         :param cache_tokens: size of an endpoint's prefix cache, 0 for a
             service without an engine
         """
+        candidates = [
+            endpoint
+            for endpoint in candidates
+            if self.ensure_state(endpoint).superseded_until_s <= now_s
+        ]
         if not candidates:
             return None
         preferred = (
