Wait for tokens only while the client of a stream does

Cause: in a cut of the store, requests wait until the usage bound allows them, for up to half the time to their deadline.

Change: routes know the patience of their clients; a request waits for at most half of it, and not at all beyond the usual short wait if the usage bound is known to grow too late. The 503 says when the bound allows the request and those that still wait.

--- a/src/cyclamenwing/gateway/configuration.py
+++ b/src/cyclamenwing/gateway/configuration.py
@@ -36,6 +36,8 @@
     :param timeout_s: bound on the deadline of requests, None without one
     :param goal_s: goal for the latency of an answer
     :param gap_goal_s: goal for the time between events of a stream
+    :param patience_s: time without an event after which clients leave a
+        stream, None for other answers
     :param attempts: most times that a request is sent to an endpoint
     :param public: requests need no API key
     :param resumable: a broken stream may go on at another endpoint
@@ -49,6 +51,7 @@
     timeout_s: float | None
     goal_s: float
     gap_goal_s: float
+    patience_s: float | None
     attempts: int
     priority: int
     public: bool
--- a/src/cyclamenwing/gateway/handler.py
+++ b/src/cyclamenwing/gateway/handler.py
@@ -144,7 +144,7 @@
                 workspace.prepaid_tokens,
                 context.max_tokens,
                 context.route.goal_s,
-                context.deadline_s - clock.read_time(),
+                context.begin_by_s - clock.read_time(),
             )
 
     def _settle(self, context: request_context.RequestContext) -> None:
--- a/src/cyclamenwing/gateway/request_context.py
+++ b/src/cyclamenwing/gateway/request_context.py
@@ -44,6 +44,14 @@
         """Return the most tokens that the request may cost."""
         return self.call.size.max_tokens if self.call.size else 0
 
+    @property
+    def begin_by_s(self) -> float:
+        """Return the time by which the answer has to begin."""
+        patience_s = self.route.patience_s
+        if patience_s is None:
+            return self.deadline_s
+        return min(self.deadline_s, self.started_s + patience_s)
+
     def count_spent(self, tokens_per_event: int) -> int:
         """Return the tokens that are charged to the workspace.
 
--- a/src/cyclamenwing/gateway/reservations.py
+++ b/src/cyclamenwing/gateway/reservations.py
@@ -21,7 +21,8 @@
 WAIT_GOAL_FRACTION = 0.3
 MIN_WAIT_S = 0.05
 # Where the holdings suffice but the usage bound does not allow them yet, a
-# request waits for the bound to grow, up to this fraction of its time left.
+# request waits for the bound to grow, up to this fraction of the time left
+# until its answer has to begin.
 GROWTH_WAIT_FRACTION = 0.5
 # A draw takes a few round trips to the store. Peers are asked for tokens if it
 # has not ended after this time.
@@ -119,7 +120,7 @@
 
         :param prepaid: tokens that the workspace has paid for
         :param goal_s: latency goal of the request's route
-        :param remaining_s: time until the request's deadline
+        :param remaining_s: time until the answer has to begin
         :param max_wait_s: longest wait; None for what suits the request
         :raises BudgetSpentError: if the budget has too few tokens left
         :raises BudgetUnreachableError: if enough may be left but can't be
@@ -138,17 +139,12 @@
             raise self._make_refusal(workspace, prepaid, tokens, outage=False)
         account.wanted += tokens
         try:
-            wait_s = max(goal_s * WAIT_GOAL_FRACTION, MIN_WAIT_S)
-            startup_s = self._board.started_s + STARTUP_WAIT_S - now_s
-            wait_s = max(
-                wait_s, min(startup_s, remaining_s * GROWTH_WAIT_FRACTION)
+            wait_s = plan_wait(
+                goal_s,
+                remaining_s,
+                self._board.started_s + STARTUP_WAIT_S - now_s,
+                account.predict_wait(tokens, now_s),
             )
-            growth_s = account.predict_wait(tokens, now_s)
-            if growth_s is not None:
-                wait_s = min(
-                    max(wait_s, growth_s + wait_s),
-                    remaining_s * GROWTH_WAIT_FRACTION,
-                )
             if max_wait_s is not None:
                 wait_s = min(wait_s, max_wait_s)
             with contextlib.suppress(TimeoutError):
@@ -434,12 +430,37 @@
             f"{tokens} tokens can't be obtained in time"
         )
         if outage:
-            refusal.retry_after_s = compute_retry_after(
-                now_s - board.record_written_s
+            # Requests that still wait are served first.
+            growth_s = account.predict_wait(account.wanted + tokens, now_s)
+            refusal.retry_after_s = (
+                compute_retry_after(now_s - board.record_written_s)
+                if growth_s is None
+                else max(growth_s, MIN_RETRY_AFTER_S)
             )
         return refusal
 
 
+def plan_wait(
+    goal_s: float,
+    remaining_s: float,
+    startup_s: float,
+    growth_s: float | None,
+) -> float:
+    """Return the seconds that a request should wait for tokens.
+
+    :param goal_s: latency goal of the request's route
+    :param remaining_s: time until the answer has to begin
+    :param startup_s: time until the process counts as started
+    :param growth_s: time until the usage bound allows the request, None if
+        that is not foreseen
+    """
+    longest_s = remaining_s * GROWTH_WAIT_FRACTION
+    wait_s = max(goal_s * WAIT_GOAL_FRACTION, startup_s)
+    if growth_s is not None and growth_s <= longest_s:
+        wait_s += growth_s
+    return max(min(wait_s, longest_s), MIN_WAIT_S)
+
+
 def compute_retry_after(record_age_s: float) -> float:
     """Return the seconds after which to retry during an outage of the store.
 
@@ -462,4 +483,5 @@
     "GrantRequest",
     "Reservations",
     "compute_retry_after",
+    "plan_wait",
 )
--- a/src/cyclamenwing/platform/configuration.py
+++ b/src/cyclamenwing/platform/configuration.py
@@ -17,6 +17,12 @@
 # usually have to end within half a second.
 DEFAULT_GOAL_MS = 500.0
 
+# Clients leave a stream after the longest of this time and of these multiples
+# of the goals, without an event.
+MIN_PATIENCE_S = 2.0
+PATIENCE_GOALS = 4
+PATIENCE_GAP_GOALS = 8
+
 _KINDS = {
     "idempotent": configuration.RouteKind.IDEMPOTENT,
     "unsafe": configuration.RouteKind.UNSAFE,
@@ -157,16 +163,25 @@
     )
     if not shares and entry.service is not None:
         shares = (configuration.Share(entry.service, 1.0),)
-    goal_ms = entry.goal_ms or DEFAULT_GOAL_MS
+    goal_s = (entry.goal_ms or DEFAULT_GOAL_MS) / MS_PER_S
+    gap_goal_s = entry.gap_goal_ms / MS_PER_S if entry.gap_goal_ms else goal_s
+    patience_s = max(
+        MIN_PATIENCE_S,
+        PATIENCE_GOALS * goal_s,
+        PATIENCE_GAP_GOALS * gap_goal_s,
+    )
+    kind = _KINDS[entry.kind]
+    streams = kind is configuration.RouteKind.STREAM
     return configuration.Route(
         name=entry.name,
         virtual_host=entry.host.lower(),
         prefix=entry.prefix,
-        kind=_KINDS[entry.kind],
+        kind=kind,
         shares=shares,
         timeout_s=entry.timeout_ms / MS_PER_S if entry.timeout_ms else None,
-        goal_s=goal_ms / MS_PER_S,
-        gap_goal_s=(entry.gap_goal_ms or goal_ms) / MS_PER_S,
+        goal_s=goal_s,
+        gap_goal_s=gap_goal_s,
+        patience_s=patience_s if streams else None,
         attempts=max(entry.attempts, 1),
         priority=entry.priority,
         public=entry.public,
--- /dev/null
+++ b/tests/gateway/test_token_waits.py
@@ -0,0 +1,58 @@
+"""Load pattern: requests wait for tokens in a cut between gateways and store.
+
+Usage bounds let only some requests through until their late phase. A client
+leaves a stream that shows no event for some time, long before its deadline:
+tokens that come just before that are spent on a prompt that nobody reads.
+"""
+
+from __future__ import annotations
+
+import pytest
+
+from cyclamenwing.gateway import reservations
+
+GOAL_S = 1.0
+# Such a client leaves after this time without an event.
+PATIENCE_S = 4.0
+BASE_S = GOAL_S * reservations.WAIT_GOAL_FRACTION
+
+
+@pytest.mark.parametrize(
+    ("growth_s", "wait_s"),
+    [
+        # Nothing is known of the usage bound: peers are asked for a while.
+        (None, BASE_S),
+        # It allows the request soon enough for the prompt to be read.
+        (0.0, BASE_S),
+        (1.2, 1.2 + BASE_S),
+        (1.9, 2.0),
+        # It allows the request too late: the client is told at once.
+        (2.1, BASE_S),
+        (4.9, BASE_S),
+    ],
+)
+def test_request_waits_only_if_its_answer_can_begin_in_time(
+    growth_s: float | None, wait_s: float
+) -> None:
+    assert reservations.plan_wait(
+        GOAL_S, PATIENCE_S, 0.0, growth_s
+    ) == pytest.approx(wait_s)
+
+
+@pytest.mark.parametrize("remaining_s", [0.05, 0.4, 2.0, 60.0])
+@pytest.mark.parametrize("growth_s", [None, 0.1, 1.0, 5.0])
+@pytest.mark.parametrize("startup_s", [-1.0, 0.5, 2.0])
+def test_no_request_waits_beyond_its_share_of_the_time(
+    remaining_s: float, growth_s: float | None, startup_s: float
+) -> None:
+    wait_s = reservations.plan_wait(GOAL_S, remaining_s, startup_s, growth_s)
+    assert wait_s <= max(
+        remaining_s * reservations.GROWTH_WAIT_FRACTION,
+        reservations.MIN_WAIT_S,
+    )
+
+
+def test_start_of_the_process_lengthens_the_wait() -> None:
+    assert reservations.plan_wait(GOAL_S, 60.0, 1.5, None) == pytest.approx(
+        1.5
+    )
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -88,6 +88,22 @@
     )
 
 
+@pytest.mark.parametrize(
+    ("goal_ms", "gap_goal_ms", "patience_s"),
+    [(100, 100, 2.0), (1000, 400, 4.0), (500, 400, 3.2), (300, None, 2.4)],
+)
+def test_patience_of_stream_clients_follows_from_the_goals(
+    goal_ms: int, gap_goal_ms: int | None, patience_s: float
+) -> None:
+    entry = ROUTE | {
+        "goal_ms": goal_ms,
+        "gap_goal_ms": gap_goal_ms,
+    }
+    route = read(routes=[entry]).find_route("api.example", "/a/x")
+    assert route is not None
+    assert route.patience_s == pytest.approx(patience_s)
+
+
 def test_split_is_translated() -> None:
     route = read().find_route("api.example", "/a/b/")
     assert route is not None
