Tell other gateways of endpoints whose address has changed hands

Change: gossip names the incarnations found out, with the time for which they are left out, now 5 s. A report that is passed back changes nothing.

--- a/src/cyclamenwing/gateway/gossip.py
+++ b/src/cyclamenwing/gateway/gossip.py
@@ -70,6 +70,7 @@
     :param lost: delegates that have been silent for long
     :param gateways: live gateways that the message speaks for
     :param sites: the load that these put on endpoints
+    :param superseded: endpoints whose address belongs to another incarnation
     :param sent: prompt parts that these sent to endpoints recently
     :param available: tokens by workspace that it may use or transfer now
     :param held: tokens by workspace that it holds, including those that its
@@ -96,6 +97,7 @@
     lost: list[str]
     gateways: int
     sites: list[EndpointLoad]
+    superseded: list[placement.SupersededEndpoint]
     sent: list[SentParts]
     available: dict[str, int]
     held: dict[str, int]
@@ -246,6 +248,7 @@
                 else board.count_cluster(now_s)
             ),
             sites=self._sum_loads(None if serves else attached, host, now_s),
+            superseded=board.placement.list_superseded(now_s),
             sent=self._list_parts(delivered, serves, host, now_s),
             available={
                 name: account.count_available(now_s)
@@ -354,6 +357,7 @@
         self._merge_members(message, now_s)
         self._merge_loads(message, now_s)
         self._merge_pools(message, now_s)
+        board.placement.merge_superseded(message.superseded, now_s)
         if message.suspects is not None:
             self._poison_requests.merge_gossip(message.suspects)
 
--- a/src/cyclamenwing/routing/placement.py
+++ b/src/cyclamenwing/routing/placement.py
@@ -52,7 +52,7 @@
 MIN_FAILURE_COST_MS = 1.0
 # An incarnation whose address belongs to another one is tried again after this
 # time, in case the rejection that said so was a fault.
-SUPERSEDED_TTL_S = 3.0
+SUPERSEDED_TTL_S = 5.0
 # Typical duration of one request at a service without an engine.
 PLAIN_REQUEST_COST_MS = 30.0
 # The load that a peer reported is ignored after this time without gossip.
@@ -89,6 +89,17 @@
     received_s: float
 
 
+class SupersededEndpoint(NamedTuple):
+    """Name an incarnation whose address belongs to another one.
+
+    :param incarnation: key of the incarnation
+    :param remaining_s: time for which it is left out
+    """
+
+    incarnation: tuple[str, int, str]
+    remaining_s: float
+
+
 @dataclasses.dataclass(slots=True)
 class EndpointState:
     """Hold this gateway's picture of one incarnation of an endpoint."""
@@ -209,6 +220,27 @@
         key = self._names.get(name)
         return None if key is None else self.sites.get(key)
 
+    def list_superseded(self, now_s: float) -> list[SupersededEndpoint]:
+        """Return the superseded incarnations, to tell other gateways."""
+        return [
+            SupersededEndpoint(key, state.superseded_until_s - now_s)
+            for key, state in self.sites.items()
+            if state.superseded_until_s > now_s
+        ]
+
+    def merge_superseded(
+        self, reported: Iterable[SupersededEndpoint], now_s: float
+    ) -> None:
+        """Leave out the incarnations that another gateway reported.
+
+        A report that is passed back changes nothing, so that delays on the
+        way don't add up.
+        """
+        for item in reported:
+            state = self.sites.get(item.incarnation)
+            if state is not None and state.superseded_until_s <= now_s:
+                state.superseded_until_s = now_s + item.remaining_s
+
     def forget(self, names: Iterable[str]) -> None:
         """Drop the states of endpoints that are not among the given names.
 
@@ -355,5 +387,6 @@
     "InFlightRequest",
     "PeerLoad",
     "Placement",
+    "SupersededEndpoint",
     "rank_preferred",
 )
--- a/tests/routing/test_outage_restarts.py
+++ b/tests/routing/test_outage_restarts.py
@@ -78,6 +78,21 @@
     assert misses <= RESTARTED * rounds
 
 
+def test_gateways_tell_each_other_of_restarted_endpoints() -> None:
+    one, two = placement.Placement("a"), placement.Placement("a")
+    fleet = make_fleet()
+    demand = make_demand(0)
+    two.choose(fleet, demand, CACHE_TOKENS, 0.0)
+    one.ensure_state(fleet[0]).mark_superseded(0.0)
+    two.merge_superseded(one.list_superseded(1.0), 1.0)
+    assert two.choose(fleet[:1], demand, CACHE_TOKENS, 1.1) is None
+    # Late reports that go back and forth don't keep it out for good.
+    one.merge_superseded(two.list_superseded(1.5), 4.0)
+    later_s = placement.SUPERSEDED_TTL_S + 0.1
+    for chooser in (one, two):
+        assert chooser.choose(fleet[:1], demand, CACHE_TOKENS, later_s)
+
+
 def test_endpoint_is_used_again_once_it_has_registered() -> None:
     chooser = placement.Placement("a")
     (old,) = make_fleet()[:1]
