Let gossip of gateways without the list of moved endpoints be read

Cause: the new field of gossip was required, so while gateways of two versions run side by side the new ones could read no message of the old ones. Change: it is optional, at the end.

--- a/src/cyclamenwing/gateway/gossip.py
+++ b/src/cyclamenwing/gateway/gossip.py
@@ -71,7 +71,6 @@
     :param lost: delegates that have been silent for long
     :param gateways: live gateways that the message speaks for
     :param sites: the load that these put on endpoints
-    :param superseded: endpoints whose address belongs to another incarnation
     :param sent: prompt parts that these sent to endpoints recently
     :param available: tokens by workspace that it may use or transfer now
     :param held: tokens by workspace that it holds, including those that its
@@ -87,6 +86,7 @@
         ask it
     :param number: sequence number among the messages of its incarnation
     :param wall_s: time of sending by its wall clock
+    :param superseded: endpoints whose address belongs to another incarnation
     """
 
     host: str
@@ -99,7 +99,6 @@
     lost: list[str]
     gateways: int
     sites: list[EndpointLoad]
-    superseded: list[placement.SupersededEndpoint]
     sent: list[SentParts]
     available: dict[str, int]
     held: dict[str, int]
@@ -111,6 +110,7 @@
     registered: bool
     number: int
     wall_s: float | None = None
+    superseded: list[placement.SupersededEndpoint] = []
 
 
 class RecordAgeRequest(msgspec.Struct):
