Ignore signals from the end of a gateway's shutdown until its exit

Cause: the event loop's end removes its signal handlers, which restores the default action of SIGTERM, SIGINT and SIGHUP. One that arrives from then on ends the process, also before its log is written.

Ruled out: a signal before the handlers are installed; the log of that process has gateway:stopped.

Change: after the shutdown the signals are blocked and then ignored.

Conclusion: SIGTERM before the handlers are installed still ends a starting process with -15.

--- a/src/cyclamenwing/cli/gateway.py
+++ b/src/cyclamenwing/cli/gateway.py
@@ -22,6 +22,7 @@
 from cyclamenwing.settings import errors
 
 SETTINGS_VARIABLE = "CYCLAMENWING_CONFIG"
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
 CODEC = follower.Codec(
     configuration_prefix=configuration.KEY_PREFIX,
@@ -73,7 +74,7 @@
 ) -> int:
     stopped = asyncio.Event()
     loop = asyncio.get_running_loop()
-    for signal_number in (signal.SIGTERM, signal.SIGINT):
+    for signal_number in STOP_SIGNALS:
         loop.add_signal_handler(signal_number, stopped.set)
     loop.add_signal_handler(signal.SIGHUP, _reload, path)
     running_gateway = app.Gateway.from_config(
@@ -81,9 +82,23 @@
     )
     await stopped.wait()
     await running_gateway.close()
+    _ignore_signals(loop)
     return 0
 
 
+def _ignore_signals(loop: asyncio.AbstractEventLoop) -> None:
+    """Ignore further signals until the process has ended.
+
+    The end of the event loop restores their default action, which would end
+    the process before its log is written and with another exit code.
+    """
+    numbers = (*STOP_SIGNALS, signal.SIGHUP)
+    signal.pthread_sigmask(signal.SIG_BLOCK, numbers)
+    for signal_number in numbers:
+        loop.remove_signal_handler(signal_number)
+        signal.signal(signal_number, signal.SIG_IGN)
+
+
 def _reload(path: pathlib.Path) -> None:
     """Check a changed settings file on SIGHUP.
 
--- a/src/cyclamenwing/gateway/logs.py
+++ b/src/cyclamenwing/gateway/logs.py
@@ -5,6 +5,7 @@
 import collections
 import json
 import os
+import signal
 import threading
 from typing import Any
 
@@ -99,6 +100,8 @@
         return line + b"\n"
 
     def _write(self) -> None:
+        # The main thread decides when the process ignores signals.
+        signal.pthread_sigmask(signal.SIG_BLOCK, signal.valid_signals())
         while True:
             self._wake.wait()
             self._wake.clear()
--- a/tests/process/test_gateway.py
+++ b/tests/process/test_gateway.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import json
+import os
 import pathlib
 import signal
 import sys
@@ -153,3 +154,29 @@
     status, err = asyncio.run(run_with_invalid_settings())
     assert status == protocol.EXIT_INVALID
     assert code.encode() in err
+
+
+def test_signals_during_the_whole_shutdown_leave_exit_code_0(
+    tmp_path: pathlib.Path,
+) -> None:
+    async def signal_until_exit() -> int:
+        path = tmp_path / "gateway.json"
+        settings = make_settings(addresses.reserve_address())
+        path.write_text(json.dumps(settings))
+        process = await start(path)
+        assert process.stdout is not None
+        await process.stdout.readline()
+        lines = asyncio.ensure_future(process.stdout.read())
+        # `send_signal` would collect the exit code before asyncio does.
+        descriptor = os.pidfd_open(process.pid)
+        # The last signals arrive while the interpreter ends.
+        while process.returncode is None:
+            for number in (signal.SIGTERM, signal.SIGHUP):
+                with contextlib.suppress(ProcessLookupError):
+                    signal.pidfd_send_signal(descriptor, number)
+            await asyncio.sleep(0.001)
+        os.close(descriptor)
+        await lines
+        return process.returncode
+
+    assert asyncio.run(signal_until_exit()) == 0
