Announce the close of a connection before a leaving gateway closes it

Cause: whether an answer announces the close was decided when its request was read. Requests active at SIGTERM were answered without the header, and their connections closed all the same, while the client was free to send again. For a request that must not run twice such a cut has no safe answer.

Ruled out for the request at g3: a kill; that process ended 2.8 s later by itself. One of the gateways with such requests, g2, was killed at about that time, so its two may be of another cause; they were not traced.

Change: the start of the drain marks each connection whose request waits for the head of its answer. A connection whose head had been sent stays open for one more request, whose answer announces the close, or until idle connections close after the load balancer's delay.

Conclusion: an idle connection that is closed 2.6 s after SIGTERM may still cross with a request that is just being sent; such a request is never read.

--- a/src/cyclamenwing/transport/h1.py
+++ b/src/cyclamenwing/transport/h1.py
@@ -137,6 +137,11 @@
         """
         return not self.request_in_progress and bool(self.stream.reading())
 
+    @property
+    def response_pending(self) -> bool:
+        """Return whether a request waits for the head of its response."""
+        return self._h11.our_state is h11.SEND_RESPONSE
+
     def set_close_callback(self, call: Callable[[], None] | None) -> None:
         """Set or remove the call made when the connection closes."""
         self.stream.set_close_callback(call)
--- a/src/cyclamenwing/transport/h1_server.py
+++ b/src/cyclamenwing/transport/h1_server.py
@@ -80,11 +80,15 @@
             connection.close()
 
     def drain(self) -> None:
-        """Close each connection after its next response.
+        """Close each connection after its next response that announces it.
 
-        Responses that start from now on announce the close.
+        Responses that start from now on do. A connection whose response has
+        started stays open for one more request, as its client may send it.
         """
         self.draining = True
+        for connection in self.connections:
+            if connection.response_pending:
+                connection.close_after_response = True
 
     def close_idle(self) -> None:
         """Close the connections that wait for a request."""
@@ -111,14 +115,9 @@
         if connection.closed:
             task.cancel()
         try:
-            served = await self._await_handler(connection, task)
+            return await self._await_handler(connection, task)
         finally:
             connection.set_close_callback(None)
-        if self.draining:
-            # A response that started before the drain did not announce the
-            # close; the connection is closed all the same.
-            connection.close_after_response = True
-        return served
 
     async def _await_handler(
         self, connection: h1.ServerConnection, task: asyncio.Future[None]
--- a/tests/gateway/test_shutdown.py
+++ b/tests/gateway/test_shutdown.py
@@ -14,6 +14,7 @@
 from tests.gateway import deployments
 
 from cyclamenwing.gateway import app
+from cyclamenwing.standin import platform_endpoint
 from cyclamenwing.transport import errors
 from cyclamenwing.transport import h1
 from cyclamenwing.transport import h1_client
@@ -179,3 +180,75 @@
         assert b'"run":"%s"' % run_state in body
 
     run(check)
+
+
+def make_message(route: str, headers: dict[str, bytes]) -> h1.Request:
+    values = {b"Host": deployments.HOST, b"Key": deployments.KEY} | {
+        b"Request-Id": b"r2",
+        **{key.encode(): value for key, value in headers.items()},
+    }
+    return h1.Request(
+        b"POST", f"/{route}/x".encode(), tuple(values.items()), b""
+    )
+
+
+@pytest.mark.parametrize(
+    ("route", "headers", "head_before_drain"),
+    [
+        ("write", {}, False),
+        ("chat", SIZE, False),
+        # The head has been sent, so that it can't announce anything.
+        ("chat", SIZE, True),
+    ],
+)
+def test_connections_close_only_after_an_answer_that_announces_it(
+    monkeypatch: pytest.MonkeyPatch,
+    route: str,
+    headers: dict[str, bytes],
+    head_before_drain: bool,
+) -> None:
+    monkeypatch.setattr(app, "LOAD_BALANCER_DELAY_S", 2.0)
+
+    async def stream_slowly(
+        connection: h1.ServerConnection, request: h1.Request
+    ) -> None:
+        answer_headers = platform_endpoint.make_headers(request)
+        head = h1.ResponseHead(200, b"", answer_headers)
+        await connection.start(head, None)
+        await connection.write(b"id: 1\ndata: 1\n\n")
+        await asyncio.sleep(0.5)
+        await connection.finish()
+
+    async def check(deployment: deployments.Deployment) -> None:
+        gateway = deployment.gateways[0]
+        for endpoint in deployment.endpoints:
+            endpoint.pause_s = 0.0 if head_before_drain else 0.5
+        if head_before_drain:
+            monkeypatch.setitem(
+                platform_endpoint.BEHAVIOURS, "serve", stream_slowly
+            )
+        connection = await h1_client.ClientConnection.open(
+            gateway.address, 1.0
+        )
+        connection.send(make_message(route, headers))
+        if head_before_drain:
+            head = await connection.read_head(1.0)
+        await asyncio.sleep(0.2)
+        closing = asyncio.ensure_future(gateway.close())
+        await asyncio.sleep(0)
+        if not head_before_drain:
+            head = await connection.read_head(1.0)
+        await connection.read_body(1.0, 100_000)
+        announced = h1.find_header(head.headers, b"connection") == b"close"
+        assert announced != head_before_drain
+        if not announced:
+            # The client may send on this connection, and gets an answer.
+            await asyncio.sleep(0.1)
+            connection.send(make_message(route, headers))
+            head = await connection.read_head(1.0)
+            assert head.status == 200
+            assert h1.find_header(head.headers, b"connection") == b"close"
+        connection.close()
+        await closing
+
+    run(check)
