--- a/src/cyclamenwing/gateway/logs.py
+++ b/src/cyclamenwing/gateway/logs.py
@@ -5,6 +5,7 @@
 import collections
 import json
 import os
+import signal
 import threading
 from typing import Any
 
@@ -17,6 +18,7 @@
 # The thread may be stuck in a write if the reader of the log has stopped
 # reading; the process must end all the same.
 FLUSH_TIMEOUT_S = 0.2
+CONTROL_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 
 
 class BoundedLog:
@@ -99,6 +101,8 @@
         return line + b"\n"
 
     def _write(self) -> None:
+        # The main thread decides when the process ignores signals.
+        signal.pthread_sigmask(signal.SIG_BLOCK, CONTROL_SIGNALS)
         while True:
             self._wake.wait()
             self._wake.clear()
