--- a/tests/soak/launcher.py
+++ b/tests/soak/launcher.py
@@ -124,7 +124,7 @@
         adopt(self, value, source)
         if before is not None and before is not self._board.configuration:
             asyncio.get_running_loop().call_later(
-                0.5, setattr, self._board, "configuration", before
+                0.8, setattr, self._board, "configuration", before
             )
 
     _replace(follower.ConfigurationFollower, "adopt", adopt_and_return)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -42,7 +42,7 @@
             for n in range(24)
         ),
         faults.Event(0.5, "publish", 0.0, 0),
-        faults.Event(2.0, "publish", 0.0, 0),
+        faults.Event(2.8, "publish", 0.0, 0),
     )
 
 
