Read the era of the store from its answers

Cause: the store may return from an older copy. Revisions then go back and are given out again, which nothing in an answer's body shows; the header Store-Era does. Ruled out: guessing it from a revision that goes back, as the revisions may have passed the known one again.

A read whose pages are of different eras fails, as they belong to no common state. The stand-in names the era and can return to an earlier copy. Nothing uses the era yet.

Conclusion: callers can compare (era, revision).

--- a/src/cyclamenwing/platform/store.py
+++ b/src/cyclamenwing/platform/store.py
@@ -13,6 +13,7 @@
 from cyclamenwing.store import errors
 from cyclamenwing.store import protocol
 from cyclamenwing.transport import errors as transport_errors
+from cyclamenwing.transport import h1
 from cyclamenwing.transport import pooled_client
 
 CALL_TIMEOUT_S = 1.0
@@ -23,6 +24,7 @@
 # of routes take seconds on slow links.
 BODY_TIMEOUT_S = 5.0
 MS_PER_S = 1000
+ERA_HEADER = b"store-era"
 
 T = TypeVar("T")
 
@@ -84,18 +86,24 @@
         entries: list[protocol.Entry] = []
         after = ""
         revision = 0
+        first_era: int | None = None
         while True:
             query = {"prefix": prefix} | ({"after": after} if after else {})
             if stale:
                 query["allow_stale"] = "1"
-            status, body = await self._call("GET", "kv-range", query)
+            status, body, era = await self._call("GET", "kv-range", query)
             reply = _decode(status, body, RangeReply)
+            if first_era not in {None, era}:
+                raise errors.StoreUnavailableError(
+                    f"the era changed while {prefix} was read"
+                )
+            first_era = era
             # The pages may be of different revisions. Following changes from
             # the first page's revision repeats some, but misses none.
             revision = revision or reply.at_rev
             entries += [_read_entry(item) for item in reply.items]
             if not reply.has_more or not reply.items:
-                return protocol.Snapshot(entries, revision)
+                return protocol.Snapshot(entries, revision, era=era)
             after = reply.items[-1].key
 
     async def follow(
@@ -107,7 +115,7 @@
             "after": str(revision),
             "wait_ms": str(int(wait_s * MS_PER_S)),
         }
-        status, body = await self._call(
+        status, body, era = await self._call(
             "GET", "kv-watch", query, timeout_s=wait_s + WATCH_GRACE_S
         )
         if status == 410:
@@ -125,6 +133,7 @@
                 for item in reply.events
             ],
             reply.at_rev,
+            era=era,
         )
 
     async def commit(
@@ -147,16 +156,17 @@
             ],
             "remove": [],
         })
-        status, answer = await self._call("POST", "kv-txn", {}, body)
+        status, answer, era = await self._call("POST", "kv-txn", {}, body)
         if status == 412:
             reply = _decode(200, answer, TxnReply)
-            return protocol.Conflict([
+            entries = [
                 _read_entry(item)
                 for item in reply.items
                 if not item.deleted and item.revision
-            ])
+            ]
+            return protocol.Conflict(entries, era)
         reply = _decode(status, answer, TxnReply)
-        return protocol.Committed(reply.revision)
+        return protocol.Committed(reply.revision, era)
 
     async def _call(
         self,
@@ -165,12 +175,13 @@
         query: dict[str, str],
         body: bytes = b"",
         timeout_s: float = CALL_TIMEOUT_S,
-    ) -> tuple[int, bytes]:
+    ) -> tuple[int, bytes, int]:
+        """Return the status, the body and the era of the answer."""
         target = f"/v1/{name}"
         if query:
             target += "?" + urllib.parse.urlencode(query)
         try:
-            status, answer = await self._caller.call(
+            head, answer = await self._caller.exchange(
                 self._address,
                 method,
                 target,
@@ -182,6 +193,7 @@
             raise errors.StoreUnavailableError(err.message) from err
         except transport_errors.TransportError as err:
             raise errors.StoreAnswerLostError(err.message) from err
+        status = head.status
         if status == 429:
             raise errors.StoreBusyError(name)
         if status == 503:
@@ -190,7 +202,13 @@
             raise errors.StoreAnswerLostError(
                 f"{name} returned status {status}"
             )
-        return status, answer
+        return status, answer, _read_era(head)
+
+
+def _read_era(head: h1.ResponseHead) -> int:
+    """Return the era of the store's answer, 0 if it names none."""
+    value = h1.find_header(head.headers, ERA_HEADER)
+    return int(value) if value and value.isdigit() else 0
 
 
 def _decode(status: int, body: bytes, kind: type[T]) -> T:
--- a/src/cyclamenwing/standin/metadata_store.py
+++ b/src/cyclamenwing/standin/metadata_store.py
@@ -8,6 +8,7 @@
 import urllib.parse
 from collections.abc import Callable
 from typing import Any
+from typing import NamedTuple
 
 import msgspec
 
@@ -22,9 +23,18 @@
 Answer = tuple[int, Any]
 
 
+class Copy(NamedTuple):
+    """Hold the state of a store at one time."""
+
+    items: dict[str, tuple[bytes, int]]
+    history: list[tuple[str, int]]
+    revision: int
+
+
 class MetadataStoreStandin:
     """Serve ranges, watches and transactions, with faults set by tests.
 
+    :ivar era: value of `Store-Era` in all answers
     :ivar error_status: status that answers every call; 0 disables it
     :ivar txn_pause_s: delay before each transaction is applied
     :ivar lose_txn_answers: whether transactions are applied, but the
@@ -35,6 +45,7 @@
         self.items: dict[str, tuple[bytes, int]] = {}
         self.history: list[tuple[str, int]] = []
         self.revision = 1
+        self.era = 1
         self.compacted_revision = 0
         self.error_status = 0
         self.txn_pause_s = 0.0
@@ -63,6 +74,22 @@
         """Compact the history; watches after an older revision get 410."""
         self.compacted_revision = self.revision
 
+    def copy(self) -> Copy:
+        """Return a copy of the present state."""
+        return Copy(dict(self.items), list(self.history), self.revision)
+
+    async def restore(self, copy: Copy) -> None:
+        """Return to an earlier state; revisions after it are reused."""
+        async with self._changed:
+            self.items = dict(copy.items)
+            self.history = list(copy.history)
+            self.revision = copy.revision
+            self.compacted_revision = min(
+                self.compacted_revision, copy.revision
+            )
+            self.era += 1
+            self._changed.notify_all()
+
     def _write(self, key: str, value: bytes | None) -> None:
         self.revision += 1
         self.history.append((key, self.revision))
@@ -78,18 +105,24 @@
         query = dict(urllib.parse.parse_qsl(url.query))
         self.calls.append(url.path)
         if self.error_status:
-            await connection.respond(self.error_status, (), b"")
+            await connection.respond(
+                self.error_status, self._make_headers(), b""
+            )
             return
         call = _CALLS.get(url.path)
         if call is None:
-            await connection.respond(404, (), b"")
+            await connection.respond(404, self._make_headers(), b"")
             return
         status, answer = await call(self, query, request.body)
         if self.lose_txn_answers and url.path == "/v1/kv-txn":
             connection.close()
             return
         body = msgspec.json.encode(answer)
-        await connection.respond(status, pooled_client.JSON_HEADERS, body)
+        await connection.respond(status, self._make_headers(), body)
+
+    def _make_headers(self) -> h1.Headers:
+        era = str(self.era).encode()
+        return (*pooled_client.JSON_HEADERS, (b"Store-Era", era))
 
     async def _range(self, query: dict[str, str], _: bytes) -> Answer:
         keys = sorted(
@@ -105,7 +138,7 @@
 
     async def _watch(self, query: dict[str, str], _: bytes) -> Answer:
         after = int(query["after"])
-        if after < self.compacted_revision:
+        if after < self.compacted_revision or after > self.revision:
             return 410, {}
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(int(query["wait_ms"]) / 1000):
@@ -171,4 +204,7 @@
     "/v1/kv-txn": MetadataStoreStandin._txn,
 }
 
-__all__ = ("MetadataStoreStandin",)
+__all__ = (
+    "Copy",
+    "MetadataStoreStandin",
+)
--- a/src/cyclamenwing/store/protocol.py
+++ b/src/cyclamenwing/store/protocol.py
@@ -23,11 +23,14 @@
 
     :param failure_age_s: time since the gateway that read them last failed to
         reach the store, None if it did not fail lately or read them here
+    :param era: rises each time that the store returns from an older copy, and
+        revisions count from that copy on; 0 if it is not known
     """
 
     entries: list[Entry]
     revision: int
     failure_age_s: float | None = None
+    era: int = 0
 
 
 class Change(NamedTuple):
@@ -42,17 +45,20 @@
     """Hold changes up to a revision, from which the next read continues.
 
     :param failure_age_s: as in `Snapshot`
+    :param era: as in `Snapshot`
     """
 
     changes: list[Change]
     revision: int
     failure_age_s: float | None = None
+    era: int = 0
 
 
 class Committed(NamedTuple):
-    """Report that a transaction was committed at a revision."""
+    """Report that a transaction was committed at a revision of an era."""
 
     revision: int
+    era: int = 0
 
 
 class Conflict(NamedTuple):
@@ -62,6 +68,7 @@
     """
 
     entries: list[Entry]
+    era: int = 0
 
 
 class TransactionStore(Protocol):
--- a/src/cyclamenwing/transport/pooled_client.py
+++ b/src/cyclamenwing/transport/pooled_client.py
@@ -38,7 +38,22 @@
         timeout_s: float,
         body_timeout_s: float | None = None,
     ) -> tuple[int, bytes]:
-        """Send a request and return the status and body of the response.
+        """Send a request and return the status and body of the response."""
+        head, response_body = await self.exchange(
+            address, method, target, body, timeout_s, body_timeout_s
+        )
+        return head.status, response_body
+
+    async def exchange(
+        self,
+        address: str,
+        method: str,
+        target: str,
+        body: bytes,
+        timeout_s: float,
+        body_timeout_s: float | None = None,
+    ) -> tuple[h1.ResponseHead, bytes]:
+        """Send a request and return the head and body of the response.
 
         :param timeout_s: longest time for the whole exchange
         :param body_timeout_s: longest time for the body of the response; if
@@ -75,7 +90,7 @@
             connection.close()
             raise
         self._release(address, connection, head)
-        return head.status, response_body
+        return head, response_body
 
     def close(self) -> None:
         """Close all idle connections."""
