Read everything anew when the store returns from an older copy

Cause: a watch that continues at its revision misses changes if the new era has given out this revision again, and `max(changes.revision, revision)` kept a revision that the new era does not have yet. Delegates' caches and the long polls of attached gateways compared revisions of different eras too. Ruled out: the 410 alone, which comes only for a revision that does not exist yet.

Change: an era tracker on the blackboard adopts the highest era of any answer, direct, relayed or of a delegate, logs and counts each change, and refuses answers of an earlier era. A change ends the long polls under way, and each prefix is read in full. Caches and their messages carry the era; messages of gateways that know of none are read as era 0. Entries that are missing then are in doubt, as after an outage. Configurations only rise, as before.

Conclusion: a reused revision hides no change.

--- a/src/cyclamenwing/gateway/app.py
+++ b/src/cyclamenwing/gateway/app.py
@@ -16,6 +16,7 @@
 from cyclamenwing.gateway import calls
 from cyclamenwing.gateway import clock
 from cyclamenwing.gateway import connections
+from cyclamenwing.gateway import eras
 from cyclamenwing.gateway import follower
 from cyclamenwing.gateway import grants
 from cyclamenwing.gateway import handler
@@ -79,6 +80,7 @@
     ) -> None:
         incarnation = f"{settings.host}-{secrets.token_hex(4)}"
         bounds = settings.bounds
+        metrics = recorder.Recorder()
         self._settings = settings
         self.board = board = blackboard.Blackboard(
             settings=settings,
@@ -88,7 +90,8 @@
             retry_budget=retry_budget.WindowedRetryBudget(
                 bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_s
             ),
-            metrics=recorder.Recorder(),
+            metrics=metrics,
+            eras=eras.EraTracker(metrics),
             roster=delegates.Roster(
                 delegates.Member(
                     settings.host,
--- a/src/cyclamenwing/gateway/blackboard.py
+++ b/src/cyclamenwing/gateway/blackboard.py
@@ -7,6 +7,7 @@
 
 from cyclamenwing.budget import escrow
 from cyclamenwing.gateway import configuration
+from cyclamenwing.gateway import eras
 from cyclamenwing.gateway import record_age
 from cyclamenwing.gateway import settings as gateway_settings
 from cyclamenwing.membership import delegates
@@ -56,6 +57,7 @@
 
     :param quarantine: requests that were running when endpoints crashed
     :param roster: members of the fleet and the delegates among them
+    :param eras: era of the store
     :param registered: the store lists this gateway
     :param store_contact_s: last answer of the store, direct or through a peer
     :param direct_contact_s: last direct answer of the store
@@ -78,6 +80,7 @@
     retry_budget: retry_budget.WindowedRetryBudget
     metrics: recorder.Recorder
     roster: delegates.Roster
+    eras: eras.EraTracker
     configuration: configuration.Configuration | None = None
     directory: endpoints.Directory = dataclasses.field(
         default_factory=endpoints.Directory
--- a/src/cyclamenwing/gateway/follower.py
+++ b/src/cyclamenwing/gateway/follower.py
@@ -28,6 +28,13 @@
 UNCERTAIN_REMOVAL_S = 3.0
 
 
+class Position(NamedTuple):
+    """Hold the era and the revision up to which a watch has followed."""
+
+    era: int
+    revision: int
+
+
 class Codec(NamedTuple):
     """Hold the keys in the store and the decoders of their values."""
 
@@ -68,45 +75,56 @@
 
     async def run(self) -> None:
         """Watch until cancelled; read all keys again after lost history."""
-        revision: int | None = None
+        position: Position | None = None
         delay_s = RETRY_DELAY_S
         while True:
             try:
-                if revision is None:
-                    revision = await self._read_snapshot()
+                if position is None:
+                    position = await self._read_snapshot()
                 else:
-                    revision = await self._follow(revision)
+                    position = await self._follow(position)
                 self._record_success()
                 delay_s = RETRY_DELAY_S
             except store_errors.StoreHistoryLostError:
                 eliot.log_message(
                     "follower:history_lost",
                     prefix=self._prefix,
-                    revision=revision,
+                    position=position,
                 )
                 self.last_failure_s = clock.read_time()
-                revision = None
+                position = None
             except errors.CodedError as err:
                 self._record_failure(err)
                 await asyncio.sleep(delay_s)
                 delay_s = min(delay_s * 2, MAX_RETRY_DELAY_S)
 
-    async def _read_snapshot(self) -> int:
+    async def _read_snapshot(self) -> Position:
         snapshot = await self._store.read(self._prefix)
         self._note_failure(snapshot.failure_age_s)
         self._load_snapshot(snapshot.entries)
         await self._cache.load(snapshot)
-        return snapshot.revision
+        return Position(snapshot.era, snapshot.revision)
 
-    async def _follow(self, revision: int) -> int:
-        changes = await self._store.follow(
-            self._prefix, revision, FOLLOW_WAIT_S
-        )
+    async def _follow(self, position: Position) -> Position:
+        """Apply the next changes; return where to continue.
+
+        In a new era changes can be missed even if the store has the revision,
+        as revisions are reused.
+        """
+        era, revision = position
+        call = self._store.follow(self._prefix, revision, era, FOLLOW_WAIT_S)
+        if era:
+            call = self._board.eras.run_within(era, call)
+        changes = await call
+        if changes.era and changes.era != era:
+            raise store_errors.StoreHistoryLostError(
+                f"era {changes.era} has followed era {era}"
+            )
         self._note_failure(changes.failure_age_s)
         for change in changes.changes:
             self._apply_change(change)
         await self._cache.apply(changes)
-        return max(changes.revision, revision)
+        return Position(era, max(changes.revision, revision))
 
     def _note_failure(self, age_s: float | None) -> None:
         """Record that the delegate failed to reach the store."""
--- a/src/cyclamenwing/gateway/relay.py
+++ b/src/cyclamenwing/gateway/relay.py
@@ -33,7 +33,12 @@
 # Calls are relayed only by peers that reached the store this recently.
 MAX_PEER_STORE_AGE_S = 2.5
 
-T = TypeVar("T")
+Answer = TypeVar(
+    "Answer",
+    protocol.Snapshot,
+    protocol.Changes,
+    protocol.Committed | protocol.Conflict,
+)
 
 
 class RelayRequest(msgspec.Struct):
@@ -48,13 +53,17 @@
 
 
 class RelayReply(msgspec.Struct):
-    """Hold the result of a relayed call, or its error code."""
+    """Hold the result of a relayed call, or its error code.
+
+    :param era: era of the store, 0 from a peer that does not know of eras
+    """
 
     error: str = ""
     revision: int = 0
     conflict: bool = False
     entries: list[tuple[str, bytes, int]] = []
     changes: list[tuple[str, bytes | None, int]] = []
+    era: int = 0
 
 
 class RelayedStore:
@@ -85,7 +94,9 @@
         except errors.StoreError as err:
             reply = await self._relay(RelayRequest("read", prefix), err)
         return protocol.Snapshot(
-            [protocol.Entry(*item) for item in reply.entries], reply.revision
+            [protocol.Entry(*item) for item in reply.entries],
+            reply.revision,
+            era=reply.era,
         )
 
     async def follow(
@@ -105,6 +116,7 @@
         return protocol.Changes(
             [protocol.Change(*item) for item in reply.changes],
             reply.revision,
+            era=reply.era,
         )
 
     async def commit(
@@ -129,10 +141,10 @@
             )
             reply = await self._relay(request, err)
         if reply.conflict:
-            return protocol.Conflict([
-                protocol.Entry(*item) for item in reply.entries
-            ])
-        return protocol.Committed(reply.revision)
+            return protocol.Conflict(
+                [protocol.Entry(*item) for item in reply.entries], reply.era
+            )
+        return protocol.Committed(reply.revision, reply.era)
 
     async def probe(self) -> None:
         """Test direct calls periodically while the store is unreachable."""
@@ -164,7 +176,13 @@
         )
         return msgspec.json.encode(reply)
 
-    async def _call_direct(self, call: Callable[[], Awaitable[T]]) -> T:
+    async def _call_direct(
+        self, call: Callable[[], Awaitable[Answer]]
+    ) -> Answer:
+        """Call the store.
+
+        A late answer of an earlier era is dropped.
+        """
         if self._unreachable:
             raise errors.StoreUnavailableError(
                 "the store can't be reached directly"
@@ -181,6 +199,7 @@
             eliot.log_message("relay:store_lost", code=err.code)
             raise
         self._board.direct_contact_s = clock.read_time()
+        self._board.eras.check(result.era, "store")
         return result
 
     async def _relay(
@@ -216,6 +235,7 @@
             raise _ERRORS_BY_CODE.get(
                 reply.error, errors.StoreAnswerLostError
             )(f"{peer.host}: {reply.error}")
+        self._board.eras.check(reply.era, peer.host)
         return reply
 
     def _find_peer(self) -> blackboard.Peer | None:
@@ -236,6 +256,7 @@
             return RelayReply(
                 revision=snapshot.revision,
                 entries=_pack_entries(snapshot.entries),
+                era=snapshot.era,
             )
         if request.call == "follow":
             changes = await self._call_direct(
@@ -249,6 +270,7 @@
                     (item.key, item.value, item.revision)
                     for item in changes.changes
                 ],
+                era=changes.era,
             )
         outcome = await self._call_direct(
             lambda: self._direct.commit(request.expected, request.writes)
@@ -257,8 +279,9 @@
             return RelayReply(
                 conflict=True,
                 entries=_pack_entries(outcome.entries),
+                era=outcome.era,
             )
-        return RelayReply(revision=outcome.revision)
+        return RelayReply(revision=outcome.revision, era=outcome.era)
 
 
 def _pack_entries(
--- a/src/cyclamenwing/gateway/watches.py
+++ b/src/cyclamenwing/gateway/watches.py
@@ -52,12 +52,15 @@
     """Ask a delegate for the changes of a prefix after a revision.
 
     A revision below 0 asks for all entries.
+
+    :param era: era of the store to which the revision belongs, 0 if unknown
     """
 
     prefix: str
     revision: int
     wait_s: float
     host: str
+    era: int = 0
 
 
 class WatchReply(msgspec.Struct):
@@ -68,6 +71,7 @@
     :param view_age_s: time since the store last answered the delegate
     :param failure_age_s: time since the delegate last failed to reach the
         store, None if it did not lately
+    :param era: era of the store that the entries were read in, 0 if unknown
     """
 
     revision: int
@@ -75,6 +79,7 @@
     entries: list[tuple[str, bytes | None, int]]
     view_age_s: float
     failure_age_s: float | None
+    era: int = 0
 
 
 class WatchCache:
@@ -82,12 +87,14 @@
 
     :param revision: revision of the store up to which changes are included;
         below 0 until the entries were read
+    :param era: era of the store to which the revisions belong
     :param answered_s: time of the store's last answer
     :param failed_s: time of the last failure to reach it, None if not lately
     """
 
     def __init__(self) -> None:
         self.revision = -1
+        self.era = 0
         self.answered_s = 0.0
         self.failed_s: float | None = None
         self._entries: dict[str, tuple[bytes, int]] = {}
@@ -100,6 +107,12 @@
 
     async def load(self, snapshot: protocol.Snapshot) -> None:
         """Replace all entries."""
+        if snapshot.era != self.era:
+            # Revisions of different eras can't be compared.
+            self._entries.clear()
+            self._removals.clear()
+            self.era = snapshot.era
+            self.revision = -1
         names = {entry.key for entry in snapshot.entries}
         for name in set(self._entries) - names:
             self._remove(name, snapshot.revision)
@@ -118,20 +131,27 @@
                 self._put(change.key, change.value, change.revision)
         await self._advance(changes.revision)
 
-    async def wait(self, revision: int, wait_s: float) -> None:
-        """Wait until there are changes after a revision."""
+    async def wait(self, revision: int, wait_s: float, era: int = 0) -> None:
+        """Wait until there are changes after a revision of an era."""
         try:
             async with asyncio.timeout(wait_s), self._changed:
                 await self._changed.wait_for(
                     lambda: (
-                        next(self._list_changes(revision), None) is not None
+                        self.era > era > 0
+                        or (
+                            not self._is_other_era(era)
+                            and next(self._list_changes(revision), None)
+                            is not None
+                        )
                     )
                 )
         except TimeoutError:
             return
 
-    def collect(self, revision: int, now_s: float) -> WatchReply:
+    def collect(self, revision: int, now_s: float, era: int = 0) -> WatchReply:
         """Return the changes after a revision, all entries if unknown."""
+        if self._is_other_era(era):
+            revision = -1
         complete = revision < self._floor
         entries = list(self._list_changes(-1 if complete else revision))
         if complete:
@@ -142,8 +162,12 @@
             entries,
             now_s - self.answered_s,
             None if self.failed_s is None else now_s - self.failed_s,
+            self.era,
         )
 
+    def _is_other_era(self, era: int) -> bool:
+        return 0 < era != self.era
+
     def _list_changes(
         self, revision: int
     ) -> Iterator[tuple[str, bytes | None, int]]:
@@ -204,7 +228,7 @@
 
     async def read(self, prefix: str) -> protocol.Snapshot:
         """Read all entries below a prefix."""
-        reply = await self._ask_delegates(prefix, -1, 0.0)
+        reply = await self._ask_delegates(prefix, -1, 0, 0.0)
         if reply is None:
             return await self._store.read(prefix)
         return protocol.Snapshot(
@@ -215,17 +239,18 @@
             ],
             reply.revision,
             reply.failure_age_s,
+            reply.era,
         )
 
     async def follow(
-        self, prefix: str, revision: int, wait_s: float
+        self, prefix: str, revision: int, era: int, wait_s: float
     ) -> protocol.Changes:
-        """Wait for changes after a revision.
+        """Wait for changes after a revision of an era.
 
         :param wait_s: longest wait at the store; delegates answer sooner
         :raises StoreHistoryLostError: if all entries must be read again
         """
-        reply = await self._ask_delegates(prefix, revision, WAIT_S)
+        reply = await self._ask_delegates(prefix, revision, era, WAIT_S)
         if reply is None:
             if not self._board.roster.acts_as_delegate:
                 # Delegates may answer again soon.
@@ -244,6 +269,7 @@
             ],
             reply.revision,
             reply.failure_age_s,
+            reply.era,
         )
 
     async def answer(self, body: bytes) -> bytes:
@@ -254,13 +280,15 @@
         if cache.revision < 0:
             await cache.wait(-1, LOAD_WAIT_S)
         if request.wait_s > 0 and cache.revision >= 0:
-            await cache.wait(request.revision, min(request.wait_s, WAIT_S))
+            await cache.wait(
+                request.revision, min(request.wait_s, WAIT_S), request.era
+            )
         return msgspec.json.encode(
-            cache.collect(request.revision, clock.read_time())
+            cache.collect(request.revision, clock.read_time(), request.era)
         )
 
     async def _ask_delegates(
-        self, prefix: str, revision: int, wait_s: float
+        self, prefix: str, revision: int, era: int, wait_s: float
     ) -> WatchReply | None:
         """Return a delegate's answer, None if the store is to be called."""
         await self._wait_settled()
@@ -271,10 +299,13 @@
         for member in roster.find_delegates(clock.read_time())[
             :MAX_DELEGATES_ASKED
         ]:
-            reply = await self._ask(member, prefix, revision, wait_s)
+            request = WatchRequest(
+                prefix, revision, wait_s, self._board.settings.host, era
+            )
+            reply = await self._ask(member, request)
             if reply is None or reply.revision < 0:
                 continue
-            if reply.complete and reply.revision < revision:
+            if self._is_outdated(reply, revision, era):
                 # Older than what is known here.
                 continue
             if reply.view_age_s < MAX_VIEW_AGE_S:
@@ -282,6 +313,19 @@
             outdated = reply
         return outdated if self._spare_store(prefix) else None
 
+    def _is_outdated(self, reply: WatchReply, revision: int, era: int) -> bool:
+        """Return whether an answer is older than what is known here.
+
+        A delegate that does not know of eras names none.
+        """
+        eras = self._board.eras
+        eras.observe(reply.era, "delegate")
+        if 0 < reply.era < eras.known:
+            return True
+        return (
+            reply.complete and reply.revision < revision and reply.era <= era
+        )
+
     async def _wait_settled(self) -> None:
         """Wait for the delegates to be known, for some time after the start.
 
@@ -310,20 +354,15 @@
     async def _ask(
         self,
         member: delegates.Member,
-        prefix: str,
-        revision: int,
-        wait_s: float,
+        request: WatchRequest,
     ) -> WatchReply | None:
-        request = WatchRequest(
-            prefix, revision, wait_s, self._board.settings.host
-        )
         try:
             status, answer = await self._caller.call(
                 member.address,
                 "POST",
                 WATCH_PATH,
                 msgspec.json.encode(request),
-                wait_s + ANSWER_DELAY_S,
+                request.wait_s + ANSWER_DELAY_S,
                 BODY_TIMEOUT_S,
             )
             if status != 200:
@@ -333,7 +372,7 @@
             eliot.log_message(
                 "watch:delegate_failed",
                 delegate=member.host,
-                prefix=prefix,
+                prefix=request.prefix,
                 reason=str(err),
             )
             self._board.roster.record_failure(member.host, clock.read_time())
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -6,8 +6,11 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 
+import msgspec
 import pytest
 
+from cyclamenwing.gateway import relay
+from cyclamenwing.gateway import watches
 from cyclamenwing.platform import store
 from cyclamenwing.standin import metadata_store
 from cyclamenwing.store import errors
@@ -77,3 +80,24 @@
         standin.items[f"a{number:03}"] = (b"", 1)
     with pytest.raises(errors.StoreUnavailableError):
         asyncio.run(run_call(standin, CALLS[0]))
+
+
+@pytest.mark.parametrize(
+    ("kind", "message"),
+    [
+        (relay.RelayReply, b'{"revision": 5}'),
+        (
+            watches.WatchReply,
+            b'{"revision": 5, "complete": true, "entries": [],'
+            b' "view_age_s": 0.1, "failure_age_s": null}',
+        ),
+        (
+            watches.WatchRequest,
+            b'{"prefix": "a", "revision": 5, "wait_s": 1.0, "host": "h"}',
+        ),
+    ],
+)
+def test_messages_of_gateways_that_know_no_eras_are_read(
+    kind: type[relay.RelayReply], message: bytes
+) -> None:
+    assert msgspec.json.decode(message, type=kind).era == 0
