Register again when the store returns from an older copy

Cause: a gateway registered once, at its start. A copy from before that lacks its entry, so gateways that start later would not know it, and the delegates would be derived from different lists.

Change: the entry is written again as soon as a change of the era is known.

Conclusion: the list of gateways is whole again without a restart.

--- a/src/cyclamenwing/gateway/registration.py
+++ b/src/cyclamenwing/gateway/registration.py
@@ -16,6 +16,8 @@
 
 HOSTS_PREFIX = "cyclamenwing/hosts/"
 RETRY_DELAY_S = 1.0
+# The same after the store has returned from an older copy.
+ERA_RETRY_DELAY_S = 0.2
 # When the whole fleet starts for the first time, the list is complete after
 # this time; until then no gateway draws tokens.
 BOOTSTRAP_DELAY_S = 1.5
@@ -32,6 +34,8 @@
     ) -> None:
         self._board = board
         self._store = store
+        # Era in which this gateway has registered.
+        self._era = 0
         # Set once the roster is complete enough to know the delegates.
         self.settled = asyncio.Event()
 
@@ -46,17 +50,28 @@
         self.settled.set()
         while True:
             # Spread over time, so that the fleet does not read at once.
-            await asyncio.sleep(REFRESH_INTERVAL_S * random.uniform(0.8, 1.2))
-            await self._read_members(stale=True)
+            delay_s = REFRESH_INTERVAL_S * random.uniform(0.8, 1.2)
+            if await self._board.eras.wait(self._era, delay_s):
+                await self._register_again()
+            else:
+                await self._read_members(stale=True)
+
+    async def _register_again(self) -> None:
+        """Write the entry that an older copy of the store may lack."""
+        while not await self._register():
+            await asyncio.sleep(ERA_RETRY_DELAY_S * random.uniform(0.5, 1.5))
 
     async def _register(self) -> bool:
         own = self._board.roster.own
         key = HOSTS_PREFIX + own.host
         try:
-            await self._store.commit([], [(key, msgspec.json.encode(own))])
+            outcome = await self._store.commit(
+                [], [(key, msgspec.json.encode(own))]
+            )
         except store_errors.StoreError as err:
             eliot.log_message("registration:failed", code=err.code)
             return False
+        self._era = outcome.era
         return await self._read_members(stale=False)
 
     async def _read_members(self, stale: bool) -> bool:
--- a/tests/gateway/test_store_restored.py
+++ b/tests/gateway/test_store_restored.py
@@ -15,6 +15,7 @@
 import pytest
 from tests.gateway import deployments
 
+from cyclamenwing.gateway import registration
 from cyclamenwing.membership import delegates
 
 # The bound for serving again.
@@ -143,3 +144,20 @@
         await wait_until(functools.partial(knows, deployment, "a1", True))
 
     run(check)
+
+
+@pytest.mark.parametrize("gateways", [1, 3])
+def test_registrations_are_written_again(gateways: int) -> None:
+    async def check(deployment: deployments.Deployment) -> None:
+        store = deployment.store
+        for key in [k for k in store.items if k.startswith("cyclamenwing/")]:
+            await store.put(key, None)
+        copy = store.copy()
+        await store.restore(copy)
+        keys = {
+            registration.HOSTS_PREFIX + gateway.board.settings.host
+            for gateway in deployment.gateways
+        }
+        await wait_until(lambda: keys <= store.items.keys(), 4.0)
+
+    run(check, gateways)
