Tell a store in era 0 from one that names no era

Cause: the header rises by one each time, and nothing says where it begins. If it begins at 0, the first return would have looked like the first answer that names an era, and nothing would have been read anew.

Change: the product counts from 1 where the header counts from 0; 0 stays for answers without the header. The stand-in begins at 0, so that all tests of a return cover this case.

Conclusion: the first return counts whatever number it has.

--- a/src/cyclamenwing/platform/store.py
+++ b/src/cyclamenwing/platform/store.py
@@ -206,9 +206,12 @@
 
 
 def _read_era(head: h1.ResponseHead) -> int:
-    """Return the era of the store's answer, 0 if it names none."""
+    """Return the era of the store's answer, 0 if it names none.
+
+    It is one more than in the header, which may begin at 0.
+    """
     value = h1.find_header(head.headers, ERA_HEADER)
-    return int(value) if value and value.isdigit() else 0
+    return int(value) + 1 if value and value.isdigit() else 0
 
 
 def _decode(status: int, body: bytes, kind: type[T]) -> T:
--- a/src/cyclamenwing/standin/metadata_store.py
+++ b/src/cyclamenwing/standin/metadata_store.py
@@ -45,7 +45,7 @@
         self.items: dict[str, tuple[bytes, int]] = {}
         self.history: list[tuple[str, int]] = []
         self.revision = 1
-        self.era = 1
+        self.era = 0
         self.compacted_revision = 0
         self.error_status = 0
         self.txn_pause_s = 0.0
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -62,11 +62,13 @@
         standin.stop()
 
 
+@pytest.mark.parametrize("named", [0, 4])
 @pytest.mark.parametrize("call", CALLS)
-def test_results_have_the_era_of_the_answer(call: Call) -> None:
+def test_results_have_the_era_of_the_answer(call: Call, named: int) -> None:
     standin = metadata_store.MetadataStoreStandin()
-    standin.era = 4
-    assert asyncio.run(run_call(standin, call)) == 4
+    standin.era = named
+    # Era 0 of the product is that of answers that name none.
+    assert asyncio.run(run_call(standin, call)) == named + 1
 
 
 @pytest.mark.parametrize("call", CALLS)
