Restore the pools before drawing when the store returns older

Cause: a copy lacks draws that the store had acknowledged, so its free tokens may be in use; on the code before, a gateway that was replaced after the return spent 193,280 of 100,000 tokens together with its predecessor. The own record in the copy could be a predecessor's, which blocked the process for good; a replaced process could take its record back from the copy. A process that died between the return and its restoration left a record of the new era beside a pool of the old one, which the random walk found.

Change: each gateway writes its record again, then the newest state of each pool that it knew with its own entry exact; nothing is drawn until all live delegates have done so, 3 s at most. Commits expect that the marker of the next era is absent. A process that knows only an older copy waits for the others, then counts what is free as used. Records of earlier eras release nothing. Records and gossip have new optional fields.

--- a/src/cyclamenwing/gateway/app.py
+++ b/src/cyclamenwing/gateway/app.py
@@ -11,6 +11,7 @@
 import eliot
 
 from cyclamenwing.budget import escrow
+from cyclamenwing.budget import restoration
 from cyclamenwing.gateway import attempts
 from cyclamenwing.gateway import blackboard
 from cyclamenwing.gateway import calls
@@ -26,6 +27,7 @@
 from cyclamenwing.gateway import record_age
 from cyclamenwing.gateway import registration
 from cyclamenwing.gateway import relay
+from cyclamenwing.gateway import releases
 from cyclamenwing.gateway import reservations
 from cyclamenwing.gateway import settings as gateway_settings
 from cyclamenwing.gateway import watches
@@ -85,7 +87,7 @@
         self.board = board = blackboard.Blackboard(
             settings=settings,
             incarnation=incarnation,
-            escrow=escrow.Escrow(incarnation),
+            escrow=restoration.EraEscrow(incarnation),
             placement=placement.Placement(settings.availability_zone),
             retry_budget=retry_budget.WindowedRetryBudget(
                 bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_s
@@ -118,6 +120,9 @@
             self._store, board, http, settled
         )
         self._pools = pools.PoolClient(board, self._store, settled)
+        self._releases = releases.PredecessorRelease(
+            board, self._store, self._pools.request_draw
+        )
         grant_client = grants.GrantClient(board, http)
         self._reservations = reservations.Reservations(
             board,
@@ -315,7 +320,7 @@
         if age is None:
             return
         try:
-            await self._pools.release_predecessor(predecessor, age)
+            await self._releases.release(predecessor, age)
         except store_errors.StoreError as err:
             eliot.log_message("funds:close_failed", code=err.code)
 
--- a/src/cyclamenwing/gateway/blackboard.py
+++ b/src/cyclamenwing/gateway/blackboard.py
@@ -5,7 +5,7 @@
 import dataclasses
 from typing import NamedTuple
 
-from cyclamenwing.budget import escrow
+from cyclamenwing.budget import restoration
 from cyclamenwing.gateway import configuration
 from cyclamenwing.gateway import eras
 from cyclamenwing.gateway import record_age
@@ -75,7 +75,7 @@
 
     settings: gateway_settings.GatewaySettings
     incarnation: str
-    escrow: escrow.Escrow
+    escrow: restoration.EraEscrow
     placement: placement.Placement
     retry_budget: retry_budget.WindowedRetryBudget
     metrics: recorder.Recorder
--- a/src/cyclamenwing/gateway/gossip.py
+++ b/src/cyclamenwing/gateway/gossip.py
@@ -16,6 +16,7 @@
 import eliot
 import msgspec
 
+from cyclamenwing.budget import restoration
 from cyclamenwing.gateway import blackboard
 from cyclamenwing.gateway import clock
 from cyclamenwing.gateway import poison_requests
@@ -84,6 +85,8 @@
     :param registered: the store lists it, so any other gateway can find and
         ask it
     :param number: sequence number among the messages of its incarnation
+    :param era: era of the store that it knows, and of `pools`
+    :param marks: marks of those `pools` that were restored in this era
     """
 
     host: str
@@ -106,6 +109,8 @@
     late: bool
     registered: bool
     number: int
+    era: int = 0
+    marks: dict[str, restoration.Mark] = {}
 
 
 class RecordAgeRequest(msgspec.Struct):
@@ -160,12 +165,14 @@
     """Track the data that a peer has received and is not sent again.
 
     :param sent_number: newest `SentParts.number` that the peer has received
-    :param revisions: revisions of the pools that it has received
+    :param revisions: eras and revisions of the pools that it has received
     :param members: start times of the members that it knows, by host
     """
 
     sent_number: int = 0
-    revisions: dict[str, int] = dataclasses.field(default_factory=dict)
+    revisions: dict[str, tuple[int, int]] = dataclasses.field(
+        default_factory=dict
+    )
     members: dict[str, int] = dataclasses.field(default_factory=dict)
 
 
@@ -192,7 +199,7 @@
         self._delivered: dict[str, DeliveredGossip] = {}
         # Revisions of pools that came from peers: they are not passed on, as
         # the gateway that read them sends them to all peers itself.
-        self._peer_pool_revisions: dict[str, int] = {}
+        self._peer_pool_revisions: dict[str, tuple[int, int]] = {}
 
     def record_sent_parts(
         self,
@@ -227,6 +234,8 @@
         config = board.configuration
         attached = roster.list_attached(now_s)
         serves = host in attached
+        sends_pools = roster.acts_as_delegate and not serves
+        pools = self._list_pools(delivered) if sends_pools else {}
         return GossipMessage(
             host=board.settings.host,
             address=board.settings.control,
@@ -257,22 +266,36 @@
                 for name, account in board.escrow.accounts.items()
                 if not serves and account.held > 0
             },
-            pools={
-                name: (pool.revision, pool.holders)
-                for name, pool in board.escrow.pools.items()
-                if not serves
-                and roster.acts_as_delegate
-                and pool.revision > delivered.revisions.get(name, 0)
-                and pool.revision != self._peer_pool_revisions.get(name)
-            },
+            pools=pools,
             record_age_s=now_s - board.record_written_s,
             suspects=self._poison_requests.build_gossip(),
             store_age_s=now_s - board.direct_contact_s,
             late=self.has_late_record(now_s),
             registered=board.registered,
             number=self._message_number,
+            era=board.eras.known,
+            marks={
+                name: mark
+                for name in pools
+                if (mark := board.escrow.find_mark(name)).restored
+            },
         )
 
+    def _list_pools(
+        self, delivered: DeliveredGossip
+    ) -> dict[str, tuple[int, dict[str, int]]]:
+        own_escrow = self._board.escrow
+        if own_escrow.era != self._board.eras.known:
+            return {}
+        return {
+            name: (pool.revision, pool.holders)
+            for name, pool in own_escrow.pools.items()
+            if pool.revision
+            and (position := (own_escrow.era, pool.revision))
+            > delivered.revisions.get(name, (0, 0))
+            and position != self._peer_pool_revisions.get(name)
+        }
+
     def has_late_record(self, now_s: float) -> bool:
         """Return whether this gateway has a record that became old."""
         written_s = self._board.record_written_s
@@ -323,7 +346,7 @@
         for item in message.sent:
             delivered.sent_number = max(delivered.sent_number, item.number)
         for name, (revision, _) in message.pools.items():
-            delivered.revisions[name] = revision
+            delivered.revisions[name] = (message.era, revision)
         for member in message.members:
             delivered.members[member.host] = member.started_ms
 
@@ -403,11 +426,18 @@
 
     def _merge_pools(self, message: GossipMessage, now_s: float) -> None:
         own_escrow = self._board.escrow
+        # A peer that does not know of eras names none.
+        era = message.era or self._board.eras.first
+        self._board.eras.observe(era, message.host)
+        if era != own_escrow.era:
+            return
         for name, (revision, holders) in message.pools.items():
             if revision > own_escrow.open_pool(name).revision:
-                own_escrow.update_pool(name, revision, holders)
+                own_escrow.update_pool(
+                    name, revision, holders, message.marks.get(name)
+                )
                 self._board.pools_updated_s[name] = now_s
-                self._peer_pool_revisions[name] = revision
+                self._peer_pool_revisions[name] = (era, revision)
 
     def _merge_loads(self, message: GossipMessage, now_s: float) -> None:
         own_placement = self._board.placement
--- /dev/null
+++ b/src/cyclamenwing/gateway/host_record.py
@@ -0,0 +1,130 @@
+"""Record of usage bounds of the own host in the store."""
+
+from __future__ import annotations
+
+import pathlib
+import time
+from collections.abc import Mapping
+
+import eliot
+import msgspec
+
+from cyclamenwing.budget import escrow
+from cyclamenwing.gateway import blackboard
+from cyclamenwing.gateway import clock
+from cyclamenwing.gateway import records
+from cyclamenwing.store import protocol
+
+HOLDER_PREFIX = "cyclamenwing/holders/"
+BOOT_ID_PATH = pathlib.Path("/proc/sys/kernel/random/boot_id")
+
+
+class HostRecord:
+    """Make this process's record and judge those found in its place."""
+
+    def __init__(
+        self, board: blackboard.Blackboard, store: protocol.TransactionStore
+    ) -> None:
+        self._board = board
+        self._store = store
+        self.key = HOLDER_PREFIX + board.settings.host
+        self._process_start = records.ProcessStart(
+            read_boot_id(), clock.read_time(), time.time()
+        )
+        self._predecessor_checked = False
+        # Earlier processes of the host whose record this one has replaced.
+        self._replaced: set[str] = set()
+
+    def find(self, snapshot: protocol.Snapshot) -> protocol.Entry | None:
+        """Return the record's entry, None if there is none."""
+        return next((e for e in snapshot.entries if e.key == self.key), None)
+
+    async def has_predecessor(self) -> bool:
+        """Return whether an earlier process of the host wrote a record.
+
+        It may have died as a delegate with holdings to release.
+        """
+        if self._predecessor_checked:
+            return False
+        snapshot = await self._store.read(self.key)
+        self._predecessor_checked = True
+        records_found = [
+            msgspec.json.decode(entry.value, type=records.HolderRecord)
+            for entry in snapshot.entries
+            if entry.key == self.key
+        ]
+        return any(r.promises or r.former for r in records_found)
+
+    def load_predecessors(self, value: bytes) -> None:
+        """Read the predecessors from the record that this one replaces."""
+        board = self._board
+        record = msgspec.json.decode(value, type=records.HolderRecord)
+        if record.holder == board.escrow.holder:
+            # This process wrote the record; the answer to the commit was lost.
+            return
+        self._replaced |= {record.holder, *(f.holder for f in record.former)}
+        if 0 < record.era < board.escrow.era:
+            # Later usage bounds were lost, so the predecessors may have used
+            # all that they held.
+            eliot.log_message(
+                "funds:predecessor_outdated",
+                holder=record.holder,
+                era=record.era,
+            )
+            return
+        board.predecessors = records.read_predecessors(
+            record, self._process_start
+        )
+        if record.promises:
+            # A retired gateway's record is not renewed; its age says nothing.
+            board.predecessor_wall_age_s = board.predecessors[
+                -1
+            ].wall_elapsed_s
+
+    def make(
+        self, usage_bounds: Mapping[str, escrow.UsageBound], now_s: float
+    ) -> records.HolderRecord:
+        """Return the record to write."""
+        return records.HolderRecord(
+            self._board.escrow.holder,
+            self._process_start.boot_id,
+            now_s,
+            time.time(),
+            records.write_usage_bounds(usage_bounds),
+            records.write_predecessors(self._board.predecessors),
+            self._board.escrow.era,
+            bool(self._board.escrow.unrestored),
+        )
+
+    def is_replaced(self, entry: protocol.Entry) -> bool:
+        """Return whether another process has taken over the host's record.
+
+        In an older copy of the store it may be a predecessor's again.
+        """
+        record = msgspec.json.decode(entry.value, type=records.HolderRecord)
+        start = self._process_start
+        return not (
+            record.holder == self._board.escrow.holder
+            or record.holder in self._replaced
+            or (
+                record.era < self._board.escrow.era
+                and record.boot_id == start.boot_id != ""
+                and record.since_s < start.boot_s
+            )
+        )
+
+
+def read_boot_id() -> str:
+    """Return the id of the host's current boot, empty if it is unknown."""
+    try:
+        return BOOT_ID_PATH.read_text().strip()
+    except OSError as err:
+        eliot.log_message("funds:no_boot_id", reason=str(err))
+        return ""
+
+
+__all__ = (
+    "HOLDER_PREFIX",
+    "HostRecord",
+    "read_boot_id",
+)
--- a/src/cyclamenwing/gateway/pools.py
+++ b/src/cyclamenwing/gateway/pools.py
@@ -4,9 +4,6 @@
 
 import asyncio
 import contextlib
-import pathlib
-import random
-import time
 from collections.abc import Mapping
 
 import eliot
@@ -15,17 +12,18 @@
 from cyclamenwing.budget import escrow
 from cyclamenwing.gateway import blackboard
 from cyclamenwing.gateway import clock
-from cyclamenwing.gateway import record_age
+from cyclamenwing.gateway import eras
+from cyclamenwing.gateway import host_record
+from cyclamenwing.gateway import pool_restoration
 from cyclamenwing.gateway import records
 from cyclamenwing.store import errors as store_errors
 from cyclamenwing.store import protocol
 
-POOL_PREFIX = "cyclamenwing/pools/"
-HOLDER_PREFIX = "cyclamenwing/holders/"
-BOOT_ID_PATH = pathlib.Path("/proc/sys/kernel/random/boot_id")
+POOL_PREFIX = pool_restoration.POOL_PREFIX
+HOLDER_PREFIX = host_record.HOLDER_PREFIX
 # A transaction of the store takes 32 entries, two for each key. One key is the
-# gateway's own record.
-MAX_POOLS_PER_COMMIT = 15
+# gateway's own record, and one entry the guard against a later era.
+MAX_POOLS_PER_COMMIT = 14
 # Interval at which usage bounds are renewed while much of them is used.
 RENEW_INTERVAL_S = 0.7
 # Interval of renewal otherwise. While the store is reachable, a usage bound
@@ -61,18 +59,23 @@
         self._store = store
         # Set once it is known which gateways are delegates.
         self._settled = settled
-        self._predecessor_checked = False
         self._retired = False
         self._draw_requested = asyncio.Event()
         self._draw_ended = asyncio.Condition()
-        self._process_start = records.ProcessStart(
-            read_boot_id(), clock.read_time(), time.time()
-        )
-        self._record_key = HOLDER_PREFIX + board.settings.host
+        self._record = host_record.HostRecord(board, store)
         self._record_revision: int | None = None
+        # Era in which the record was written.
+        self._record_era = 0
+        # Another process of the host has replaced the record.
+        self._replaced = False
+        self._restoration = pool_restoration.PoolRestoration(board, store)
         self._renewed_s = 0.0
         self._used_at_renewal: dict[str, int] = {}
 
+    def request_draw(self) -> None:
+        """Draw without delay."""
+        self._draw_requested.set()
+
     async def wait_for_draw(self) -> None:
         """Request a draw; return when one has ended, successful or not."""
         async with self._draw_ended:
@@ -87,10 +90,10 @@
             delay_s = MIN_DRAW_INTERVAL_S
             try:
                 if self._record_revision is not None:
-                    await self._renew()
+                    await self._renew_in_era()
                 elif (
                     self._board.roster.acts_as_delegate
-                    or await self._has_predecessor()
+                    or await self._record.has_predecessor()
                 ):
                     await self._replace_record()
             except store_errors.StoreError as err:
@@ -100,151 +103,101 @@
                 self._draw_ended.notify_all()
             await asyncio.sleep(delay_s)
             with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(RENEW_INTERVAL_S):
+                async with asyncio.timeout(self._get_interval()):
                     await self._draw_requested.wait()
 
+    def _get_interval(self) -> float:
+        if self._board.escrow.unopened:
+            interval_s = self._restoration.get_interval(clock.read_time())
+            return min(interval_s, RENEW_INTERVAL_S)
+        return RENEW_INTERVAL_S
+
     async def return_holdings(self) -> None:
         """Return unused holdings to the pools."""
+        own_escrow = self._board.escrow
         changes = {
             name: -account.held
-            for name, account in self._board.escrow.accounts.items()
-            if account.held > 0
+            for name, account in own_escrow.accounts.items()
+            if account.held > 0 and name not in own_escrow.unopened
         }
         for _ in range(3):
             if not changes or await self._commit(changes):
                 return
 
-    async def _has_predecessor(self) -> bool:
-        """Return whether an earlier process of the host wrote a record.
-
-        It may have died as a delegate with holdings to release.
-        """
-        if self._predecessor_checked:
-            return False
-        snapshot = await self._store.read(self._record_key)
-        self._predecessor_checked = True
-        records_found = [
-            msgspec.json.decode(entry.value, type=records.HolderRecord)
-            for entry in snapshot.entries
-            if entry.key == self._record_key
-        ]
-        return any(r.promises or r.former for r in records_found)
-
     async def _replace_record(self) -> None:
         """Read the pools and replace the record of the host's predecessor."""
-        own_escrow = self._board.escrow
-        snapshot = await self._store.read(POOL_PREFIX)
-        for entry in snapshot.entries:
-            pool = msgspec.json.decode(entry.value, type=records.PoolRecord)
-            name = entry.key.removeprefix(POOL_PREFIX)
-            own_escrow.update_pool(name, entry.revision, pool.drawn)
-        snapshot = await self._store.read(self._record_key)
-        previous = next(
-            (e for e in snapshot.entries if e.key == self._record_key), None
-        )
+        snapshot = await self._store.read(HOLDER_PREFIX)
+        if not await self._restoration.join_era(snapshot):
+            return
+        era = snapshot.era
+        previous = self._record.find(snapshot)
         if previous is not None:
-            self._load_predecessors(previous.value)
-        record = self._make_record({}, clock.read_time())
-        outcome = await self._store.commit(
-            [(self._record_key, previous.revision if previous else 0)],
-            [(self._record_key, msgspec.json.encode(record))],
+            self._record.load_predecessors(previous.value)
+        record = self._record.make({}, clock.read_time())
+        outcome = await eras.commit(
+            self._store,
+            era,
+            [(self._record.key, previous.revision if previous else 0)],
+            [(self._record.key, msgspec.json.encode(record))],
         )
         if not isinstance(outcome, protocol.Committed):
             return
         # The record has a new revision, so no commit of the predecessor can
         # take effect any more.
         self._record_revision = outcome.revision
+        self._record_era = era
         self._board.store_contact_s = clock.read_time()
         self._draw_requested.set()
         self._board.record_written_s = record.since_s
 
-    def _load_predecessors(self, value: bytes) -> None:
-        board = self._board
-        record = msgspec.json.decode(value, type=records.HolderRecord)
-        if record.holder == board.escrow.holder:
-            # This process wrote the record; the answer to the commit was lost.
+    async def _renew_in_era(self) -> None:
+        """Renew the record; restore record and pools first in a new era."""
+        if self._replaced:
             return
-        board.predecessors = records.read_predecessors(
-            record, self._process_start
-        )
-        if record.promises:
-            # A retired gateway's record is not renewed; its age says nothing.
-            board.predecessor_wall_age_s = board.predecessors[
-                -1
-            ].wall_elapsed_s
-
-    def _make_record(
-        self, usage_bounds: Mapping[str, escrow.UsageBound], now_s: float
-    ) -> records.HolderRecord:
-        return records.HolderRecord(
-            self._board.escrow.holder,
-            self._process_start.boot_id,
-            now_s,
-            time.time(),
-            records.write_usage_bounds(usage_bounds),
-            records.write_predecessors(self._board.predecessors),
-        )
-
-    async def release_predecessor(
-        self, predecessor: record_age.Predecessor, age: record_age.Age
-    ) -> None:
-        """Release the holdings that a predecessor can't have used.
-
-        :param age: upper bound on the age of its record at its death
-        """
-        proved = predecessor._replace(age=age)
-        self._board.predecessors = [
-            proved if other is predecessor else other
-            for other in self._board.predecessors
-        ]
-        for workspace in list(self._board.escrow.pools):
-            # Each pool has a commit of its own: after a power loss of the
-            # fleet all hosts do this at once, and commits of many pools
-            # would all conflict with each other.
-            while not await self._release_holder(predecessor, workspace, age):
-                await asyncio.sleep(random.uniform(0.0, MIN_DRAW_INTERVAL_S))
-        self._board.predecessors.remove(proved)
-        self._draw_requested.set()
+        if self._record_era != self._board.eras.known:
+            await self._restore_record()
+            return
+        self._restoration.block_new_pools()
+        if self._board.escrow.unopened:
+            await self._restoration.restore((
+                self._record.key,
+                self._record_revision or 0,
+            ))
+        await self._renew()
 
-    async def _release_holder(
-        self,
-        predecessor: record_age.Predecessor,
-        workspace: str,
-        age: record_age.Age,
-    ) -> bool:
-        own_escrow = self._board.escrow
-        pool = own_escrow.pools[workspace]
-        drawn = pool.holders.get(predecessor.holder)
-        if drawn is None:
-            return True
-        usage_bound = predecessor.usage_bounds.get(workspace)
-        bound = (
-            usage_bound.compute_limit(age.elapsed_s, age.late)
-            if usage_bound
-            else drawn
-        )
-        holders = escrow.release_holder(
-            pool.holders, predecessor.holder, bound
+    async def _restore_record(self) -> None:
+        """Write the record in a new era, of which the older copy lacks it."""
+        board = self._board
+        snapshot = await self._store.read(self._record.key)
+        if snapshot.era != board.eras.known:
+            return
+        self._restoration.begin_era()
+        stored = self._record.find(snapshot)
+        if stored is not None:
+            self._merge_record(stored)
+            if self._replaced:
+                return
+        now_s = clock.read_time()
+        _, usage_bounds = board.escrow.begin_commit({}, now_s)
+        record = self._record.make(
+            {} if self._retired else usage_bounds, now_s
         )
-        key = POOL_PREFIX + workspace
-        outcome = await self._store.commit(
-            [(key, pool.revision)],
-            [(key, msgspec.json.encode(records.PoolRecord(holders)))],
+        outcome = await eras.commit(
+            self._store,
+            snapshot.era,
+            [(self._record.key, stored.revision if stored else 0)],
+            [
+                (self._record.key, msgspec.json.encode(record)),
+                *eras.make_markers(snapshot.era),
+            ],
         )
         if isinstance(outcome, protocol.Conflict):
-            self._merge_entries(outcome.entries)
-            return False
-        own_escrow.update_pool(workspace, outcome.revision, holders)
-        eliot.log_message(
-            "funds:predecessor_closed",
-            holder=predecessor.holder,
-            workspace=workspace,
-            drawn=drawn,
-            bound=bound,
-            elapsed_s=round(age.elapsed_s, 2),
-            late=age.late,
-        )
-        return True
+            board.escrow.cancel_commit({}, usage_bounds)
+            return
+        self._record_era = snapshot.era
+        self._record_renewal(outcome.revision, {}, usage_bounds, now_s)
+        self._draw_requested.set()
+        eliot.log_message("funds:record_restored", era=snapshot.era)
 
     async def _renew(self) -> None:
         board = self._board
@@ -259,7 +212,10 @@
         gateways = board.count_holders(now_s)
         changes = {}
         for name, workspace in config.workspaces.items():
-            if workspace.prepaid_tokens is None:
+            if (
+                workspace.prepaid_tokens is None
+                or name in board.escrow.unopened
+            ):
                 continue
             account = board.escrow.open_account(name)
             free = board.escrow.count_free(name, workspace.prepaid_tokens)
@@ -285,7 +241,9 @@
         changes = {
             name: -account.held
             for name, account in self._board.escrow.accounts.items()
-            if account.held > 0 and account.drawn > 0
+            if account.held > 0
+            and account.drawn > 0
+            and name not in self._board.escrow.unopened
         }
         complete = len(changes) <= MAX_POOLS_PER_COMMIT
         if await self._commit(changes, retires=complete) and complete:
@@ -333,18 +291,19 @@
         own_escrow = self._board.escrow
         now_s = clock.read_time()
         written, usage_bounds = own_escrow.begin_commit(chosen, now_s)
-        record = self._make_record({} if retires else usage_bounds, now_s)
-        expected = [(self._record_key, self._record_revision or 0)]
-        writes = [(self._record_key, msgspec.json.encode(record))]
+        era = own_escrow.era
+        record = self._record.make({} if retires else usage_bounds, now_s)
+        expected = [(self._record.key, self._record_revision or 0)]
+        writes = [(self._record.key, msgspec.json.encode(record))]
         for name, holders in written.items():
             key = POOL_PREFIX + name
             expected.append((key, own_escrow.pools[name].revision))
             writes.append((
                 key,
-                msgspec.json.encode(records.PoolRecord(holders)),
+                records.encode_pool(holders, own_escrow.find_mark(name)),
             ))
         try:
-            outcome = await self._store.commit(expected, writes)
+            outcome = await eras.commit(self._store, era, expected, writes)
         except store_errors.StoreAnswerLostError:
             eliot.log_message("funds:commit_in_doubt", workspaces=names)
             raise
@@ -361,35 +320,47 @@
             self._draw_requested.set()
             eliot.log_message("funds:conflict", changes=chosen)
             return False
-        own_escrow.finish_commit(outcome.revision, written, usage_bounds)
-        self._record_revision = outcome.revision
-        self._renewed_s = now_s
-        self._board.record_written_s = now_s
-        self._used_at_renewal = {
-            name: account.used for name, account in own_escrow.accounts.items()
-        }
+        self._record_renewal(outcome.revision, written, usage_bounds, now_s)
         eliot.log_message(
             "funds:committed", changes=chosen, revision=outcome.revision
         )
         return True
 
+    def _record_renewal(
+        self,
+        revision: int,
+        written: Mapping[str, Mapping[str, int]],
+        usage_bounds: Mapping[str, escrow.UsageBound],
+        now_s: float,
+    ) -> None:
+        own_escrow = self._board.escrow
+        own_escrow.finish_commit(revision, written, usage_bounds)
+        self._record_revision = revision
+        self._renewed_s = now_s
+        self._board.record_written_s = 0.0 if self._retired else now_s
+        self._used_at_renewal = {
+            name: account.used for name, account in own_escrow.accounts.items()
+        }
+
     def _merge_entries(self, entries: list[protocol.Entry]) -> None:
         own_escrow = self._board.escrow
         for entry in entries:
-            if entry.key == self._record_key:
+            if entry.key == self._record.key:
                 self._merge_record(entry)
                 continue
             name = entry.key.removeprefix(POOL_PREFIX)
-            record = msgspec.json.decode(entry.value, type=records.PoolRecord)
-            own_escrow.update_pool(name, entry.revision, record.drawn)
+            state = records.read_pool(entry, self._board.eras.first)
+            own_escrow.update_pool(
+                name, state.revision, state.holders, state.mark
+            )
 
     def _merge_record(self, entry: protocol.Entry) -> None:
-        record = msgspec.json.decode(entry.value, type=records.HolderRecord)
-        if record.holder != self._board.escrow.holder:
+        if self._record.is_replaced(entry):
             # Another process of this host has replaced the record. It treats
             # this process as dead and frees its holdings, so a usage bound
             # far below 0 prevents this one from spending more.
-            eliot.log_message("funds:record_replaced", holder=record.holder)
+            self._replaced = True
+            eliot.log_message("funds:record_replaced", revision=entry.revision)
             for account in self._board.escrow.accounts.values():
                 account.usage_bounds = [
                     escrow.UsageBound(-(10**18), 0.0, 0.0, 0.0)
@@ -398,18 +369,8 @@
         self._record_revision = entry.revision
 
 
-def read_boot_id() -> str:
-    """Return the id of the host's current boot, empty if it is unknown."""
-    try:
-        return BOOT_ID_PATH.read_text().strip()
-    except OSError as err:
-        eliot.log_message("funds:no_boot_id", reason=str(err))
-        return ""
-
-
 __all__ = (
     "HOLDER_PREFIX",
     "POOL_PREFIX",
     "PoolClient",
-    "read_boot_id",
 )
--- a/src/cyclamenwing/gateway/records.py
+++ b/src/cyclamenwing/gateway/records.py
@@ -8,17 +8,25 @@
 import msgspec
 
 from cyclamenwing.budget import escrow
+from cyclamenwing.budget import restoration
 from cyclamenwing.gateway import record_age
+from cyclamenwing.store import protocol
 
 # Most predecessors in a record. Where the processes of a host keep dying, only
 # the latest ones are kept; the holdings of older ones are not freed.
 MAX_PREDECESSORS = 8
 
 
-class PoolRecord(msgspec.Struct):
-    """Hold a workspace's pool: the tokens drawn by each holder."""
+class PoolRecord(msgspec.Struct, omit_defaults=True):
+    """Hold a workspace's pool: the tokens drawn by each holder.
+
+    The other fields are those of `restoration.Mark`.
+    """
 
     drawn: dict[str, int] = {}
+    era: int = 0
+    basis: tuple[int, int] = (0, 0)
+    restored: tuple[str, ...] = ()
 
 
 class UsageBoundRecord(msgspec.Struct, array_like=True):
@@ -49,6 +57,8 @@
     :param since_s: time of writing by the boot clock of the host
     :param wall_s: time of writing in Unix seconds
     :param former: predecessors whose holdings still count in the pools
+    :param era: era of the store in which the record was written
+    :param restoring: pools of an earlier era are not restored by it yet
     """
 
     holder: str
@@ -57,6 +67,8 @@
     wall_s: float
     promises: dict[str, UsageBoundRecord]
     former: list[PredecessorRecord] = []
+    era: int = 0
+    restoring: bool = False
 
 
 class ProcessStart(msgspec.Struct, frozen=True):
@@ -67,6 +79,23 @@
     wall_s: float
 
 
+def encode_pool(holders: Mapping[str, int], mark: restoration.Mark) -> bytes:
+    """Return a pool as it is stored."""
+    return msgspec.json.encode(PoolRecord(dict(holders), *mark))
+
+
+def read_pool(entry: protocol.Entry, first_era: int) -> restoration.PoolState:
+    """Return a pool that is stored.
+
+    :param first_era: era of records that name none
+    """
+    record = msgspec.json.decode(entry.value, type=PoolRecord)
+    mark = restoration.Mark(
+        record.era or first_era, record.basis, record.restored
+    )
+    return restoration.PoolState(entry.revision, record.drawn, mark)
+
+
 def write_usage_bounds(
     usage_bounds: Mapping[str, escrow.UsageBound],
 ) -> dict[str, UsageBoundRecord]:
@@ -158,6 +187,8 @@
     "PredecessorRecord",
     "ProcessStart",
     "UsageBoundRecord",
+    "encode_pool",
+    "read_pool",
     "read_predecessors",
     "write_predecessors",
     "write_usage_bounds",
--- a/src/cyclamenwing/gateway/relay.py
+++ b/src/cyclamenwing/gateway/relay.py
@@ -235,6 +235,8 @@
             raise _ERRORS_BY_CODE.get(
                 reply.error, errors.StoreAnswerLostError
             )(f"{peer.host}: {reply.error}")
+        # A peer that does not know of eras names none.
+        reply.era = reply.era or self._board.eras.first
         self._board.eras.check(reply.era, peer.host)
         return reply
 
--- a/src/cyclamenwing/gateway/reservations.py
+++ b/src/cyclamenwing/gateway/reservations.py
@@ -380,8 +380,8 @@
 
         These are the free tokens of the pool and the holdings of all live
         gateways. Return False while they are not known: just after the start,
-        before the pool was read, or if the state of the pool is outdated
-        although the store is reachable.
+        before the pool was read or restored, or if the state of the pool is
+        outdated although the store is reachable.
         """
         board = self._board
         now_s = clock.read_time()
@@ -389,6 +389,8 @@
             return True
         if now_s - board.started_s < STARTUP_WAIT_S:
             return False
+        if workspace in board.escrow.unopened:
+            return False
         updated_s = board.pools_updated_s.get(workspace, 0.0)
         if (
             now_s - updated_s > pools.MAX_POOL_AGE_S
--- a/tests/gateway/test_eras.py
+++ b/tests/gateway/test_eras.py
@@ -9,14 +9,20 @@
 import asyncio
 
 import pytest
+from tests.gateway import deployments
 from tests.gateway import test_watches
 
+from cyclamenwing.gateway import blackboard
+from cyclamenwing.gateway import clock
 from cyclamenwing.gateway import compression
 from cyclamenwing.gateway import eras
 from cyclamenwing.gateway import watches
 from cyclamenwing.metrics import recorder
+from cyclamenwing.platform import store
+from cyclamenwing.standin import metadata_store
 from cyclamenwing.store import errors
 from cyclamenwing.store import protocol
+from cyclamenwing.transport import pooled_client
 
 
 def make_tracker(*seen: int) -> eras.EraTracker:
@@ -88,6 +94,45 @@
     assert eras.make_guard(0) == []
 
 
+def test_commit_of_an_earlier_era_has_no_effect() -> None:
+    async def check() -> None:
+        standin = metadata_store.MetadataStoreStandin()
+        http = pooled_client.PooledClient()
+        client = store.KeyValueStore(http, standin.listen())
+        copy = standin.copy()
+        await client.commit([], [("pool", b"first")])
+        revision = standin.revision
+        await standin.restore(copy)
+        await client.commit([], eras.make_markers(2))
+        standin.revision = copy.revision
+        await client.commit([], [("pool", b"second")])
+        # The key has the revision again that the commit expects.
+        assert standin.items["pool"] == (b"second", revision)
+        outcome = await eras.commit(
+            client, 1, [("pool", revision)], [("pool", b"late")]
+        )
+        assert isinstance(outcome, protocol.Conflict)
+        assert standin.items["pool"] == (b"second", revision)
+        http.close()
+        standin.stop()
+
+    asyncio.run(check())
+
+
+def test_commit_that_landed_in_a_later_era_is_in_doubt() -> None:
+    async def check() -> None:
+        standin = metadata_store.MetadataStoreStandin()
+        http = pooled_client.PooledClient()
+        client = store.KeyValueStore(http, standin.listen())
+        await standin.restore(standin.copy())
+        with pytest.raises(errors.StoreAnswerLostError):
+            await eras.commit(client, 1, [("pool", 0)], [("pool", b"")])
+        http.close()
+        standin.stop()
+
+    asyncio.run(check())
+
+
 def make_snapshot(era: int, revision: int, **values: int) -> protocol.Snapshot:
     return test_watches.make_snapshot(revision, **values)._replace(era=era)
 
@@ -118,3 +163,35 @@
             await waiting
 
     asyncio.run(check())
+
+
+@pytest.mark.parametrize(("seen", "accepted"), [((), True), ((2,), False)])
+def test_relay_that_knows_no_eras_serves_until_the_first_change(
+    seen: tuple[int, ...], accepted: bool
+) -> None:
+    async def check(deployment: deployments.Deployment) -> None:
+        gateway = deployment.gateways[0]
+        board = gateway.board
+        for era in seen:
+            board.eras.observe(era, "store")
+
+        async def answer(*_: object) -> tuple[int, bytes]:
+            return 200, b'{"revision": 5}'
+
+        gateway._store._caller.call = answer  # type: ignore[assignment]
+        gateway._store._unreachable = True
+        now_s = clock.read_time()
+        board.peers["p"] = blackboard.Peer(
+            "p", "127.0.0.1:1", "p-1", 0, {}, {}, now_s, 0.0, 0.0
+        )
+        if accepted:
+            assert (await gateway._store.read("a")).era == board.eras.known
+            return
+        with pytest.raises(errors.StoreAnswerLostError):
+            await gateway._store.read("a")
+
+    async def run_check() -> None:
+        async with deployments.deploy() as deployment:
+            await check(deployment)
+
+    asyncio.run(run_check())
