--- a/src/cyclamenwing/gateway/blackboard.py
+++ b/src/cyclamenwing/gateway/blackboard.py
@@ -5,8 +5,9 @@
 import dataclasses
 from typing import NamedTuple
 
-from cyclamenwing.budget import escrow
+from cyclamenwing.budget import restoration
 from cyclamenwing.gateway import configuration
+from cyclamenwing.gateway import eras
 from cyclamenwing.gateway import record_age
 from cyclamenwing.gateway import settings as gateway_settings
 from cyclamenwing.membership import delegates
@@ -59,6 +60,7 @@
 
     :param quarantine: requests that were running when endpoints crashed
     :param roster: members of the fleet and the delegates among them
+    :param eras: era of the store
     :param registered: the store lists this gateway
     :param store_contact_s: last answer of the store, direct or through a peer
     :param direct_contact_s: last direct answer of the store
@@ -77,11 +79,12 @@
 
     settings: gateway_settings.GatewaySettings
     incarnation: str
-    escrow: escrow.Escrow
+    escrow: restoration.EraEscrow
     placement: placement.Placement
     retry_budget: retry_budget.WindowedRetryBudget
     metrics: recorder.Recorder
     roster: delegates.Roster
+    eras: eras.EraTracker
     configuration: configuration.Configuration | None = None
     directory: endpoints.Directory = dataclasses.field(
         default_factory=endpoints.Directory
--- a/tests/gateway/test_recovery.py
+++ b/tests/gateway/test_recovery.py
@@ -13,6 +13,7 @@
 from tests.gateway import deployments
 
 from cyclamenwing.gateway import app
+from cyclamenwing.gateway import host_record
 from cyclamenwing.gateway import pools
 from cyclamenwing.gateway import record_age
 from cyclamenwing.membership import delegates
@@ -26,7 +27,7 @@
 ) -> None:
     # Each process finds its host restarted.
     boots = itertools.count()
-    monkeypatch.setattr(pools, "read_boot_id", lambda: f"boot-{next(boots)}")
+    monkeypatch.setattr(host_record, "read_boot_id", lambda: f"boot-{next(boots)}")
     # The ages of the records differ, as the hosts lost the store one after the
     # other.
     monkeypatch.setattr(record_age, "MAX_WALL_SPREAD_S", -1.0)
