Refuse with 503 while holdings of predecessors may be released

A request that finds a pool empty got 402 from 2 s after the start of a process on, although the process was still releasing what its predecessors had held in that pool. That answer is untrue, and clients take it as final. Such a request now gets 503 with Retry-After until the holdings are released or the time for this is over.

Holdings of other hosts' dead processes still count as spent at once: nothing tells a gateway whether their successors will release them.

The new test fails without the change.

--- a/src/cyclamenwing/gateway/app.py
+++ b/src/cyclamenwing/gateway/app.py
@@ -292,6 +292,8 @@
                 delay_s = min(delay_s * 1.5, MAX_PREDECESSOR_POLL_INTERVAL_S)
             for predecessor in list(self.board.predecessors):
                 await self._release_predecessor(predecessor)
+            self.board.release_pending = bool(self.board.predecessors)
+        self.board.release_pending = False
         for predecessor in self.board.predecessors:
             eliot.log_message(
                 "funds:predecessor_kept", holder=predecessor.holder
--- a/src/cyclamenwing/gateway/blackboard.py
+++ b/src/cyclamenwing/gateway/blackboard.py
@@ -69,6 +69,8 @@
     :param admission_closed: every request is refused, as the process stops
     :param predecessors: earlier processes of the host whose holdings still
         count in the pools
+    :param release_pending: this process may still release holdings of its
+        predecessors
     :param record_written_s: write time of this gateway's record in the store
     :param started_wall_s: wall clock at `started_s`
     :param predecessor_wall_age_s: age of the latest predecessor's record at
@@ -101,6 +103,7 @@
     predecessors: list[record_age.Predecessor] = dataclasses.field(
         default_factory=list
     )
+    release_pending: bool = False
     started_s: float = 0.0
     started_wall_s: float = 0.0
     record_written_s: float = 0.0
--- a/src/cyclamenwing/gateway/reservations.py
+++ b/src/cyclamenwing/gateway/reservations.py
@@ -380,8 +380,9 @@
 
         These are the free tokens of the pool and the holdings of all live
         gateways. Return False while they are not known: just after the start,
-        before the pool was read, or if the state of the pool is outdated
-        although the store is reachable.
+        before the pool was read, while holdings of predecessors may still be
+        released, or if the state of the pool is outdated although the store is
+        reachable.
         """
         board = self._board
         now_s = clock.read_time()
@@ -389,6 +390,11 @@
             return True
         if now_s - board.started_s < STARTUP_WAIT_S:
             return False
+        if board.release_pending and any(
+            predecessor.holder in board.escrow.open_pool(workspace).holders
+            for predecessor in board.predecessors
+        ):
+            return False
         updated_s = board.pools_updated_s.get(workspace, 0.0)
         if (
             now_s - updated_s > pools.MAX_POOL_AGE_S
--- a/tests/gateway/test_reservations.py
+++ b/tests/gateway/test_reservations.py
@@ -12,7 +12,9 @@
 from tests.gateway import deployments
 
 from cyclamenwing.budget import escrow
+from cyclamenwing.gateway import app
 from cyclamenwing.gateway import clock
+from cyclamenwing.gateway import record_age
 from cyclamenwing.gateway import reservations
 from cyclamenwing.transport import h1
 
@@ -36,6 +38,32 @@
     )
 
 
+@pytest.mark.parametrize(("window_s", "status"), [(20.0, 503), (0.6, 402)])
+def test_budget_is_not_spent_while_holdings_may_be_released(
+    window_s: float, status: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(app, "PREDECESSOR_WINDOW_S", window_s)
+    # There is no evidence of the age of its record.
+    dead = record_age.Predecessor("dead-1", {}, None, None)
+
+    async def check() -> None:
+        async with deployments.deploy() as deployment:
+            board = deployment.gateways[0].board
+            board.predecessors.append(dead)
+            await asyncio.sleep(1.5)
+            board.started_s -= reservations.STARTUP_WAIT_S
+            # The rest of the pool belongs to the process that died.
+            pool = board.escrow.open_pool("t1")
+            pool.holders[dead.holder] = deployments.PREPAID - pool.drawn
+            head, _ = await deployment.send(
+                "chat",
+                headers={"Token-Counts": b"%d,0" % (deployments.PREPAID - 5)},
+            )
+            assert head.status == status
+
+    asyncio.run(check())
+
+
 @pytest.mark.parametrize("outage", [False, True])
 def test_store_outage_lengthens_retry_after(
     outage: bool, monkeypatch: pytest.MonkeyPatch
