--- a/src/cyclamenwing/cli/gateway.py
+++ b/src/cyclamenwing/cli/gateway.py
@@ -92,9 +92,8 @@
     The end of the event loop restores their default action, which would end
     the process before its log is written and with another exit code.
     """
-    numbers = (*STOP_SIGNALS, signal.SIGHUP)
-    signal.pthread_sigmask(signal.SIG_BLOCK, numbers)
-    for signal_number in numbers:
+    signal.pthread_sigmask(signal.SIG_BLOCK, logs.CONTROL_SIGNALS)
+    for signal_number in logs.CONTROL_SIGNALS:
         loop.remove_signal_handler(signal_number)
         signal.signal(signal_number, signal.SIG_IGN)
 
--- a/src/cyclamenwing/gateway/gossip.py
+++ b/src/cyclamenwing/gateway/gossip.py
@@ -11,6 +11,7 @@
 
 import collections
 import dataclasses
+import time
 from typing import NamedTuple
 
 import eliot
@@ -84,6 +85,8 @@
     :param registered: the store lists it, so any other gateway can find and
         ask it
     :param number: sequence number among the messages of its incarnation
+    :param wall_s: time of sending by its wall clock
+    :param superseded: endpoints whose address belongs to another incarnation
     """
 
     host: str
@@ -106,6 +109,8 @@
     late: bool
     registered: bool
     number: int
+    wall_s: float | None = None
+    superseded: list[placement.SupersededEndpoint] = []
 
 
 class RecordAgeRequest(msgspec.Struct):
@@ -118,11 +123,14 @@
     """Report the age of a dead process's record.
 
     The fields are those of `record_age.AgeEvidence`.
+
+    :param wall_s: time of the reply by the peer's wall clock
     """
 
     elapsed_s: float | None
     late: bool | None
     restart_age_s: float | None
+    wall_s: float | None = None
 
 
 class TransferRequest(msgspec.Struct):
@@ -246,6 +254,7 @@
                 else board.count_cluster(now_s)
             ),
             sites=self._sum_loads(None if serves else attached, host, now_s),
+            superseded=board.placement.list_superseded(now_s),
             sent=self._list_parts(delivered, serves, host, now_s),
             available={
                 name: account.count_available(now_s)
@@ -271,6 +280,7 @@
             late=self.has_late_record(now_s),
             registered=board.registered,
             number=self._message_number,
+            wall_s=time.time(),
         )
 
     def has_late_record(self, now_s: float) -> bool:
@@ -350,10 +360,12 @@
             message.record_age_s,
             message.store_age_s,
             message.gateways,
+            None if message.wall_s is None else message.wall_s - now_s,
         )
         self._merge_members(message, now_s)
         self._merge_loads(message, now_s)
         self._merge_pools(message, now_s)
+        board.placement.merge_superseded(message.superseded, now_s)
         if message.suspects is not None:
             self._poison_requests.merge_gossip(message.suspects)
 
@@ -369,6 +381,7 @@
             peer and peer.record_age_s + now_s - peer.received_s,
             self._late_records.get(holder),
             board.predecessor_wall_age_s if restarted else None,
+            time.time(),
         )
 
     def _record_incarnation(self, message: GossipMessage) -> None:
--- a/src/cyclamenwing/gateway/handler.py
+++ b/src/cyclamenwing/gateway/handler.py
@@ -12,6 +12,7 @@
 from cyclamenwing.gateway import calls
 from cyclamenwing.gateway import clock
 from cyclamenwing.gateway import errors
+from cyclamenwing.gateway import exclusions
 from cyclamenwing.gateway import forwarding
 from cyclamenwing.gateway import poison_requests
 from cyclamenwing.gateway import request_context
@@ -49,7 +50,9 @@
         self._reservations = token_reservations
         self._poison_requests = poison_tracker
         self._attempts = endpoint_attempts
-        self._time_limits: set[asyncio.Timeout] = set()
+        self._interruptible: dict[
+            asyncio.Timeout, forwarding.AnswerForwarder
+        ] = {}
 
     async def handle(
         self, connection: h1.ServerConnection, request: h1.Request
@@ -65,11 +68,13 @@
     def interrupt(self) -> None:
         """Answer all requests in progress at once, as the process stops.
 
-        A client whose answer has begun sees it end incomplete.
+        A client whose answer has begun sees it end incomplete, unless all
+        of it is here; that may still be written until connections close.
         """
         now_s = asyncio.get_running_loop().time()
-        for time_limit in self._time_limits:
-            time_limit.reschedule(now_s)
+        for time_limit, forwarder in self._interruptible.items():
+            if not forwarder.complete:
+                time_limit.reschedule(now_s)
 
     async def _handle(
         self,
@@ -109,7 +114,7 @@
         time_limit = asyncio.timeout(None)
         try:
             async with time_limit:
-                self._time_limits.add(time_limit)
+                self._interruptible[time_limit] = forwarder
                 await self._serve(context, forwarder)
         except TimeoutError as err:
             if not time_limit.expired():
@@ -120,13 +125,19 @@
                 ) from err
             raise errors.LeavingError("the process stops") from err
         finally:
-            self._time_limits.discard(time_limit)
+            self._interruptible.pop(time_limit, None)
 
     async def _serve(
         self,
         context: request_context.RequestContext,
         forwarder: forwarding.AnswerForwarder,
     ) -> None:
+        # Before the reservation, which may wait for tokens.
+        waiting = exclusions.make_waiting_error(
+            self._board, context.service.name
+        )
+        if waiting is not None:
+            raise waiting
         await self._reserve(context)
         context.reserved_s = clock.read_time()
         try:
@@ -144,7 +155,7 @@
                 workspace.prepaid_tokens,
                 context.max_tokens,
                 context.route.goal_s,
-                context.deadline_s - clock.read_time(),
+                context.begin_by_s - clock.read_time(),
             )
 
     def _settle(self, context: request_context.RequestContext) -> None:
@@ -246,6 +257,11 @@
             return errors.AnswerLostError(
                 last_error.message if last_error else "", "unknown"
             )
+        waiting = exclusions.make_waiting_error(
+            self._board, context.service.name
+        )
+        if waiting is not None:
+            return waiting
         if last_error is None:
             return errors.NoEndpointError(context.service.name)
         return errors.OverloadedError(last_error.message)
--- a/src/cyclamenwing/gateway/logs.py
+++ b/src/cyclamenwing/gateway/logs.py
@@ -18,6 +18,7 @@
 # The thread may be stuck in a write if the reader of the log has stopped
 # reading; the process must end all the same.
 FLUSH_TIMEOUT_S = 0.2
+CONTROL_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 
 
 class BoundedLog:
@@ -101,7 +102,7 @@
 
     def _write(self) -> None:
         # The main thread decides when the process ignores signals.
-        signal.pthread_sigmask(signal.SIG_BLOCK, signal.valid_signals())
+        signal.pthread_sigmask(signal.SIG_BLOCK, CONTROL_SIGNALS)
         while True:
             self._wake.wait()
             self._wake.clear()
--- a/src/cyclamenwing/gateway/pools.py
+++ b/src/cyclamenwing/gateway/pools.py
@@ -62,7 +62,7 @@
         self._store = store
         # Set once it is known which gateways are delegates.
         self._settled = settled
-        self._predecessor_checked = False
+        self._predecessor_found: bool | None = None
         self._retired = False
         self._draw_requested = asyncio.Event()
         self._draw_ended = asyncio.Condition()
@@ -74,6 +74,14 @@
         self._renewed_s = 0.0
         self._used_at_renewal: dict[str, int] = {}
 
+    @property
+    def predecessors_read(self) -> bool:
+        """Return whether the store has shown which predecessors there are."""
+        return (
+            self._record_revision is not None
+            or self._predecessor_found is False
+        )
+
     async def wait_for_draw(self) -> None:
         """Request a draw; return when one has ended, successful or not."""
         async with self._draw_ended:
@@ -125,16 +133,18 @@
 
         It may have died as a delegate with holdings to release.
         """
-        if self._predecessor_checked:
-            return False
+        if self._predecessor_found is not None:
+            return self._predecessor_found
         snapshot = await self._store.read(self._record_key)
-        self._predecessor_checked = True
         records_found = [
             msgspec.json.decode(entry.value, type=records.HolderRecord)
             for entry in snapshot.entries
             if entry.key == self._record_key
         ]
-        return any(r.promises or r.former for r in records_found)
+        self._predecessor_found = any(
+            r.promises or r.former for r in records_found
+        )
+        return self._predecessor_found
 
     async def _replace_record(self) -> None:
         """Read the pools and replace the record of the host's predecessor."""
@@ -182,13 +192,15 @@
     def _make_record(
         self, usage_bounds: Mapping[str, escrow.UsageBound], now_s: float
     ) -> records.HolderRecord:
+        wall_s = time.time()
         return records.HolderRecord(
             self._board.escrow.holder,
             self._process_start.boot_id,
             now_s,
-            time.time(),
+            wall_s,
             records.write_usage_bounds(usage_bounds),
             records.write_predecessors(self._board.predecessors),
+            self._board.confirm_clock(wall_s, now_s),
         )
 
     async def release_predecessor(
@@ -278,8 +290,12 @@
                 and now_s - board.pools_updated_s.get(name, 0) > MAX_POOL_AGE_S
             ):
                 changes[name] = change
-        if changes or self._is_renewal_due(now_s):
-            await self._commit(changes)
+        if not changes and not self._is_renewal_due(now_s):
+            return
+        committed = await self._commit(changes)
+        if not committed and self._is_bound_awaited():
+            # Without the pools no other gateway's commit is in the way.
+            await self._commit({})
 
     async def _retire(self) -> None:
         """Return all holdings, as this gateway is no delegate any more.
@@ -300,12 +316,16 @@
             self._board.record_written_s = 0.0
             eliot.log_message("funds:retired", changes=changes)
 
+    def _is_bound_awaited(self) -> bool:
+        """Return whether a request waits only for a higher usage bound."""
+        return any(
+            account.wanted and account.held >= account.wanted
+            for account in self._board.escrow.accounts.values()
+        )
+
     def _is_renewal_due(self, now_s: float) -> bool:
         accounts = self._board.escrow.accounts
-        if any(
-            account.wanted and account.held >= account.wanted
-            for account in accounts.values()
-        ):
+        if self._is_bound_awaited():
             return True
         age_s = now_s - self._renewed_s
         if age_s < RENEW_INTERVAL_S:
--- a/src/cyclamenwing/routing/placement.py
+++ b/src/cyclamenwing/routing/placement.py
@@ -1,11 +1,13 @@
 """Choice of an endpoint by predicted cost, from load and prefix caches.
 
-Handles three load patterns. Requests with long shared prompt parts go to an
+Handles four load patterns. Requests with long shared prompt parts go to an
 endpoint that has already cached the part. In a burst that arrives at
 several gateways at once, each adds the load that its peers report by
 gossip to its own, so that they don't all choose the same endpoint. In a large
 fleet many gateways choose between two reports, so each compares only the
-endpoints that may have cached the prompt and a few random ones.
+endpoints that may have cached the prompt and a few random ones. Endpoints that
+restart while the store is away keep an outdated registration; the first
+rejection of a request that names the former incarnation rules it out.
 """
 
 from __future__ import annotations
@@ -48,6 +50,9 @@
 FAILURE_HALF_LIFE_S = 1.0
 MAX_FAILURE_COST_MS = 8000.0
 MIN_FAILURE_COST_MS = 1.0
+# An incarnation whose address belongs to another one is tried again after this
+# time, in case the rejection that said so was a fault.
+SUPERSEDED_TTL_S = 5.0
 # Typical duration of one request at a service without an engine.
 PLAIN_REQUEST_COST_MS = 30.0
 # The load that a peer reported is ignored after this time without gossip.
@@ -84,6 +89,17 @@
     received_s: float
 
 
+class SupersededEndpoint(NamedTuple):
+    """Name an incarnation whose address belongs to another one.
+
+    :param incarnation: key of the incarnation
+    :param remaining_s: time for which it is left out
+    """
+
+    incarnation: tuple[str, int, str]
+    remaining_s: float
+
+
 @dataclasses.dataclass(slots=True)
 class EndpointState:
     """Hold this gateway's picture of one incarnation of an endpoint."""
@@ -97,6 +113,7 @@
     cached_tokens: int = 0
     failure_cost_ms: float = 0.0
     failed_s: float = 0.0
+    superseded_until_s: float = 0.0
 
     def cache_parts(self, parts: Iterable[tuple[str, int]]) -> None:
         """Record prompt parts as cached and evict the least recently used."""
@@ -159,6 +176,10 @@
         """Halve the cost of earlier failures."""
         self.failure_cost_ms /= 2
 
+    def mark_superseded(self, now_s: float) -> None:
+        """Record that another incarnation has the endpoint's address."""
+        self.superseded_until_s = now_s + SUPERSEDED_TTL_S
+
     def read_failure_cost(self, now_s: float) -> float:
         """Return the remaining cost of earlier failures, in milliseconds."""
         if not self.failure_cost_ms:
@@ -199,6 +220,27 @@
         key = self._names.get(name)
         return None if key is None else self.sites.get(key)
 
+    def list_superseded(self, now_s: float) -> list[SupersededEndpoint]:
+        """Return the superseded incarnations, to tell other gateways."""
+        return [
+            SupersededEndpoint(key, state.superseded_until_s - now_s)
+            for key, state in self.sites.items()
+            if state.superseded_until_s > now_s
+        ]
+
+    def merge_superseded(
+        self, reported: Iterable[SupersededEndpoint], now_s: float
+    ) -> None:
+        """Leave out the incarnations that another gateway reported.
+
+        A report that is passed back changes nothing, so that delays on the
+        way don't add up.
+        """
+        for item in reported:
+            state = self.sites.get(item.incarnation)
+            if state is not None and state.superseded_until_s <= now_s:
+                state.superseded_until_s = now_s + item.remaining_s
+
     def forget(self, names: Iterable[str]) -> None:
         """Drop the states of endpoints that are not among the given names.
 
@@ -220,11 +262,16 @@
         cache_tokens: int,
         now_s: float,
     ) -> endpoints.Endpoint | None:
-        """Return the endpoint with the lowest predicted cost.
+        """Return the endpoint with the lowest predicted cost, if any is left.
 
         :param cache_tokens: size of an endpoint's prefix cache, 0 for a
             service without an engine
         """
+        candidates = [
+            endpoint
+            for endpoint in candidates
+            if self.ensure_state(endpoint).superseded_until_s <= now_s
+        ]
         if not candidates:
             return None
         preferred = (
@@ -340,5 +387,6 @@
     "InFlightRequest",
     "PeerLoad",
     "Placement",
+    "SupersededEndpoint",
     "rank_preferred",
 )
