--- a/src/cyclamenwing/gateway/attempts.py
+++ b/src/cyclamenwing/gateway/attempts.py
@@ -191,7 +191,6 @@
             resume_after=forwarder.reader.last_id
             if forwarder.started
             else None,
-            rank=context.rank if context.service.engine else None,
         )
         connection.send(
             self._dialect.write_call(context.request, context.call, options)
--- a/src/cyclamenwing/gateway/calls.py
+++ b/src/cyclamenwing/gateway/calls.py
@@ -53,14 +53,12 @@
     :param endpoint: endpoint that is expected at the address
     :param wait_s: time until the endpoint's deadline
     :param resume_after: id of the last event that the client has received
-    :param rank: the lower it is, the earlier the endpoint admits the request
     """
 
     endpoint: str
     wait_s: float
     workspace: str | None
     resume_after: bytes | None
-    rank: int | None = None
 
 
 class AnswerMetadata(NamedTuple):
--- a/src/cyclamenwing/gateway/request_context.py
+++ b/src/cyclamenwing/gateway/request_context.py
@@ -9,10 +9,6 @@
 from cyclamenwing.routing import placement
 from cyclamenwing.transport import h1
 
-# The prompts of a rank that have more tokens are read after the others: they
-# hold up the others for much longer than the others hold up them.
-LONG_PROMPT_TOKENS = 4000
-
 
 @dataclasses.dataclass(slots=True)
 class RequestContext:
@@ -56,14 +52,6 @@
             return self.deadline_s
         return min(self.deadline_s, self.started_s + patience_s)
 
-    @property
-    def rank(self) -> int:
-        """Return the place in the order of admission, the first is 0."""
-        priority = self.route.priority
-        if self.workspace is not None and self.workspace.priority is not None:
-            priority = self.workspace.priority
-        return 2 * priority + (self.demand.prompt_tokens > LONG_PROMPT_TOKENS)
-
     def count_spent(self, tokens_per_event: int) -> int:
         """Return the tokens that are charged to the workspace.
 
--- a/src/cyclamenwing/platform/messages.py
+++ b/src/cyclamenwing/platform/messages.py
@@ -9,8 +9,6 @@
 from cyclamenwing.transport import h1
 
 MS_PER_S = 1000.0
-# The least urgent value of the Urgency header.
-MAX_URGENCY = 9
 
 _DROPPED_HEADERS = h1.HOP_BY_HOP | {
     # The client's API key, and headers that clients may not set themselves.
@@ -75,9 +73,6 @@
     ]
     if options.workspace is not None:
         headers.append((b"Tenant", options.workspace.encode()))
-    if options.rank is not None:
-        urgency = min(max(options.rank, 0), MAX_URGENCY)
-        headers.append((b"Urgency", b"%d" % urgency))
     return h1.Request(
         request.method, request.target, tuple(headers), request.body
     )
