Compare fewer endpoints that other gateways compare too

Cause: in a service of more than twelve endpoints a gateway compared, beside four random ones, two that all gateways prefer for the prompt and four that have cached its start. Of those that have cached as much, it took the first by name, the same at all gateways: a prompt's template is cached nearly everywhere.

Change: one preferred, one that has cached the start, ties by lot, and three random ones.

--- a/src/cyclamenwing/routing/placement.py
+++ b/src/cyclamenwing/routing/placement.py
@@ -5,7 +5,8 @@
 several gateways at once, each adds the load that its peers report by
 gossip to its own, so that they don't all choose the same endpoint. In a large
 fleet many gateways choose between two reports, so each compares only the
-endpoints that may have cached the prompt and a few random ones. Endpoints that
+endpoint that is preferred for the prompt, one that may have cached it and a
+few random ones. Endpoints that
 restart while the store is away keep an outdated registration; the first
 rejection of a request that names the former incarnation rules it out.
 """
@@ -40,11 +41,12 @@
 AFFINITY_BONUS_MS = 30.0
 # Services with more endpoints are compared by sample.
 MAX_COMPARED = 12
-SAMPLED_ENDPOINTS = 4
-# Endpoints that every gateway prefers for a prompt part, in order.
-PREFERRED_ENDPOINTS = 2
-# Endpoints compared because they have cached the start of the prompt.
-CACHING_ENDPOINTS = 4
+SAMPLED_ENDPOINTS = 3
+# Endpoints compared because all gateways prefer them for a prompt part, and
+# because they have cached the start of the prompt. Between two reports, all
+# gateways send to the endpoints that they all compare.
+PREFERRED_ENDPOINTS = 1
+CACHING_ENDPOINTS = 1
 # Cost added for each failure; it halves every `FAILURE_HALF_LIFE_S`.
 FAILURE_COST_MS = 400.0
 FAILURE_HALF_LIFE_S = 1.0
@@ -270,7 +272,8 @@
         candidates = [
             endpoint
             for endpoint in candidates
-            if self.ensure_state(endpoint).superseded_until_s <= now_s
+            if self.ensure_state(endpoint, cache_tokens).superseded_until_s
+            <= now_s
         ]
         if not candidates:
             return None
@@ -302,7 +305,7 @@
             return candidates
         chosen = {e.name: e for e in preferred[:PREFERRED_ENDPOINTS]}
         caching = [
-            (uncached, e.name, e)
+            (uncached, random.random(), e)
             for e in candidates
             if (
                 uncached := self.ensure_state(e, cache_tokens).count_uncached(
