Wait on for tokens while the store can renew the usage bound

Cause: since requests are refused early where the usage bound grows too late, that also applied where the store is reachable. It renews the bound within a draw; on a slow store that takes longer than the short wait.

Change: only without the store is the growth of the bound decisive; with it, a request waits up to half of its client's patience, as before.

--- a/src/cyclamenwing/gateway/reservations.py
+++ b/src/cyclamenwing/gateway/reservations.py
@@ -144,6 +144,7 @@
                 remaining_s,
                 self._board.started_s + STARTUP_WAIT_S - now_s,
                 account.predict_wait(tokens, now_s),
+                self._is_store_reachable(now_s),
             )
             if max_wait_s is not None:
                 wait_s = min(wait_s, max_wait_s)
@@ -445,6 +446,7 @@
     remaining_s: float,
     startup_s: float,
     growth_s: float | None,
+    store_reachable: bool,
 ) -> float:
     """Return the seconds that a request should wait for tokens.
 
@@ -453,10 +455,11 @@
     :param startup_s: time until the process counts as started
     :param growth_s: time until the usage bound allows the request, None if
         that is not foreseen
+    :param store_reachable: the bound may be renewed before it grows
     """
     longest_s = remaining_s * GROWTH_WAIT_FRACTION
     wait_s = max(goal_s * WAIT_GOAL_FRACTION, startup_s)
-    if growth_s is not None and growth_s <= longest_s:
+    if growth_s is not None and (store_reachable or growth_s <= longest_s):
         wait_s += growth_s
     return max(min(wait_s, longest_s), MIN_WAIT_S)
 
--- a/tests/gateway/test_token_waits.py
+++ b/tests/gateway/test_token_waits.py
@@ -35,24 +35,40 @@
     growth_s: float | None, wait_s: float
 ) -> None:
     assert reservations.plan_wait(
-        GOAL_S, PATIENCE_S, 0.0, growth_s
+        GOAL_S, PATIENCE_S, 0.0, growth_s, store_reachable=False
     ) == pytest.approx(wait_s)
 
 
 @pytest.mark.parametrize("remaining_s", [0.05, 0.4, 2.0, 60.0])
 @pytest.mark.parametrize("growth_s", [None, 0.1, 1.0, 5.0])
 @pytest.mark.parametrize("startup_s", [-1.0, 0.5, 2.0])
+@pytest.mark.parametrize("store_reachable", [False, True])
 def test_no_request_waits_beyond_its_share_of_the_time(
-    remaining_s: float, growth_s: float | None, startup_s: float
+    remaining_s: float,
+    growth_s: float | None,
+    startup_s: float,
+    store_reachable: bool,
 ) -> None:
-    wait_s = reservations.plan_wait(GOAL_S, remaining_s, startup_s, growth_s)
+    wait_s = reservations.plan_wait(
+        GOAL_S, remaining_s, startup_s, growth_s, store_reachable
+    )
     assert wait_s <= max(
         remaining_s * reservations.GROWTH_WAIT_FRACTION,
         reservations.MIN_WAIT_S,
     )
 
 
+def test_request_waits_for_a_slow_store_to_renew_the_usage_bound() -> None:
+    wait_s = reservations.plan_wait(
+        GOAL_S, PATIENCE_S, 0.0, 4.9, store_reachable=True
+    )
+    assert wait_s == pytest.approx(
+        PATIENCE_S * reservations.GROWTH_WAIT_FRACTION
+    )
+
+
 def test_start_of_the_process_lengthens_the_wait() -> None:
-    assert reservations.plan_wait(GOAL_S, 60.0, 1.5, None) == pytest.approx(
-        1.5
+    wait_s = reservations.plan_wait(
+        GOAL_S, 60.0, 1.5, None, store_reachable=True
     )
+    assert wait_s == pytest.approx(1.5)
