--- a/src/cyclamenwing/gateway/reservations.py
+++ b/src/cyclamenwing/gateway/reservations.py
@@ -150,6 +150,7 @@
                 remaining_s,
                 self._board.started_s + STARTUP_WAIT_S - now_s,
                 account.predict_wait(tokens, now_s),
+                self._is_store_reachable(now_s),
             )
             if max_wait_s is not None:
                 wait_s = min(wait_s, max_wait_s)
@@ -416,9 +417,9 @@
 
         These are the free tokens of the pool and the holdings of all live
         gateways. Return False while they are not known: just after the start,
-        before the pool was read or restored, while holdings of predecessors may
-        still be released, or if the state of the pool is outdated although the
-        store is reachable.
+        before the pool was read or restored, while holdings of predecessors
+        may still be released, or if the state of the pool is outdated although
+        the store is reachable.
         """
         board = self._board
         now_s = clock.read_time()
@@ -493,6 +494,7 @@
     remaining_s: float,
     startup_s: float,
     growth_s: float | None,
+    store_reachable: bool,
 ) -> float:
     """Return the seconds that a request should wait for tokens.
 
@@ -501,10 +503,11 @@
     :param startup_s: time until the process counts as started
     :param growth_s: time until the usage bound allows the request, None if
         that is not foreseen
+    :param store_reachable: the bound may be renewed before it grows
     """
     longest_s = remaining_s * GROWTH_WAIT_FRACTION
     wait_s = max(goal_s * WAIT_GOAL_FRACTION, startup_s)
-    if growth_s is not None and growth_s <= longest_s:
+    if growth_s is not None and (store_reachable or growth_s <= longest_s):
         wait_s += growth_s
     return max(min(wait_s, longest_s), MIN_WAIT_S)
 
