--- a/src/cyclamenwing/gateway/calls.py
+++ b/src/cyclamenwing/gateway/calls.py
@@ -73,6 +73,9 @@
     :param leaving: the endpoint takes no new requests any more and will exit
     :param refuse_s: time for which the endpoint wants no requests from this
         gateway; its header reads like advice on one request, but concerns all
+    :param limit_rps: requests per second that the endpoint takes from all
+        gateways together; its header doesn't say that it concerns the sum
+    :param limit_unreadable: the endpoint names a limit that is no such rate
     """
 
     request_id: bytes | None
@@ -83,6 +86,8 @@
     encoded: bool
     leaving: bool = False
     refuse_s: float | None = None
+    limit_rps: float | None = None
+    limit_unreadable: bool = False
 
 
 class Refusal(NamedTuple):
--- a/src/cyclamenwing/gateway/exclusions.py
+++ b/src/cyclamenwing/gateway/exclusions.py
@@ -1,4 +1,4 @@
-"""Exclusion of endpoints that leave or ask this gateway to wait."""
+"""What endpoints say of themselves in answers: leaving, waits and limits."""
 
 from __future__ import annotations
 
@@ -41,6 +41,7 @@
     ) -> None:
         self._board = board
         self._connections = connection_pool
+        self._named_limits: dict[str, tuple[float | None, bool]] = {}
         board.metrics.register_gauge(LEAVING, board.directory.count_leaving)
         board.metrics.register_gauge(
             WAITING, lambda: board.directory.count_waiting(clock.read_time())
@@ -61,6 +62,27 @@
             endpoint, clock.read_time(), metadata.refuse_s
         ):
             self._report("waiting", endpoint, status, metadata)
+        self._report_limit(endpoint, status, metadata)
+
+    def _report_limit(
+        self,
+        endpoint: endpoints.Endpoint,
+        status: int,
+        metadata: calls.AnswerMetadata,
+    ) -> None:
+        named = (metadata.limit_rps, metadata.limit_unreadable)
+        if named == self._named_limits.get(endpoint.name, (None, False)):
+            return
+        self._named_limits[endpoint.name] = named
+        eliot.log_message(
+            "endpoint:limit",
+            endpoint=endpoint.name,
+            service=endpoint.service,
+            address=endpoint.address,
+            status=status,
+            limit_rps=metadata.limit_rps,
+            unreadable=metadata.limit_unreadable,
+        )
 
     def _report(
         self,
--- a/src/cyclamenwing/platform/messages.py
+++ b/src/cyclamenwing/platform/messages.py
@@ -13,6 +13,8 @@
 # Longer than any process runs. Far larger values of an endpoint would
 # overflow when they are rounded.
 MAX_REFUSE_S = 1e9
+# More requests per second than any endpoint takes.
+MAX_LIMIT_RPS = 1e6
 
 _DROPPED_HEADERS = h1.HOP_BY_HOP | {
     # The client's API key, and headers that clients may not set themselves.
@@ -29,7 +31,7 @@
     b"pin-ms",
 }
 _REQUEST_ID = re.compile(rb"[\x21-\x7e]{1,128}")
-_SECONDS = re.compile(rb"\d+(\.\d*)?|\.\d+")
+_DECIMAL = re.compile(rb"\d+(\.\d*)?|\.\d+")
 
 
 def read_call(request: h1.Request) -> calls.Call:
@@ -86,6 +88,7 @@
 def read_answer(head: h1.ResponseHead) -> calls.AnswerMetadata:
     """Parse the headers of an endpoint's answer."""
     get_header = dict(head.headers).get
+    limit_rps = _read_limit(get_header(b"server-limit"))
     keep_alive = re.search(rb"timeout=(\d+)", get_header(b"keep-alive", b""))
     return calls.AnswerMetadata(
         request_id=get_header(b"request-id"),
@@ -96,6 +99,9 @@
         encoded=b"content-encoding" in dict(head.headers),
         leaving=get_header(b"server-leaving") == b"1",
         refuse_s=_read_refuse_time(head.status, get_header(b"retry-after")),
+        limit_rps=limit_rps,
+        limit_unreadable=limit_rps is None
+        and get_header(b"server-limit") is not None,
     )
 
 
@@ -132,12 +138,20 @@
 
 def _read_refuse_time(status: int, value: bytes | None) -> float | None:
     """Return seconds; None if not asked for or not a finite number."""
-    if status != 503 or value is None or not _SECONDS.fullmatch(value):
+    if status != 503 or value is None or not _DECIMAL.fullmatch(value):
         return None
     refuse_s = float(value)
     return min(refuse_s, MAX_REFUSE_S) if math.isfinite(refuse_s) else None
 
 
+def _read_limit(value: bytes | None) -> float | None:
+    """Return requests per second; None if not named or not above zero."""
+    if value is None or not _DECIMAL.fullmatch(value):
+        return None
+    limit_rps = min(float(value), MAX_LIMIT_RPS)
+    return limit_rps or None
+
+
 def _read_size(value: bytes | None) -> calls.Size | None:
     if value is None:
         return None
@@ -158,6 +172,7 @@
 
 
 __all__ = (
+    "MAX_LIMIT_RPS",
     "MAX_REFUSE_S",
     "read_answer",
     "read_call",
--- a/src/cyclamenwing/standin/platform_endpoint.py
+++ b/src/cyclamenwing/standin/platform_endpoint.py
@@ -28,8 +28,11 @@
     :ivar leaving: whether all answers say that it leaves
     :ivar refuse_time: time in seconds for which it asks a caller to wait
         when it sheds a request, as text; empty for none
+    :ivar limit: requests per second that it names in all answers, as text;
+        empty for none
     :ivar started_ms: start time in its entry, 0 for none
     :ivar arrivals: number of requests that reached it, executed or not
+    :ivar arrival_times: when these arrived, by the steady clock
     :ivar runs: the requests that were executed
     :ivar cancelled: number of requests cancelled during the delay
     """
@@ -41,8 +44,10 @@
         self.pause_s = 0.0
         self.leaving = False
         self.refuse_time = b""
+        self.limit = b""
         self.started_ms = int(time.time() * MS_PER_S)
         self.arrivals = 0
+        self.arrival_times: list[float] = []
         self.runs: list[h1.Request] = []
         self.cancelled = 0
         self.address = ""
@@ -81,6 +86,7 @@
         self, connection: h1.ServerConnection, request: h1.Request
     ) -> None:
         self.arrivals += 1
+        self.arrival_times.append(time.monotonic())
         extra = self._make_extra_headers()
         expected = h1.find_header(request.headers, b"expect-replica")
         if expected not in (None, self.name.encode()):
@@ -106,7 +112,9 @@
         )
 
     def _make_extra_headers(self) -> h1.Headers:
-        return ((b"Server-Leaving", b"1"),) if self.leaving else NO_HEADERS
+        leaving = ((b"Server-Leaving", b"1"),) if self.leaving else NO_HEADERS
+        limit = ((b"Server-Limit", self.limit),) if self.limit else NO_HEADERS
+        return (*leaving, *limit)
 
 
 def make_headers(
--- a/tests/platform/test_messages.py
+++ b/tests/platform/test_messages.py
@@ -197,3 +197,36 @@
     assert (b"Retry-After", b"0.25") in headers
     assert (b"Request-Id", b"9c41") in headers
     assert b"overloaded" in body
+
+
+@pytest.mark.parametrize(
+    ("value", "limit_rps", "unreadable"),
+    [
+        (b"1.1", 1.1, False),
+        (b"40", 40.0, False),
+        (b".5", 0.5, False),
+        (b"0.001", 0.001, False),
+        (b"9" * 400, messages.MAX_LIMIT_RPS, False),
+        (b"0", None, True),
+        (b"0.0", None, True),
+        (b"-1", None, True),
+        (b"1e3", None, True),
+        (b"nan", None, True),
+        (b"inf", None, True),
+        (b"", None, True),
+        (b"1,5", None, True),
+        (b"\xff", None, True),
+    ],
+)
+def test_limit_of_an_endpoint_is_a_decimal_above_zero(
+    value: bytes, limit_rps: float | None, unreadable: bool
+) -> None:
+    head = h1.ResponseHead(200, b"OK", ((b"server-limit", value),))
+    metadata = messages.read_answer(head)
+    assert metadata.limit_rps == limit_rps
+    assert metadata.limit_unreadable is unreadable
+
+
+def test_answer_without_a_limit_names_none() -> None:
+    metadata = messages.read_answer(h1.ResponseHead(200, b"OK", ()))
+    assert (metadata.limit_rps, metadata.limit_unreadable) == (None, False)
