--- a/tests/gateway/test_endpoint_limits.py
+++ b/tests/gateway/test_endpoint_limits.py
@@ -51,6 +51,27 @@
     assert arrived <= allowed, (endpoint.name, arrived)
 
 
+# Guards against gateways that ignore an endpoint's limit, or that keep the
+# whole of it each.
+def test_sum_of_all_gateways_keeps_to_the_limit_of_an_endpoint() -> None:
+    async def check() -> None:
+        async with deployments.deploy(GATEWAYS) as deployment:
+            first, second = deployment.get_endpoints("api")
+            loop = asyncio.get_running_loop()
+            first.limit = b"1"
+            named_s = loop.time()
+            await asyncio.gather(
+                *(
+                    send_steadily(deployment, number, 9.0)
+                    for number in range(GATEWAYS)
+                )
+            )
+            check_limit(first, named_s)
+            assert len(second.runs) > GATEWAYS * 9
+
+    asyncio.run(check())
+
+
 def test_limit_that_an_endpoint_names_is_logged_once() -> None:
     log: list[dict[str, Any]] = []
 
