--- a/src/cyclamenwing/gateway/app.py
+++ b/src/cyclamenwing/gateway/app.py
@@ -33,7 +33,9 @@
 from cyclamenwing.gateway import watches
 from cyclamenwing.membership import delegates
 from cyclamenwing.metrics import recorder
+from cyclamenwing.routing import endpoints
 from cyclamenwing.routing import placement
+from cyclamenwing.routing import rate_limits
 from cyclamenwing.routing import retry_budget
 from cyclamenwing.store import errors as store_errors
 from cyclamenwing.store import protocol
@@ -96,6 +98,9 @@
                 bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_s
             ),
             metrics=metrics,
+            directory=endpoints.Directory(
+                limits=rate_limits.RateLimits(settings.host, incarnation)
+            ),
             eras=eras.EraTracker(metrics),
             roster=delegates.Roster(
                 delegates.Member(
@@ -364,6 +369,8 @@
         while True:
             await asyncio.sleep(IDLE_CHECK_INTERVAL_S)
             self._connections.close_expired()
+            directory = self.board.directory
+            directory.limits.trim(directory.registered, clock.read_time())
 
     async def _answer_ready(
         self, connection: h1.ServerConnection, request: h1.Request
--- a/src/cyclamenwing/gateway/attempts.py
+++ b/src/cyclamenwing/gateway/attempts.py
@@ -63,10 +63,12 @@
     """Hold the endpoint of an attempt.
 
     :param request_number: number of its `placement.InFlightRequest`
+    :param counted: the request counts towards the endpoint's limit already
     """
 
     endpoint: endpoints.Endpoint
     request_number: int
+    counted: bool
 
 
 class Attempts:
@@ -111,12 +113,15 @@
         if chosen is None:
             return None
         context.endpoint = chosen.name
+        limits = self._board.directory.limits
+        counted = limits.is_limited(chosen.incarnation)
+        limits.try_acquire(chosen.incarnation, now_s)
         request_number = placement.start(chosen, context.demand, now_s)
         if context.demand.parts:
             self._peers.gossip.record_sent_parts(
                 chosen.name, tuple(context.demand.parts)
             )
-        return Target(chosen, request_number)
+        return Target(chosen, request_number, counted)
 
     async def run(
         self,
@@ -135,7 +140,7 @@
         """
         endpoint = target.endpoint
         endpoint_state = self._board.placement.ensure_state(endpoint)
-        connection = await self._connect(context, endpoint)
+        connection = await self._connect(context, target)
         done = False
         try:
             metadata = await self._send(
@@ -170,8 +175,9 @@
     async def _connect(
         self,
         context: request_context.RequestContext,
-        endpoint: endpoints.Endpoint,
+        target: Target,
     ) -> h1_client.ClientConnection:
+        endpoint = target.endpoint
         remaining_s = context.deadline_s - clock.read_time()
         try:
             connection = await self._connections.acquire(
@@ -183,12 +189,26 @@
             )
             self._board.metrics.count(ATTEMPTS, "connect_failed")
             raise AttemptNotRunError(err.message) from err
-        if not self._board.directory.accepts(endpoint, clock.read_time()):
+        if not self._may_send(target):
             connection.close()
             self._board.metrics.count(ATTEMPTS, "excluded")
             raise AttemptNotRunError("the endpoint was excluded meanwhile")
         return connection
 
+    def _may_send(self, target: Target) -> bool:
+        """Return whether the endpoint still accepts requests.
+
+        It may have named a limit since it was chosen.
+        """
+        directory = self._board.directory
+        now_s = clock.read_time()
+        incarnation = target.endpoint.incarnation
+        return directory.accepts(target.endpoint, now_s) and (
+            target.counted
+            or not directory.limits.is_limited(incarnation)
+            or directory.limits.try_acquire(incarnation, now_s)
+        )
+
     async def _send(
         self,
         context: request_context.RequestContext,
@@ -249,7 +269,8 @@
         connection: h1_client.ClientConnection,
         wait_s: float,
     ) -> tuple[h1.ResponseHead, calls.AnswerMetadata]:
-        until_s = clock.read_time() + wait_s
+        sent_s = clock.read_time()
+        until_s = sent_s + wait_s
         for _ in range(MAX_FOREIGN_ANSWERS + 1):
             head = await connection.read_head(
                 max(until_s - clock.read_time(), 0.0)
@@ -257,6 +278,9 @@
             metadata = self._dialect.read_answer(head)
             self._observer.observe(endpoint, head.status, metadata)
             if metadata.request_id in (None, context.call.request_id):
+                self._observer.observe_limit(
+                    endpoint, head.status, metadata, sent_s
+                )
                 return head, metadata
             eliot.log_message(
                 "attempt:foreign_answer",
--- a/src/cyclamenwing/gateway/exclusions.py
+++ b/src/cyclamenwing/gateway/exclusions.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import http
 import time
 
 import eliot
@@ -13,8 +14,11 @@
 from cyclamenwing.gateway import errors
 from cyclamenwing.metrics import types as metric_types
 from cyclamenwing.routing import endpoints
+from cyclamenwing.routing import exclusions as routing_exclusions
 
 MS_PER_S = 1000
+# Endpoints whose unreadable limit has been logged.
+MAX_UNREADABLE_KEPT = 1024
 
 EXCLUSIONS = metric_types.Counter(
     "gateway_endpoint_exclusions",
@@ -25,6 +29,10 @@
     "gateway_endpoints_leaving",
     "Registered endpoints that get no requests as they leave or have left",
 )
+LIMITED = metric_types.Gauge(
+    "gateway_endpoints_limited",
+    "Endpoints that named a limit for all gateways together",
+)
 WAITING = metric_types.Gauge(
     "gateway_endpoints_waiting",
     "Registered endpoints that asked for no requests for a time",
@@ -41,8 +49,13 @@
     ) -> None:
         self._board = board
         self._connections = connection_pool
-        self._named_limits: dict[str, tuple[float | None, bool]] = {}
+        self._unreadable_limits: dict[
+            routing_exclusions.Incarnation, None
+        ] = {}
         board.metrics.register_gauge(LEAVING, board.directory.count_leaving)
+        board.metrics.register_gauge(
+            LIMITED, board.directory.limits.count_limited
+        )
         board.metrics.register_gauge(
             WAITING, lambda: board.directory.count_waiting(clock.read_time())
         )
@@ -62,27 +75,53 @@
             endpoint, clock.read_time(), metadata.refuse_s
         ):
             self._report("waiting", endpoint, status, metadata)
-        self._report_limit(endpoint, status, metadata)
 
-    def _report_limit(
+    def observe_limit(
         self,
         endpoint: endpoints.Endpoint,
         status: int,
         metadata: calls.AnswerMetadata,
+        sent_s: float,
     ) -> None:
-        named = (metadata.limit_rps, metadata.limit_unreadable)
-        if named == self._named_limits.get(endpoint.name, (None, False)):
+        """Apply the limit that an answer names, or its end.
+
+        :param sent_s: time at which the request was sent
+        """
+        if status == http.HTTPStatus.MISDIRECTED_REQUEST:
+            # Another process has the address.
             return
-        self._named_limits[endpoint.name] = named
-        eliot.log_message(
-            "endpoint:limit",
-            endpoint=endpoint.name,
-            service=endpoint.service,
-            address=endpoint.address,
-            status=status,
-            limit_rps=metadata.limit_rps,
-            unreadable=metadata.limit_unreadable,
-        )
+        limits = self._board.directory.limits
+        incarnation = endpoint.incarnation
+        unreadable = metadata.limit_unreadable
+        if unreadable:
+            changed = incarnation not in self._unreadable_limits
+            self._unreadable_limits[incarnation] = None
+            if len(self._unreadable_limits) > MAX_UNREADABLE_KEPT:
+                del self._unreadable_limits[
+                    next(iter(self._unreadable_limits))
+                ]
+        elif metadata.limit_rps is None and not (
+            metadata.signed or metadata.not_run
+        ):
+            return
+        else:
+            self._unreadable_limits.pop(incarnation, None)
+            changed = limits.record_answer(
+                incarnation, metadata.limit_rps, sent_s, clock.read_time()
+            )
+        if changed:
+            eliot.log_message(
+                "endpoint:limit",
+                endpoint=endpoint.name,
+                service=endpoint.service,
+                address=endpoint.address,
+                status=status,
+                limit_rps=metadata.limit_rps,
+                unreadable=unreadable,
+                wait_s=round(
+                    limits.measure_wait(incarnation, clock.read_time()), 3
+                ),
+            )
 
     def _report(
         self,
@@ -127,6 +166,7 @@
 __all__ = (
     "EXCLUSIONS",
     "LEAVING",
+    "LIMITED",
     "WAITING",
     "AnswerObserver",
     "make_waiting_error",
--- a/src/cyclamenwing/gateway/gossip.py
+++ b/src/cyclamenwing/gateway/gossip.py
@@ -22,8 +22,10 @@
 from cyclamenwing.gateway import clock
 from cyclamenwing.gateway import poison_requests
 from cyclamenwing.membership import delegates
+from cyclamenwing.routing import exclusions
 from cyclamenwing.routing import placement
 from cyclamenwing.routing import quarantine
+from cyclamenwing.routing import rate_limits
 
 # Records are renewed more often than this while the store is reachable. Peers
 # learn of an older record early enough for its usage bounds to enter their
@@ -35,6 +37,8 @@
 # Prompt parts are in gossip messages for this long, once for each peer.
 RECENT_PARTS_WINDOW_S = 2.5
 MAX_RECENT_PARTS = 1000
+# Limits of endpoints in one message; the others follow in the next ones.
+MAX_LIMIT_NOTICES = 100
 
 
 class EndpointLoad(msgspec.Struct, array_like=True):
@@ -90,6 +94,7 @@
     :param superseded: endpoints whose address belongs to another incarnation
     :param era: era of the store that it knows, and of `pools`
     :param marks: marks of those `pools` that were restored in this era
+    :param limits: limits of endpoints that the peer has not been told of yet
     """
 
     host: str
@@ -116,6 +121,7 @@
     superseded: list[placement.SupersededEndpoint] = []
     era: int = 0
     marks: dict[str, restoration.Mark] = {}
+    limits: list[rate_limits.LimitNotice] = []
 
 
 class RecordAgeRequest(msgspec.Struct):
@@ -175,6 +181,7 @@
     :param sent_number: newest `SentParts.number` that the peer has received
     :param revisions: eras and revisions of the pools that it has received
     :param members: start times of the members that it knows, by host
+    :param limits: origins and numbers of the limits that it has received
     """
 
     sent_number: int = 0
@@ -182,6 +189,9 @@
         default_factory=dict
     )
     members: dict[str, int] = dataclasses.field(default_factory=dict)
+    limits: dict[exclusions.Incarnation, tuple[str, int]] = dataclasses.field(
+        default_factory=dict
+    )
 
 
 class GossipState:
@@ -289,6 +299,7 @@
                 for name in pools
                 if (mark := board.escrow.find_mark(name)).restored
             },
+            limits=self._list_limits(delivered, serves, host, now_s),
         )
 
     def _list_pools(
@@ -350,6 +361,25 @@
             and (serves or not item.from_delegate)
         ]
 
+    def _list_limits(
+        self,
+        delivered: DeliveredGossip,
+        serves: bool,
+        receiver: str,
+        now_s: float,
+    ) -> list[rate_limits.LimitNotice]:
+        notices = [
+            notice
+            for notice, limit in self._board.directory.limits.list_notices(
+                now_s
+            )
+            if delivered.limits.get(notice.incarnation)
+            != (notice.origin, notice.number)
+            and not (limit.source and limit.source == receiver)
+            and (serves or not limit.from_delegate)
+        ]
+        return notices[:MAX_LIMIT_NOTICES]
+
     def record_delivered(self, address: str, message: GossipMessage) -> None:
         """Record that a message has reached a peer."""
         delivered = self._delivered.setdefault(address, DeliveredGossip())
@@ -359,6 +389,13 @@
             delivered.revisions[name] = (message.era, revision)
         for member in message.members:
             delivered.members[member.host] = member.started_ms
+        if len(delivered.limits) > 2 * rate_limits.MAX_KEPT:
+            delivered.limits.clear()
+        for notice in message.limits:
+            delivered.limits[notice.incarnation] = (
+                notice.origin,
+                notice.number,
+            )
 
     def merge_message(self, message: GossipMessage) -> None:
         """Update the blackboard from a peer's message."""
@@ -389,6 +426,7 @@
         self._merge_loads(message, now_s)
         self._merge_pools(message, now_s)
         board.placement.merge_superseded(message.superseded, now_s)
+        self._merge_limits(message, now_s)
         if message.suspects is not None:
             self._poison_requests.merge_gossip(message.suspects)
 
@@ -452,6 +490,25 @@
                 self._board.pools_updated_s[name] = now_s
                 self._peer_pool_revisions[name] = (era, revision)
 
+    def _merge_limits(self, message: GossipMessage, now_s: float) -> None:
+        limits = self._board.directory.limits
+        for notice in message.limits:
+            if limits.merge_notice(
+                notice, now_s, message.host, not message.attached
+            ):
+                eliot.log_message(
+                    "endpoint:limit_merged",
+                    endpoint=notice.incarnation.name,
+                    address=notice.incarnation.address,
+                    limit_rps=notice.limit_rps,
+                    peer=message.host,
+                    origin=notice.origin,
+                    age_s=round(notice.age_s, 3),
+                    wait_s=round(
+                        limits.measure_wait(notice.incarnation, now_s), 3
+                    ),
+                )
+
     def _merge_loads(self, message: GossipMessage, now_s: float) -> None:
         own_placement = self._board.placement
         loads = {item.endpoint: item for item in message.sites}
--- a/src/cyclamenwing/gateway/peers.py
+++ b/src/cyclamenwing/gateway/peers.py
@@ -193,6 +193,7 @@
     def _start_due_exchanges(self, now_s: float) -> None:
         roster = self._board.roster
         roster.refresh(now_s)
+        self._board.directory.limits.set_members(roster.alive)
         targets = self._list_targets(now_s)
         interval_s = compute_interval(len(targets))
         known = set(self._list_addresses())
--- a/src/cyclamenwing/membership/delegates.py
+++ b/src/cyclamenwing/membership/delegates.py
@@ -87,6 +87,8 @@
         self._attached_s: dict[str, float] = {}
         self._delegate_contact_s = now_s
         self._delegates = [own]
+        # Hosts of the members that were not silent for long.
+        self.alive: tuple[str, ...] = (own.host,)
         # Set once the roster is complete enough to derive the delegates.
         # Until then each gateway acts for itself.
         self.settled = False
@@ -165,6 +167,7 @@
         lost = {*self.list_lost(now_s), *self._reported_lost}
         alive = [m for m in self.members.values() if m.host not in lost]
         alive.append(self.own)
+        self.alive = tuple(member.host for member in alive)
         chosen = choose_delegates(alive)
         if chosen != self._delegates:
             self._delegates = chosen
--- a/src/cyclamenwing/routing/endpoints.py
+++ b/src/cyclamenwing/routing/endpoints.py
@@ -6,6 +6,7 @@
 from typing import NamedTuple
 
 from cyclamenwing.routing import exclusions
+from cyclamenwing.routing import rate_limits
 
 # An endpoint whose registration lapsed during a store outage registers again
 # within two seconds of the store's return. The grace time is a little shorter,
@@ -51,6 +52,9 @@
     exclusions: exclusions.Exclusions = dataclasses.field(
         default_factory=exclusions.Exclusions
     )
+    limits: rate_limits.RateLimits = dataclasses.field(
+        default_factory=rate_limits.RateLimits
+    )
     version: int = 0
     # Registered endpoints that are not gone, by service, until a change.
     _remaining: dict[str, list[Endpoint]] = dataclasses.field(
@@ -139,12 +143,8 @@
     def list_usable(self, service: str, now_s: float) -> list[Endpoint]:
         """Return the endpoints of a service that accept new requests."""
         usable = self._list_remaining(service)
-        if self.exclusions.waits:
-            usable = [
-                e
-                for e in usable
-                if not self.exclusions.read_wait(e.incarnation, now_s)
-            ]
+        if self.exclusions.waits or self.limits.limits:
+            usable = [e for e in usable if not self._read_wait(e, now_s)]
         if usable:
             return [*usable]
         for name, (_, until_s) in list(self.lapsed.items()):
@@ -153,26 +153,39 @@
         return [
             e
             for e, _ in self.lapsed.values()
-            if e.service == service and self.accepts(e, now_s)
+            if e.service == service
+            and self.accepts(e, now_s)
+            and not self.limits.measure_wait(e.incarnation, now_s)
         ]
 
     def measure_wait(self, service: str, now_s: float) -> float | None:
         """Return the seconds until an endpoint of a service accepts requests.
 
-        It is None if one accepts them now or none will.
+        It is None if one accepts them now or none will. Where limits bind,
+        each call returns a later time, at the rate that these allow.
         """
-        if not self.exclusions.waits or self.list_usable(service, now_s):
+        if not (self.exclusions.waits or self.limits.limits):
+            return None
+        if self.list_usable(service, now_s):
             return None
         lapsed = [
             e
             for e, _ in self.lapsed.values()
             if e.service == service and not self.is_gone(e)
         ]
+        remaining = [*self._list_remaining(service), *lapsed]
         waits = [
-            self.exclusions.read_wait(e.incarnation, now_s)
-            for e in (*self._list_remaining(service), *lapsed)
+            max(
+                self.exclusions.read_wait(e.incarnation, now_s),
+                self.limits.measure_room(e.incarnation, now_s),
+            )
+            for e in remaining
         ]
-        return min(waits, default=None)
+        if not waits:
+            return None
+        return self.limits.plan_return(
+            service, [e.incarnation for e in remaining], min(waits), now_s
+        )
 
     def count_leaving(self) -> int:
         """Return the number of registered endpoints that leave."""
@@ -185,6 +198,11 @@
             for e in self.registered.values()
         )
 
+    def _read_wait(self, endpoint: Endpoint, now_s: float) -> float:
+        return self.exclusions.read_wait(
+            endpoint.incarnation, now_s
+        ) or self.limits.measure_wait(endpoint.incarnation, now_s)
+
     def _list_remaining(self, service: str) -> list[Endpoint]:
         remaining = self._remaining.get(service)
         if remaining is None:
--- a/src/cyclamenwing/routing/exclusions.py
+++ b/src/cyclamenwing/routing/exclusions.py
@@ -117,11 +117,14 @@
     def trim(self, registered: Container[str]) -> None:
         """Forget the oldest records of names that are not registered."""
         for records in (self.leaving, self.superseded, self.waits):
-            _trim(records, registered)
+            trim_records(records, registered, MAX_KEPT)
 
 
-def _trim(records: dict[Any, Any], registered: Container[str]) -> None:
-    excess = len(records) - MAX_KEPT
+def trim_records(
+    records: dict[Any, Any], registered: Container[str], most: int
+) -> None:
+    """Forget the oldest records of names that are not registered."""
+    excess = len(records) - most
     if excess <= 0:
         return
     unregistered = [key for key in records if key[0] not in registered]
@@ -134,4 +137,5 @@
     "MAX_STARTS_KEPT",
     "Exclusions",
     "Incarnation",
+    "trim_records",
 )
--- /dev/null
+++ b/src/cyclamenwing/routing/rate_limits.py
@@ -0,0 +1,417 @@
+"""Limits on the requests that an endpoint takes from all gateways together.
+
+Handles the pattern of an overloaded endpoint that names a rate in its answers.
+Each gateway hears of it at another time, and what all of them send must keep
+to it, with few gateways and with hundreds. Only some gateways, the senders,
+use a limited endpoint. All gateways derive them from the members they know by
+rendezvous hashing, so that a change of the members changes few of them. The
+senders share a part of the limit evenly; the rest covers bursts and views of
+the members that differ for a while.
+"""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import random
+from collections.abc import Container
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from cyclamenwing.membership import rendezvous
+from cyclamenwing.routing import exclusions
+
+# Endpoints count the requests of any span of this length.
+WINDOW_S = 4.0
+# Part of a limit that the senders use together.
+USED_SHARE = 0.8
+# Each sender may save up requests for bursts, so their number is bounded by
+# the burst that an endpoint accepts at its limit.
+MIN_SENDERS = 2
+SENDERS_PER_RPS = 0.5
+BURST_REQUESTS = 2.0
+# A gateway that becomes a sender waits until the requests of the one before it
+# have left the window, and until the views of the members agree.
+HOLD_OFF_S = WINDOW_S + 2.0
+# An unconfirmed limit is probed by one gateway after the other, as the senders
+# may have no requests for the endpoint.
+CONFIRM_S = 10.0
+# A limit that is named again is announced to other gateways this often.
+ANNOUNCE_INTERVAL_S = 2.0
+# The end of a limit is announced for this long.
+ENDED_TTL_S = 30.0
+MAX_KEPT = 1024
+MAX_ORIGINS_KEPT = 64
+# Clients are told to return within this time.
+MAX_RETURN_S = 10.0
+
+
+class LimitNotice(NamedTuple):
+    """Tell another gateway what an endpoint said in an answer.
+
+    :param limit_rps: None if the limit has ended
+    :param origin: process of the gateway that got the answer
+    :param number: sequence number among the notices of that process
+    :param age_s: time since the answer
+    """
+
+    incarnation: exclusions.Incarnation
+    limit_rps: float | None
+    origin: str
+    number: int
+    age_s: float
+
+
+@dataclasses.dataclass(slots=True)
+class EndpointLimit:
+    """Hold the limit of one incarnation of an endpoint.
+
+    :param limit_rps: None once the limit has ended
+    :param heard_s: time of the latest answer that is known to say so
+    :param origin: process that got this answer
+    :param number: its sequence number among the notices of that process
+    :param source: host that passed the notice on, empty for an own one
+    :param from_delegate: that host tells all other delegates itself
+    :param seen: newest number of each process
+    :param tokens: requests that this gateway may send now
+    :param sends: this gateway is one of the senders
+    :param sends_from_s: end of the hold-off
+    :param probed_s: its latest request, 0 for none
+    """
+
+    limit_rps: float | None
+    heard_s: float
+    origin: str
+    number: int
+    source: str = ""
+    from_delegate: bool = False
+    seen: dict[str, int] = dataclasses.field(default_factory=dict)
+    tokens: float = 0.0
+    refilled_s: float = 0.0
+    sends: bool | None = None
+    sends_from_s: float = 0.0
+    probed_s: float = 0.0
+
+
+class Share(NamedTuple):
+    """Hold what one sender may send to an endpoint.
+
+    :param quota: most requests in a window
+    """
+
+    rate_rps: float
+    quota: int
+
+
+class Rank(NamedTuple):
+    """Hold this gateway's score for an endpoint and its place by that."""
+
+    score: int
+    place: int
+
+
+class RateLimits:
+    """Decide which requests this gateway may send to limited endpoints.
+
+    Times are seconds of the gateway's clock.
+
+    :param host: this gateway
+    :param origin: its process
+    """
+
+    def __init__(self, host: str = "", origin: str = "") -> None:
+        self._host = host
+        self._origin = origin
+        self._members = frozenset((host,))
+        self._ranks: dict[str, Rank] = {}
+        self._number = 0
+        self._returns_s: dict[str, float] = {}
+        self._sent: dict[exclusions.Incarnation, collections.deque[float]] = {}
+        self.limits: dict[exclusions.Incarnation, EndpointLimit] = {}
+
+    def set_members(self, hosts: Iterable[str]) -> None:
+        """Replace the gateways that share the limits."""
+        members = frozenset((*hosts, self._host))
+        if members == self._members:
+            return
+        joined = members - self._members
+        left = self._members - members
+        self._members = members
+        for name, rank in self._ranks.items():
+            change = _count_better(name, joined, rank.score)
+            change -= _count_better(name, left, rank.score)
+            self._ranks[name] = rank._replace(place=rank.place + change)
+
+    def record_answer(
+        self,
+        incarnation: exclusions.Incarnation,
+        limit_rps: float | None,
+        sent_s: float,
+        now_s: float,
+    ) -> bool:
+        """Record what an answer says; return whether the limit changed.
+
+        An answer without a limit ends it only if its request was sent after
+        the limit was named.
+        """
+        known = self.limits.get(incarnation)
+        known_rps = known.limit_rps if known else None
+        if limit_rps == known_rps:
+            stale = (
+                known is not None
+                and now_s - known.heard_s >= ANNOUNCE_INTERVAL_S
+            )
+            if limit_rps is None or not stale:
+                return False
+        elif limit_rps is None and known and sent_s <= known.heard_s:
+            return False
+        self._number += 1
+        self._store(
+            LimitNotice(
+                incarnation, limit_rps, self._origin, self._number, 0.0
+            ),
+            now_s,
+        )
+        return limit_rps != known_rps
+
+    def merge_notice(
+        self,
+        notice: LimitNotice,
+        now_s: float,
+        source: str = "",
+        from_delegate: bool = False,
+    ) -> bool:
+        """Record what another gateway was told; return whether it is new.
+
+        A notice that is passed back changes nothing, so that delays on the
+        way don't make it younger again and again.
+        """
+        known = self.limits.get(notice.incarnation)
+        if notice.origin == self._origin:
+            return False
+        if known is not None:
+            if notice.number <= known.seen.get(notice.origin, 0):
+                return False
+            if now_s - notice.age_s < known.heard_s:
+                known.seen[notice.origin] = notice.number
+                return False
+        changed = (known.limit_rps if known else None) != notice.limit_rps
+        self._store(notice, now_s, source, from_delegate)
+        return changed
+
+    def _store(
+        self,
+        notice: LimitNotice,
+        now_s: float,
+        source: str = "",
+        from_delegate: bool = False,
+    ) -> None:
+        limit = self.limits.pop(notice.incarnation, None)
+        if limit is None:
+            limit = EndpointLimit(None, 0.0, "", 0)
+        if limit.limit_rps is None:
+            limit.tokens = 0.0
+            limit.refilled_s = now_s
+            limit.sends = None
+        limit.limit_rps = notice.limit_rps
+        limit.heard_s = now_s - max(notice.age_s, 0.0)
+        limit.origin = notice.origin
+        limit.number = notice.number
+        limit.source = source
+        limit.from_delegate = from_delegate
+        limit.seen.pop(notice.origin, None)
+        limit.seen[notice.origin] = notice.number
+        if len(limit.seen) > MAX_ORIGINS_KEPT:
+            del limit.seen[next(iter(limit.seen))]
+        # The last ones are the latest.
+        self.limits[notice.incarnation] = limit
+
+    def list_notices(
+        self, now_s: float
+    ) -> list[tuple[LimitNotice, EndpointLimit]]:
+        """Return a notice for each endpoint, the oldest ones first."""
+        return [
+            (
+                LimitNotice(
+                    incarnation,
+                    limit.limit_rps,
+                    limit.origin,
+                    limit.number,
+                    max(now_s - limit.heard_s, 0.0),
+                ),
+                limit,
+            )
+            for incarnation, limit in self.limits.items()
+        ]
+
+    def is_limited(self, incarnation: exclusions.Incarnation) -> bool:
+        """Return whether an endpoint has named a limit that still holds."""
+        limit = self.limits.get(incarnation)
+        return limit is not None and limit.limit_rps is not None
+
+    def try_acquire(
+        self, incarnation: exclusions.Incarnation, now_s: float
+    ) -> bool:
+        """Count a request to an endpoint; return False if it has no room."""
+        wait_s = self.measure_wait(incarnation, now_s)
+        if wait_s > 0:
+            return False
+        limit = self.limits.get(incarnation)
+        if limit is not None and limit.limit_rps is not None:
+            limit.tokens = max(limit.tokens - 1.0, 0.0)
+            limit.probed_s = now_s
+        sent = self._sent.setdefault(incarnation, collections.deque())
+        sent.append(now_s)
+        self._count_sent(incarnation, now_s)
+        return True
+
+    def measure_wait(
+        self, incarnation: exclusions.Incarnation, now_s: float
+    ) -> float:
+        """Return the seconds until this gateway may send a request."""
+        limit = self.limits.get(incarnation)
+        if limit is None or limit.limit_rps is None:
+            return 0.0
+        rank = self._rank(incarnation)
+        members = len(self._members)
+        senders = count_senders(limit.limit_rps, members)
+        sends = rank < senders
+        if sends and limit.sends is False:
+            limit.sends_from_s = now_s + HOLD_OFF_S
+            limit.tokens = 0.0
+            limit.refilled_s = now_s
+        limit.sends = sends
+        if not sends:
+            return _measure_probe(limit, rank - senders, members, now_s)
+        share = compute_share(limit.limit_rps, members)
+        elapsed_s = max(now_s - limit.refilled_s, 0.0)
+        limit.tokens = min(
+            limit.tokens + elapsed_s * share.rate_rps, BURST_REQUESTS
+        )
+        limit.refilled_s = now_s
+        wait_s = max(limit.sends_from_s - now_s, 0.0)
+        if limit.tokens < 1.0:
+            wait_s = max(wait_s, (1.0 - limit.tokens) / share.rate_rps)
+        # Requests from before the limit was named count in the window, too.
+        if self._count_sent(incarnation, now_s) >= share.quota:
+            oldest_s = self._sent[incarnation][-share.quota]
+            wait_s = max(wait_s, oldest_s + WINDOW_S - now_s)
+        return wait_s
+
+    def measure_room(
+        self, incarnation: exclusions.Incarnation, now_s: float
+    ) -> float:
+        """Return the seconds until some gateway is likely to have room."""
+        wait_s = self.measure_wait(incarnation, now_s)
+        limit = self.limits.get(incarnation)
+        if limit is None or limit.limit_rps is None or limit.sends:
+            return wait_s
+        return min(wait_s, 1 / (USED_SHARE * limit.limit_rps))
+
+    def plan_return(
+        self,
+        service: str,
+        incarnations: Iterable[exclusions.Incarnation],
+        room_s: float,
+        now_s: float,
+    ) -> float:
+        """Return the seconds after which the next refused client returns.
+
+        Clients return one after the other, at the rate that the endpoints
+        take from this gateway's part of the clients.
+
+        :param room_s: seconds until there is room
+        """
+        sum_rps = sum(
+            self.limits[i].limit_rps or 0.0
+            for i in incarnations
+            if self.is_limited(i)
+        )
+        if not sum_rps:
+            return room_s
+        due_s = max(now_s + room_s, self._returns_s.get(service, 0.0))
+        gap_s = len(self._members) / (USED_SHARE * sum_rps)
+        if due_s + gap_s - now_s > MAX_RETURN_S:
+            return random.uniform(min(room_s, MAX_RETURN_S / 2), MAX_RETURN_S)
+        self._returns_s[service] = due_s + gap_s
+        return due_s - now_s
+
+    def count_limited(self) -> int:
+        """Return the number of endpoints with a limit."""
+        return sum(
+            limit.limit_rps is not None for limit in self.limits.values()
+        )
+
+    def trim(self, registered: Container[str], now_s: float) -> None:
+        """Forget ended limits and the oldest ones of unregistered names."""
+        for incarnation, limit in list(self.limits.items()):
+            ended = limit.limit_rps is None
+            if ended and now_s - limit.heard_s > ENDED_TTL_S:
+                del self.limits[incarnation]
+        for incarnation in list(self._sent):
+            if not self._count_sent(incarnation, now_s):
+                del self._sent[incarnation]
+        exclusions.trim_records(self.limits, registered, MAX_KEPT)
+
+    def _rank(self, incarnation: exclusions.Incarnation) -> int:
+        name = incarnation.name
+        rank = self._ranks.get(name)
+        if rank is None:
+            if len(self._ranks) >= MAX_KEPT:
+                self._ranks.clear()
+            score = rendezvous.score_member(name, self._host)
+            place = _count_better(name, self._members, score)
+            rank = self._ranks[name] = Rank(score, place)
+        return rank.place
+
+    def _count_sent(
+        self, incarnation: exclusions.Incarnation, now_s: float
+    ) -> int:
+        sent = self._sent.get(incarnation)
+        if sent is None:
+            return 0
+        while sent and sent[0] <= now_s - WINDOW_S:
+            sent.popleft()
+        return len(sent)
+
+
+def count_senders(limit_rps: float, members: int) -> int:
+    """Return how many gateways may use an endpoint."""
+    return min(members, int(MIN_SENDERS + SENDERS_PER_RPS * limit_rps))
+
+
+def compute_share(limit_rps: float, members: int) -> Share:
+    """Return what each sender may send."""
+    rate_rps = USED_SHARE * limit_rps / count_senders(limit_rps, members)
+    return Share(rate_rps, int(WINDOW_S * rate_rps + BURST_REQUESTS))
+
+
+def _count_better(name: str, hosts: Iterable[str], score: int) -> int:
+    """Return how many hosts rank before a score for an endpoint."""
+    return sum(rendezvous.score_member(name, host) < score for host in hosts)
+
+
+def _measure_probe(
+    limit: EndpointLimit, place: int, members: int, now_s: float
+) -> float:
+    """Return the seconds until a gateway that is no sender may probe.
+
+    :param place: its place among these gateways, 0 for the first
+    """
+    assert limit.limit_rps is not None
+    gap_s = 1 / (USED_SHARE * limit.limit_rps)
+    due_s = limit.heard_s + CONFIRM_S + place * gap_s
+    if limit.probed_s:
+        due_s = max(due_s, limit.probed_s + CONFIRM_S + members * gap_s)
+    return max(due_s - now_s, 0.0)
+
+
+__all__ = (
+    "EndpointLimit",
+    "MAX_KEPT",
+    "LimitNotice",
+    "RateLimits",
+    "Share",
+    "compute_share",
+    "count_senders",
+)
