--- a/tests/gateway/test_endpoint_limits.py
+++ b/tests/gateway/test_endpoint_limits.py
@@ -12,8 +12,11 @@
 import eliot
 from tests.gateway import deployments
 
+from cyclamenwing.gateway import clock
+from cyclamenwing.routing import endpoints
 from cyclamenwing.standin import platform_endpoint
 from cyclamenwing.transport import h1
+from cyclamenwing.transport import h1_client
 
 GATEWAYS = 4
 WINDOW_S = 4.0
@@ -87,6 +90,33 @@
     asyncio.run(check())
 
 
+# Guards against requests that were on their way when the limit was named.
+def test_limit_named_during_a_connect_holds_for_that_request() -> None:
+    async def check() -> None:
+        async with deployments.deploy() as deployment:
+            directory = deployment.gateways[0].board.directory
+            pool = deployment.gateways[0]._connections
+            acquire = pool.acquire
+
+            async def acquire_late(
+                endpoint: endpoints.Endpoint, repeatable: bool, wait_s: float
+            ) -> h1_client.ClientConnection:
+                connection = await acquire(endpoint, repeatable, wait_s)
+                now_s = clock.read_time()
+                directory.limits.record_answer(
+                    endpoint.incarnation, 1.0, now_s, now_s
+                )
+                return connection
+
+            pool.acquire = acquire_late  # type: ignore[method-assign]
+            head, body = await deployment.send("read")
+            assert head.status == 503
+            assert b'"run":"not_run"' in body
+            assert [e.arrivals for e in deployment.endpoints] == [0] * 4
+
+    asyncio.run(check())
+
+
 def test_limits_of_all_endpoints_refuse_at_once_and_say_when_to_return() -> (
     None
 ):
