--- a/src/cyclamenwing/gateway/attempts.py
+++ b/src/cyclamenwing/gateway/attempts.py
@@ -246,7 +246,7 @@
         )
         if metadata.not_run:
             context.may_have_run = ran_earlier
-            await connection.read_body(remaining_s, MAX_ANSWER_BYTES)
+            # Its body is not needed, and may come slowly or without end.
             endpoint_state = self._board.placement.ensure_state(
                 target.endpoint
             )
