--- a/src/cyclamenwing/gateway/forwarding.py
+++ b/src/cyclamenwing/gateway/forwarding.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Awaitable
 
 import h11
@@ -13,6 +14,10 @@
 from cyclamenwing.transport import h1
 from cyclamenwing.transport import h1_client
 
+# A client that reads no more of its answer is left this long after its
+# deadline.
+WRITE_MARGIN_S = 1.0
+
 
 class AnswerForwarder:
     """Forward the answer of one request to the client.
@@ -75,8 +80,16 @@
             await self._write_to_client(self._connection.write(data))
 
     async def _write_to_client(self, write: Awaitable[None]) -> None:
+        remaining_s = self._context.deadline_s - clock.read_time()
         try:
-            await write
+            async with asyncio.timeout(max(remaining_s, 0.0) + WRITE_MARGIN_S):
+                await write
+        except TimeoutError as err:
+            self.client_lost = True
+            self._connection.close()
+            raise transport_errors.ConnectionLostError(
+                "the client reads no more"
+            ) from err
         except (transport_errors.TransportError, h11.LocalProtocolError):
             self.client_lost = True
             raise
