--- a/src/cyclamenwing/transport/h1.py
+++ b/src/cyclamenwing/transport/h1.py
@@ -9,6 +9,8 @@
 
 import asyncio
 import socket
+import time
+from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Sequence
 from typing import NamedTuple
@@ -24,6 +26,13 @@
 MAX_WRITE_BUFFER_BYTES = 4 * 1024 * 1024
 MAX_READ_BUFFER_BYTES = 1024 * 1024
 MAX_HEAD_BYTES = 65_536
+# Longest time for which a reader parses data that is at hand before other
+# tasks get a turn.
+MAX_TURN_S = 0.005
+# A client's request body may take this long per byte beyond the timeout.
+MIN_BODY_BYTES_PER_S = 1024
+# Chunks of a request body. Tiny ones cost far more time than their bytes.
+MAX_BODY_PIECES = 32_768
 
 Headers = tuple[tuple[bytes, bytes], ...]
 
@@ -100,6 +109,35 @@
     return None
 
 
+class Turn:
+    """Give back the event loop while data is always at hand.
+
+    An awaited read that is already done does not yield, so without this no
+    timeout would fire either.
+    """
+
+    def __init__(self) -> None:
+        self._began_s = time.monotonic()
+
+    async def read(self, stream: iostream.IOStream) -> bytes:
+        """Read from a stream; a turn begins after a wait for data."""
+        return await self.wait(stream.read_bytes(READ_BYTES, partial=True))
+
+    async def wait(self, future: Awaitable[bytes]) -> bytes:
+        """Wait for data; a turn begins unless it is here already."""
+        at_hand = isinstance(future, asyncio.Future) and future.done()
+        data = await future
+        if not at_hand:
+            self._began_s = time.monotonic()
+        return data
+
+    async def yield_if_due(self) -> None:
+        """Let other tasks run once the turn has lasted long enough."""
+        if time.monotonic() - self._began_s > MAX_TURN_S:
+            await asyncio.sleep(0)
+            self._began_s = time.monotonic()
+
+
 def configure_socket(sock: socket.socket) -> None:
     """Disable Nagle's algorithm, so that small writes are sent at once."""
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -119,6 +157,9 @@
         self.request_in_progress = False
         self.requests = 0
         self._chunked = False
+        self._turn = Turn()
+        # Time by which the part of the request that is read is complete.
+        self._request_until_s: float | None = None
         self._h11 = h11.Connection(
             h11.SERVER, max_incomplete_event_size=MAX_HEAD_BYTES
         )
@@ -153,6 +194,7 @@
             before the connection is closed
         """
         self.request_in_progress = False
+        self._request_until_s = None
         head = await self._next_event(limits)
         if not isinstance(head, h11.Request):
             return None
@@ -161,9 +203,13 @@
             interim = h11.InformationalResponse(status_code=100, headers=[])
             await self._write(self._h11.send(interim))
         body = bytearray()
+        pieces = 0
+        self._request_until_s = time.monotonic() + limits.header_timeout_s
         while isinstance(event := await self._next_event(limits), h11.Data):
             body += event.data
-            if len(body) > limits.body_bytes:
+            self._request_until_s += len(event.data) / MIN_BODY_BYTES_PER_S
+            pieces += 1
+            if len(body) > limits.body_bytes or pieces > MAX_BODY_PIECES:
                 raise RequestRefusedError(
                     413, "the request body exceeds the size limit"
                 )
@@ -175,6 +221,7 @@
     async def _next_event(self, limits: Limits) -> h11.Event | None:
         """Return the next event of the client; None if it sends no more."""
         while True:
+            await self._turn.yield_if_due()
             try:
                 event = self._h11.next_event()
             except h11.RemoteProtocolError as err:
@@ -184,12 +231,10 @@
             if event is not h11.NEED_DATA:
                 self.request_in_progress = isinstance(event, h11.Event)
                 return event if isinstance(event, h11.Event) else None
-            wait_s = (
-                limits.header_timeout_s
-                if self.request_in_progress
-                else limits.idle_timeout_s
-            )
-            if not await self._receive(wait_s):
+            wait_s = limits.idle_timeout_s
+            if self.request_in_progress:
+                wait_s = self._measure_left(limits.header_timeout_s)
+            if wait_s <= 0 or not await self._receive(wait_s):
                 if self.request_in_progress:
                     raise RequestRefusedError(
                         408, "the request was not complete within the timeout"
@@ -197,6 +242,17 @@
                 return None
             self.request_in_progress = True
 
+    def _measure_left(self, timeout_s: float) -> float:
+        """Return the longest wait for more data of the request.
+
+        Each part of it has to be complete in time, however often some of its
+        bytes arrive.
+        """
+        now_s = time.monotonic()
+        if self._request_until_s is None:
+            self._request_until_s = now_s + timeout_s
+        return min(self._request_until_s - now_s, timeout_s)
+
     async def respond(
         self, status: int, headers: Sequence[tuple[bytes, bytes]], body: bytes
     ) -> None:
@@ -259,7 +315,7 @@
     async def _receive(self, timeout_s: float) -> bool:
         try:
             async with asyncio.timeout(timeout_s):
-                data = await self.stream.read_bytes(READ_BYTES, partial=True)
+                data = await self._turn.read(self.stream)
         except (TimeoutError, iostream.StreamClosedError):
             return False
         self._h11.receive_data(data)
@@ -302,6 +358,7 @@
     "RequestRefusedError",
     "ResponseHead",
     "ServerConnection",
+    "Turn",
     "configure_socket",
     "find_header",
 )
--- a/src/cyclamenwing/transport/h1_client.py
+++ b/src/cyclamenwing/transport/h1_client.py
@@ -12,6 +12,9 @@
 from cyclamenwing.transport import errors
 from cyclamenwing.transport import h1
 
+# Informational heads before a response. Peers may send a few.
+MAX_INTERIM_HEADS = 32
+
 
 class ClientConnection:
     """Send requests and read responses on one connection.
@@ -35,6 +38,7 @@
         )
         self._method = b"GET"
         self._idle_read: asyncio.Future[bytes] | None = None
+        self._turn = h1.Turn()
 
     @classmethod
     async def open(cls, address: str, timeout_s: float) -> ClientConnection:
@@ -100,7 +104,7 @@
         """
         try:
             async with asyncio.timeout(timeout_s):
-                while True:
+                for _ in range(MAX_INTERIM_HEADS + 1):
                     event = await self._next_event()
                     if isinstance(event, h11.Response):
                         return h1.ResponseHead(
@@ -113,13 +117,20 @@
             raise errors.ConnectionSilentError(
                 f"{self.address}: no response head within the timeout"
             ) from err
+        self.reusable = False
+        raise errors.MalformedMessageError(
+            f"{self.address}: too many informational heads", "unknown"
+        )
 
     async def read_data(self, timeout_s: float) -> bytes | None:
         """Read a part of the body; None once the body is complete.
 
-        :raises ConnectionSilentError: if nothing arrives in time
+        :raises ConnectionSilentError: if nothing arrives in time, or if the
+            time is over although data is at hand
         """
         try:
+            if timeout_s <= 0:
+                raise TimeoutError
             async with asyncio.timeout(timeout_s):
                 event = await self._next_event()
         except TimeoutError as err:
@@ -211,6 +222,7 @@
 
     async def _next_event(self) -> h11.Event:
         while True:
+            await self._turn.yield_if_due()
             try:
                 event = self._h11.next_event()
             except h11.RemoteProtocolError as err:
@@ -232,11 +244,11 @@
 
     async def _receive(self) -> None:
         try:
-            idle_or_new_read = self._idle_read or self.stream.read_bytes(
-                h1.READ_BYTES, partial=True
-            )
-            self._idle_read = None
-            data = await idle_or_new_read
+            idle_read, self._idle_read = self._idle_read, None
+            if idle_read is None:
+                data = await self._turn.read(self.stream)
+            else:
+                data = await self._turn.wait(idle_read)
         except iostream.StreamClosedError as err:
             self.reusable = False
             if self.stream.error is not None:
