--- a/src/cyclamenwing/standin/platform_endpoint.py
+++ b/src/cyclamenwing/standin/platform_endpoint.py
@@ -14,6 +14,8 @@
 
 STAMP_HEADER = (b"Replica-Stamp", b"signed")
 STREAM_EVENTS = 5
+DRIP_INTERVAL_S = 0.05
+SLOW_INTERVAL_S = 0.6
 MS_PER_S = 1000
 NO_HEADERS: h1.Headers = ()
 
@@ -165,6 +167,26 @@
     connection.close()
 
 
+async def _drip_answer(
+    connection: h1.ServerConnection, request: h1.Request, extra: h1.Headers
+) -> None:
+    """Send bytes of an event that never ends."""
+    await _stream(connection, request, extra, 0)
+    while not connection.closed:
+        await connection.write(b"d")
+        await asyncio.sleep(DRIP_INTERVAL_S)
+
+
+async def _answer_slowly(
+    connection: h1.ServerConnection, request: h1.Request, extra: h1.Headers
+) -> None:
+    await _stream(connection, request, extra, 0)
+    for number in range(1, STREAM_EVENTS + 1):
+        await asyncio.sleep(SLOW_INTERVAL_S)
+        await connection.write(b"id: %d\ndata: %d\n\n" % (number, number))
+    await connection.finish()
+
+
 async def _answer_other_request(
     connection: h1.ServerConnection, request: h1.Request, extra: h1.Headers
 ) -> None:
@@ -186,6 +208,8 @@
     "serve": _answer,
     "fail": _answer_error,
     "cut": _cut_answer,
+    "drip": _drip_answer,
+    "slow": _answer_slowly,
     "forge": _answer_other_request,
     "unsign": _answer_unsigned,
 }
