--- a/src/cyclamenwing/platform/messages.py
+++ b/src/cyclamenwing/platform/messages.py
@@ -7,14 +7,13 @@
 
 from cyclamenwing.gateway import calls
 from cyclamenwing.platform import errors
+from cyclamenwing.routing import rate_limits
 from cyclamenwing.transport import h1
 
 MS_PER_S = 1000.0
 # Longer than any process runs. Far larger values of an endpoint would
 # overflow when they are rounded.
 MAX_REFUSE_S = 1e9
-# More requests per second than any endpoint takes.
-MAX_LIMIT_RPS = 1e6
 
 _DROPPED_HEADERS = h1.HOP_BY_HOP | {
     # The client's API key, and headers that clients may not set themselves.
@@ -148,8 +147,12 @@
     """Return requests per second; None if not named or not above zero."""
     if value is None or not _DECIMAL.fullmatch(value):
         return None
-    limit_rps = min(float(value), MAX_LIMIT_RPS)
-    return limit_rps or None
+    limit_rps = float(value)
+    if not limit_rps:
+        return None
+    return min(
+        max(limit_rps, rate_limits.MIN_LIMIT_RPS), rate_limits.MAX_LIMIT_RPS
+    )
 
 
 def _read_size(value: bytes | None) -> calls.Size | None:
@@ -172,7 +175,6 @@
 
 
 __all__ = (
-    "MAX_LIMIT_RPS",
     "MAX_REFUSE_S",
     "read_answer",
     "read_call",
--- a/src/cyclamenwing/routing/rate_limits.py
+++ b/src/cyclamenwing/routing/rate_limits.py
@@ -21,6 +21,9 @@
 from cyclamenwing.membership import rendezvous
 from cyclamenwing.routing import exclusions
 
+# Limits are kept within these bounds.
+MIN_LIMIT_RPS = 1e-6
+MAX_LIMIT_RPS = 1e6
 # Endpoints count the requests of any span of this length.
 WINDOW_S = 4.0
 # Part of a limit that the senders use together.
@@ -187,7 +190,7 @@
         way don't make it younger again and again.
         """
         known = self.limits.get(notice.incarnation)
-        if notice.origin == self._origin:
+        if notice.origin == self._origin or not _is_valid(notice):
             return False
         if known is not None:
             if notice.number <= known.seen.get(notice.origin, 0):
@@ -386,6 +389,11 @@
     return Share(rate_rps, int(WINDOW_S * rate_rps + BURST_REQUESTS))
 
 
+def _is_valid(notice: LimitNotice) -> bool:
+    limit_rps = notice.limit_rps
+    return limit_rps is None or MIN_LIMIT_RPS <= limit_rps <= MAX_LIMIT_RPS
+
+
 def _count_better(name: str, hosts: Iterable[str], score: int) -> int:
     """Return how many hosts rank before a score for an endpoint."""
     return sum(rendezvous.score_member(name, host) < score for host in hosts)
@@ -409,6 +417,8 @@
 __all__ = (
     "EndpointLimit",
     "MAX_KEPT",
+    "MAX_LIMIT_RPS",
+    "MIN_LIMIT_RPS",
     "LimitNotice",
     "RateLimits",
     "Share",
--- a/tests/platform/test_messages.py
+++ b/tests/platform/test_messages.py
@@ -7,6 +7,7 @@
 from cyclamenwing.gateway import calls
 from cyclamenwing.platform import errors
 from cyclamenwing.platform import messages
+from cyclamenwing.routing import rate_limits
 from cyclamenwing.transport import h1
 
 HEADERS = (
@@ -206,7 +207,8 @@
         (b"40", 40.0, False),
         (b".5", 0.5, False),
         (b"0.001", 0.001, False),
-        (b"9" * 400, messages.MAX_LIMIT_RPS, False),
+        (b"0." + b"0" * 320 + b"1", rate_limits.MIN_LIMIT_RPS, False),
+        (b"9" * 400, rate_limits.MAX_LIMIT_RPS, False),
         (b"0", None, True),
         (b"0.0", None, True),
         (b"-1", None, True),
--- a/tests/routing/test_rate_limits.py
+++ b/tests/routing/test_rate_limits.py
@@ -11,6 +11,7 @@
 import functools
 import heapq
 import itertools
+import math
 import random
 from collections.abc import Callable
 
@@ -343,6 +344,27 @@
     assert limits.limits[INCARNATION].limit_rps == 4.0
 
 
+@pytest.mark.parametrize("limit_rps", [0.0, -1.0, 1e-320, 1e300, math.nan])
+def test_notice_with_an_invalid_limit_changes_nothing(
+    limit_rps: float,
+) -> None:
+    limits = make_limits()
+    assert not limits.merge_notice(make_notice(1, limit_rps), 1.0)
+    assert limits.measure_wait(INCARNATION, 1.0) == 0
+
+
+@pytest.mark.parametrize(
+    "limit_rps", [rate_limits.MIN_LIMIT_RPS, rate_limits.MAX_LIMIT_RPS]
+)
+def test_extreme_limits_leave_waits_finite(limit_rps: float) -> None:
+    for members in FLEETS:
+        directory = endpoints.Directory(limits=make_limits(members))
+        directory.put(ENDPOINT, 1)
+        directory.limits.record_answer(INCARNATION, limit_rps, 0.0, 0.0)
+        wait_s = directory.measure_wait("api", 0.0)
+        assert wait_s is None or 0 <= wait_s <= rate_limits.MAX_RETURN_S
+
+
 def test_older_answer_does_not_replace_a_later_one() -> None:
     limits = make_limits()
     limits.record_answer(INCARNATION, 4.0, 9.0, 10.0)
