--- a/src/cyclamenwing/gateway/admission.py
+++ b/src/cyclamenwing/gateway/admission.py
@@ -35,9 +35,7 @@
     """
     if board.admission_closed:
         raise errors.LeavingError("the process stops")
-    config = board.configuration
-    if config is None:
-        raise errors.NoConfigurationError("no configuration loaded yet")
+    config = _get_configuration(board)
     try:
         call = dialect.read_call(request)
     except base_errors.CodedError as err:
@@ -71,6 +69,19 @@
     )
 
 
+def _get_configuration(
+    board: blackboard.Blackboard,
+) -> configuration.Configuration:
+    config = board.configuration
+    if config is None:
+        raise errors.NoConfigurationError("no configuration loaded yet")
+    if not board.confirm_configuration(clock.read_time()):
+        raise errors.NoConfigurationError(
+            "no peer has confirmed the configuration yet"
+        )
+    return config
+
+
 def _check_draining(
     board: blackboard.Blackboard, deadline_s: float, now_s: float
 ) -> None:
--- a/src/cyclamenwing/gateway/blackboard.py
+++ b/src/cyclamenwing/gateway/blackboard.py
@@ -5,7 +5,10 @@
 import dataclasses
 from typing import NamedTuple
 
+import eliot
+
 from cyclamenwing.budget import restoration
+from cyclamenwing.gateway import clock
 from cyclamenwing.gateway import configuration
 from cyclamenwing.gateway import eras
 from cyclamenwing.gateway import record_age
@@ -20,6 +23,9 @@
 # A peer without gossip for longer counts as gone: pools and retry budgets are
 # shared among the other gateways.
 PEER_TIMEOUT_S = 3.0
+# A restarted process waits this long for a peer that confirms that the store
+# has not returned an older configuration.
+CONFIRMATION_WAIT_S = 1.0
 
 
 class Peer(NamedTuple):
@@ -61,6 +67,8 @@
     :param quarantine: requests that were running when endpoints crashed
     :param roster: members of the fleet and the delegates among them
     :param eras: era of the store
+    :param configuration_confirmed: no peer knew a newer configuration since
+        the start, or none answered in time
     :param registered: the store lists this gateway
     :param store_contact_s: last answer of the store, direct or through a peer
     :param direct_contact_s: last direct answer of the store
@@ -88,6 +96,7 @@
     roster: delegates.Roster
     eras: eras.EraTracker
     configuration: configuration.Configuration | None = None
+    configuration_confirmed: bool = False
     directory: endpoints.Directory = dataclasses.field(
         default_factory=endpoints.Directory
     )
@@ -117,11 +126,43 @@
     def ready(self) -> bool:
         """Return whether the load balancer should send requests here."""
         return (
-            self.configuration is not None
+            self.confirm_configuration(clock.read_time())
             and self.endpoints_loaded
             and self.drain_started_s is None
         )
 
+    def confirm_configuration(self, now_s: float) -> bool:
+        """Return whether requests may be decided by the configuration.
+
+        The store may have returned in an older state, and the configuration
+        that this process reads after a restart may then hold keys and routes
+        that were removed since. Once a peer knows no newer one, it holds.
+        """
+        config = self.configuration
+        if self.configuration_confirmed or config is None:
+            return self.configuration_confirmed
+        newest = max((p.version for p in self.peers.values()), default=0)
+        waited_s = now_s - self.started_s
+        own = self.settings.control
+        alone = not self.roster.members and not any(
+            seed != own for seed in self.settings.seeds
+        )
+        self.configuration_confirmed = (
+            self.settings.bootstrap
+            or alone
+            or 0 < newest <= config.version
+            or waited_s >= CONFIRMATION_WAIT_S
+        )
+        if self.configuration_confirmed:
+            eliot.log_message(
+                "configuration:confirmed",
+                version=config.version,
+                newest=newest,
+                peers=len(self.peers),
+                waited_s=round(waited_s, 3),
+            )
+        return self.configuration_confirmed
+
     def list_live_peers(self, now_s: float) -> list[Peer]:
         """Return the peers whose gossip was received recently."""
         return [
