--- a/tests/gateway/test_endless_answers.py
+++ b/tests/gateway/test_endless_answers.py
@@ -24,6 +24,8 @@
 MAX_LATE_S = 0.25
 MAX_STANDSTILL_S = 0.12
 EVENTS = floods.FORMS["chunked events"]
+# Large enough to fill the buffers of a connection before the deadline.
+LARGE_EVENTS = (floods.UNBOUNDED, b"id: 7\ndata: %s\n\n" % (b"7" * 16_384))
 
 
 async def replace_address(
@@ -146,7 +148,7 @@
 def test_client_that_reads_no_more_is_left_after_its_deadline() -> None:
     async def check() -> None:
         async with deployments.deploy() as deployment:
-            flood = floods.Flood(*EVENTS)
+            flood = floods.Flood(*LARGE_EVENTS)
             board = deployment.gateways[0].board
             try:
                 for name in ("m1", "m2"):
--- a/tests/transport/test_endless_messages.py
+++ b/tests/transport/test_endless_messages.py
@@ -126,6 +126,33 @@
     asyncio.run(check())
 
 
+def test_data_at_hand_is_not_read_after_its_deadline() -> None:
+    async def check() -> None:
+        with floods.send_flood("body") as flood:
+            connection = await h1_client.ClientConnection.open(
+                flood.address, 1.0
+            )
+            connection.send(REQUEST)
+            await connection.read_head(1.0)
+            assert await connection.read_data(1.0)
+            with pytest.raises(errors.ConnectionSilentError):
+                await connection.read_data(0.0)
+            connection.close()
+
+    asyncio.run(check())
+
+
+def test_time_for_an_event_grows_with_its_bytes_only() -> None:
+    reader = events.EventReader()
+    started_s = time.monotonic()
+    for _ in range(events.MAX_EVENT_BYTES):
+        reader.feed(b"x")
+    # A search from the start for each byte takes far longer.
+    assert time.monotonic() - started_s < 3.0
+    with pytest.raises(errors.MalformedMessageError):
+        reader.feed(b"x")
+
+
 def test_sound_streams_keep_their_pauses_beside_an_endless_answer() -> None:
     streams, events_each, interval_s = 50, 12, 0.05
     pauses: list[float] = []
