--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -35,6 +35,12 @@
 MAX_LAG_S = 0.25
 MAX_FDS = 400
 MAX_MEMORY_MB = 150.0
+LIMIT_WINDOW_S = 4.0
+# Time after the first naming of a limit from which it binds, and after a fault
+# of a gateway for which that is excused.
+STABLE_S = 3.0
+# A gateway counts once it has passed on an answer that names the limit.
+TOLD_S = 1.0
 NOT_RUN_STATUSES = (401, 402, 404, 429, 503)
 
 Results = Iterator[trace.Finding | None]
@@ -297,6 +303,51 @@
         )
 
 
+def check_limits(seen: trace.Trace) -> Results:
+    """An endpoint gets no more than the limit that it named to gateways."""
+    requests = {r.request_id: r for r in seen.requests}
+    for window in seen.find_windows(("limit",), 0.0, seen.read_time()):
+        told: dict[tuple[int, int], float] = {}
+        judged = []
+        for arrival in seen.arrivals:
+            request = requests.get(arrival.request_id)
+            if (
+                arrival.endpoint != window.target
+                or request is None
+                or not window.begin_s <= arrival.time_s < window.end_s
+            ):
+                continue
+            key = (request.gateway, request.process)
+            told_s = told.setdefault(key, arrival.time_s + TOLD_S)
+            if arrival.time_s >= max(told_s, window.begin_s + STABLE_S):
+                judged.append(arrival.time_s)
+                if _was_disturbed(seen, request.gateway, arrival.time_s):
+                    judged.pop()
+        allowed = 1.5 * LIMIT_WINDOW_S * seen.limits[window.target] + 5
+        for index, start_s in enumerate(judged):
+            end_s = start_s + LIMIT_WINDOW_S
+            count = sum(t < end_s for t in judged[index:])
+            yield (
+                trace.Finding(
+                    "limit",
+                    round(start_s, 3),
+                    -1,
+                    window.target,
+                    f"{count} requests in 4 s, {allowed:g} allowed",
+                )
+                if count > allowed
+                else None
+            )
+
+
+def _was_disturbed(seen: trace.Trace, gateway: int, time_s: float) -> bool:
+    kinds = ("term", "kill", "freeze", "hup")
+    return any(
+        w.target == f"g{gateway}"
+        for w in seen.find_windows(kinds, time_s - STABLE_S, time_s)
+    )
+
+
 def check_processes(seen: trace.Trace) -> Results:
     """A process ends in its grace with 0 and keeps to its limits."""
     for process in seen.processes:
@@ -343,6 +394,7 @@
     "budget": check_budgets,
     "drain": check_drains,
     "version": check_versions,
+    "limit": check_limits,
     "process": check_processes,
 }
 
--- a/tests/soak/endpoint.py
+++ b/tests/soak/endpoint.py
@@ -20,6 +20,7 @@
 LONG_EVERY = 3
 LONG_S = 0.3
 SLOW_S = 0.6
+LIMIT_HEADER = b"server-limit"
 EVENT_GAP_S = 0.04
 
 
@@ -27,12 +28,14 @@
     """Serve requests until it is crashed; it can be started again.
 
     :ivar behaviour: a key of `BEHAVIOURS`, or ``shed``
+    :ivar limit: requests per second that it names in its answers, as text
     """
 
     def __init__(self, name: str, service: str, recorder: trace.Trace) -> None:
         self.name = name
         self.service = service
         self.behaviour = "serve"
+        self.limit = b""
         self._trace = recorder
         self._server = h1_server.Server(self._handle, h1.Limits)
         self.address = self._server.bind_address("127.0.0.1:0")
@@ -65,14 +68,25 @@
         if expected != self.name.encode():
             await connection.respond(421, (), b"")
             return
+        request_id = h1.find_header(request.headers, b"request-id") or b""
+        self._trace.record_arrival(request_id.decode(), self.name)
+        if self.limit:
+            header = (LIMIT_HEADER, self.limit)
+            request = request._replace(headers=(*request.headers, header))
         if self.behaviour == "shed":
-            await connection.respond(503, ((b"Not-Executed", b"1"),), b"")
+            headers = (*_make_headers(request), (b"Not-Executed", b"1"))
+            await connection.respond(503, headers, b"")
             return
-        request_id = h1.find_header(request.headers, b"request-id") or b""
         self._trace.record_run(request_id.decode(), self.name)
         await BEHAVIOURS[self.behaviour](connection, request)
 
 
+def _make_headers(request: h1.Request) -> h1.Headers:
+    limit = h1.find_header(request.headers, LIMIT_HEADER)
+    extra = ((LIMIT_HEADER, limit),) if limit else ()
+    return platform_endpoint.make_headers(request, extra)
+
+
 def make_body(request_id: bytes, body: bytes) -> bytes:
     """Return the body that answers a request."""
     return b"%s|%s" % (request_id, body)
@@ -96,7 +110,7 @@
         return
     await connection.respond(
         200,
-        platform_endpoint.make_headers(request),
+        _make_headers(request),
         make_body(_read_id(request), request.body),
     )
 
@@ -104,7 +118,7 @@
 async def _stream(
     connection: h1.ServerConnection, request: h1.Request, events: int
 ) -> None:
-    head = h1.ResponseHead(200, b"", platform_endpoint.make_headers(request))
+    head = h1.ResponseHead(200, b"", _make_headers(request))
     await connection.start(head, None)
     last = int(h1.find_header(request.headers, b"last-event-id") or b"0")
     for number in range(last + 1, events + 1):
@@ -129,9 +143,7 @@
         await _stream(connection, request, 2)
         await connection.write(b"id: 3\nda")
     else:
-        head = h1.ResponseHead(
-            200, b"", platform_endpoint.make_headers(request)
-        )
+        head = h1.ResponseHead(200, b"", _make_headers(request))
         await connection.start(head, 1000)
         await connection.write(b"half")
     connection.close()
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -25,6 +25,7 @@
 DRAIN_DURATION_S = 4.0
 SLOW_STORE_S = 0.4
 SLOW_STORE_AFTER_S = 2.3
+LIMITS = (b"1", b"2.5", b"6")
 DELAYS_S = (0.02, 0.2)
 DROPS = (
     frozenset({proxy.UP}),
@@ -81,6 +82,8 @@
         self.proxies = proxies
         self.gateways = gateways
         self.drawn: set[str] = set()
+        # Rates that endpoints have named.
+        self.limits = recorder.limits
 
     @contextlib.contextmanager
     def fault(self, kind: str, target: str) -> Iterator[bool]:
@@ -303,6 +306,16 @@
     await FAULTS["store-slow"](site, rng, seconds)
 
 
+async def _name_limit(site: Site, rng: random.Random, seconds: float) -> None:
+    item = rng.choice(site.endpoints)
+    with site.fault("limit", item.name) as free:
+        if free:
+            item.limit = rng.choice(LIMITS)
+            site.limits[item.name] = float(item.limit)
+            await asyncio.sleep(seconds)
+            item.limit = b""
+
+
 FAULTS: dict[str, Fault] = {
     "publish": _publish,
     "restart": _make_signals("term", False),
@@ -326,10 +339,14 @@
     "drain": _drain_endpoint,
 }
 
+# Faults that no seed draws by itself.
+OTHER_FAULTS: dict[str, Fault] = {"limit": _name_limit}
+
 __all__ = (
     "DRAIN_DURATION_S",
     "FAULTS",
     "MAX_DURATION_S",
+    "OTHER_FAULTS",
     "Event",
     "Site",
     "draw_schedule",
--- a/tests/soak/launcher.py
+++ b/tests/soak/launcher.py
@@ -24,6 +24,7 @@
 from cyclamenwing.gateway import handler
 from cyclamenwing.gateway import reservations
 from cyclamenwing.routing import endpoints
+from cyclamenwing.routing import rate_limits
 
 PROGRAM = pathlib.Path(__file__).parents[2] / "src" / "gateway.py"
 
@@ -167,6 +168,18 @@
     _replace(handler.RequestHandler, "_handle", leak)
 
 
+def plant_whole_limit() -> None:
+    """Use the whole limit of an endpoint, as if there were no others."""
+    _replace(rate_limits, "count_senders", lambda limit_rps, members: members)
+    _replace(
+        rate_limits,
+        "compute_share",
+        lambda limit_rps, members: rate_limits.Share(
+            limit_rps, int(4 * limit_rps + 2)
+        ),
+    )
+
+
 PLANTS: dict[str, Callable[[], None]] = {
     "former-shutdown": plant_former_shutdown,
     "second-run": plant_second_run,
@@ -179,6 +192,7 @@
     "hang": plant_hang,
     "late-exit": plant_late_exit,
     "leak": plant_leak,
+    "whole-limit": plant_whole_limit,
 }
 
 
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -40,6 +40,7 @@
     :param folder: folder for settings and logs of the processes
     :param plants: planted faults by gateway, for tests of the checks
     :param schedule: faults in place of those that the seed draws
+    :param limits: endpoints that name a limit for most of the run, at most
     """
 
     seed: int
@@ -49,6 +50,7 @@
     plants: tuple[str, ...] = ()
     schedule: tuple[faults.Event, ...] = ()
     callers: int = 16
+    limits: int = 0
 
 
 class Result(NamedTuple):
@@ -88,6 +90,13 @@
         schedule = list(self._settings.schedule) or faults.draw_schedule(
             self._rng, self._settings.seconds
         )
+        draws = random.Random(self._settings.seed)
+        schedule[:0] = [
+            faults.Event(
+                0.0, "limit", self._settings.seconds, draws.getrandbits(32)
+            )
+            for _ in range(self._settings.limits)
+        ]
         try:
             await self._start()
             await self._run_schedule(schedule)
@@ -142,7 +151,7 @@
         for event in schedule:
             wait_s = started_s + event.time_s - self._trace.read_time()
             await asyncio.sleep(max(wait_s, 0.0))
-            run = faults.FAULTS[event.kind]
+            run = (faults.FAULTS | faults.OTHER_FAULTS)[event.kind]
             rng = random.Random(event.draw)
             task = asyncio.ensure_future(
                 run(self._site, rng, event.duration_s)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -86,6 +86,21 @@
     assert {f.check for f in result.findings} & {"answered", "whole"}
 
 
+@pytest.mark.parametrize("plant", ["", "whole-limit"])
+def test_whole_limit_at_each_gateway_is_found(
+    tmp_path: pathlib.Path, plant: str
+) -> None:
+    schedule = (faults.Event(0.0, "limit", 9.0, 2),)
+    result = soak.run(
+        soak.Settings(
+            6, 9.0, 4, tmp_path / "run", (plant,) * 4, schedule, callers=24
+        )
+    )
+    assert result.judged["limit"] > 0
+    found = {f.check for f in result.findings}
+    assert ("limit" in found) == bool(plant)
+
+
 def make_request(**changes: Any) -> trace.Request:
     values: dict[str, Any] = {
         "request_id": "r",
--- a/tests/soak/trace.py
+++ b/tests/soak/trace.py
@@ -105,6 +105,10 @@
         self._started_s = time.monotonic()
         self.requests: list[Request] = []
         self.runs: dict[str, list[Run]] = {}
+        # Requests that reached an endpoint, run or not.
+        self.arrivals: list[Run] = []
+        # Rate that an endpoint named.
+        self.limits: dict[str, float] = {}
         self.windows: list[Window] = []
         self.processes: list[Process] = []
         self.payments: list[Payment] = []
@@ -154,6 +158,10 @@
             if resumed_s >= begin_s and resumed_s - lag_s <= end_s
         )
 
+    def record_arrival(self, request_id: str, endpoint: str) -> None:
+        """Record that a request has reached an endpoint."""
+        self.arrivals.append(Run(request_id, endpoint, self.read_time()))
+
     def record_run(self, request_id: str, endpoint: str) -> None:
         """Record that an endpoint begins to run a request."""
         run = Run(request_id, endpoint, self.read_time())
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -58,7 +58,9 @@
     for seed in seeds:
         folder = keep / f"seed-{seed}"
         result = soak.run(
-            soak.Settings(seed, args.seconds, args.gateways, folder)
+            soak.Settings(
+                seed, args.seconds, args.gateways, folder, limits=args.limits
+            )
         )
         _print_result(result)
         totals["faults"].update(result.seen.count_faults())
@@ -80,6 +82,12 @@
     parser.add_argument("--seeds", type=int, default=1, help="their number")
     parser.add_argument("--seconds", type=float, default=10.0)
     parser.add_argument("--gateways", type=int, default=4)
+    parser.add_argument(
+        "--limits",
+        type=int,
+        default=0,
+        help="endpoints that name a limit, at most",
+    )
     parser.add_argument(
         "--regressions", action="store_true", help="run seeds that have failed"
     )
