--- a/tests/gateway/test_eras.py
+++ b/tests/gateway/test_eras.py
@@ -195,3 +195,34 @@
             await check(deployment)
 
     asyncio.run(run_check())
+
+
+# Guards against a delegate that still follows the copy before.
+@pytest.mark.parametrize(
+    ("era", "revision", "complete", "outdated"),
+    [
+        (1, 99, True, True),
+        (1, 99, False, True),
+        (2, 11, True, False),
+        (2, 9, True, True),
+        (2, 9, False, False),
+        (3, 9, True, False),
+        (0, 99, True, False),
+    ],
+)
+def test_watch_answer_of_an_earlier_era_is_outdated(
+    era: int, revision: int, complete: bool, outdated: bool
+) -> None:
+    async def check(deployment: deployments.Deployment) -> None:
+        board = deployment.gateways[0].board
+        board.eras.observe(2, "store")
+        watched = deployment.gateways[0]._watched
+        reply = watches.WatchReply(revision, complete, [], 0.0, None, era)
+        assert watched._is_outdated(reply, 10, 2) is outdated
+        assert board.eras.known == max(era, 2)
+
+    async def run() -> None:
+        async with deployments.deploy() as deployment:
+            await check(deployment)
+
+    asyncio.run(run())
--- a/tests/gateway/test_shutdown.py
+++ b/tests/gateway/test_shutdown.py
@@ -123,6 +123,33 @@
     run(check)
 
 
+# Guards against requests that begin while the holdings are returned.
+def test_nothing_is_admitted_or_accepted_while_holdings_are_returned(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def check(deployment: deployments.Deployment) -> None:
+        gateway = deployment.gateways[0]
+        kept = await h1_client.ClientConnection.open(gateway.address, 1.0)
+        returning, resumed = asyncio.Event(), asyncio.Event()
+
+        async def return_late() -> None:
+            returning.set()
+            await resumed.wait()
+
+        monkeypatch.setattr(gateway._pools, "return_holdings", return_late)
+        closing = asyncio.ensure_future(gateway.close())
+        async with asyncio.timeout(3.0):
+            await returning.wait()
+        assert gateway.board.admission_closed
+        with pytest.raises(errors.ConnectFailedError):
+            await h1_client.ClientConnection.open(gateway.address, 0.5)
+        resumed.set()
+        await closing
+        kept.close()
+
+    run(check)
+
+
 def test_request_received_but_not_parsed_yet_is_answered() -> None:
     async def check(deployment: deployments.Deployment) -> None:
         gateway = deployment.gateways[0]
