--- a/src/cyclamenwing/transport/h1.py
+++ b/src/cyclamenwing/transport/h1.py
@@ -29,7 +29,7 @@
 # Longest time for which a reader parses data that is at hand before other
 # tasks get a turn.
 MAX_TURN_S = 0.005
-# A client's request body may take this long per byte beyond the timeout.
+# Slowest rate at which a request body may take longer than the timeout.
 MIN_BODY_BYTES_PER_S = 1024
 # Chunks of a request body. Tiny ones cost far more time than their bytes.
 MAX_BODY_PIECES = 32_768
