--- a/src/cyclamenwing/gateway/app.py
+++ b/src/cyclamenwing/gateway/app.py
@@ -5,7 +5,6 @@
 import asyncio
 import secrets
 import time
-from collections.abc import Coroutine
 from typing import Any
 
 import eliot
@@ -30,6 +29,7 @@
 from cyclamenwing.gateway import releases
 from cyclamenwing.gateway import reservations
 from cyclamenwing.gateway import settings as gateway_settings
+from cyclamenwing.gateway import tasks
 from cyclamenwing.gateway import watches
 from cyclamenwing.membership import delegates
 from cyclamenwing.metrics import recorder
@@ -213,18 +213,19 @@
             self._endpoints.apply_change,
         )
         self._endpoints.follower = endpoint_follower
-        for coroutine in (
-            configuration_follower.run(),
-            endpoint_follower.run(),
-            self._registration.run(),
-            self._peers.run(),
-            self._store.probe(),
-            self._pools.run(),
-            self._reservations.run(),
-            self._release_predecessors(),
-            self._close_idle_connections(),
+        for run in (
+            configuration_follower.run,
+            endpoint_follower.run,
+            self._registration.run,
+            self._peers.run,
+            self._store.probe,
+            self._pools.run,
+            self._reservations.run,
+            self._release_predecessors,
+            self._close_idle_connections,
         ):
-            self._start_task(coroutine)
+            supervised = tasks.supervise(run.__qualname__, run)
+            self._tasks.append(asyncio.ensure_future(supervised))
         eliot.log_message(
             "gateway:started",
             host=settings.host,
@@ -356,11 +357,6 @@
             self._watched, self.board, prefix, load_snapshot, apply_change
         )
 
-    def _start_task(self, coroutine: Coroutine[Any, Any, None]) -> None:
-        task = asyncio.ensure_future(coroutine)
-        task.add_done_callback(_report_failure)
-        self._tasks.append(task)
-
     def _get_limits(self) -> h1.Limits:
         config = self.board.configuration
         return config.limits if config else h1.Limits()
@@ -390,13 +386,4 @@
         await connection.respond(200, ((b"Content-Type", kind),), body)
 
 
-def _report_failure(task: asyncio.Task[None]) -> None:
-    if task.cancelled():
-        return
-    err = task.exception()
-    if err is not None:
-        eliot.log_message("gateway:task_failed", reason=repr(err))
-        raise err
-
-
 __all__ = ("Gateway",)
