--- a/src/cyclamenwing/gateway/host_record.py
+++ b/src/cyclamenwing/gateway/host_record.py
@@ -7,7 +7,6 @@
 from collections.abc import Mapping
 
 import eliot
-import msgspec
 
 from cyclamenwing.budget import escrow
 from cyclamenwing.gateway import blackboard
@@ -48,22 +47,20 @@
         if self.predecessor_found is not None:
             return self.predecessor_found
         snapshot = await self._store.read(self.key)
-        records_found = [
-            msgspec.json.decode(entry.value, type=records.HolderRecord)
-            for entry in snapshot.entries
-            if entry.key == self.key
-        ]
-        self.predecessor_found = any(
-            r.promises or r.former for r in records_found
+        entry = self.find(snapshot)
+        record = entry and records.read_holder(entry)
+        self.predecessor_found = record is not None and bool(
+            record.promises or record.former
         )
         return self.predecessor_found
 
-    def load_predecessors(self, value: bytes) -> None:
+    def load_predecessors(self, entry: protocol.Entry) -> None:
         """Read the predecessors from the record that this one replaces."""
         board = self._board
-        record = msgspec.json.decode(value, type=records.HolderRecord)
-        if record.holder == board.escrow.holder:
-            # This process wrote the record; the answer to the commit was lost.
+        record = records.read_holder(entry)
+        if record is None or record.holder == board.escrow.holder:
+            # Nothing can be released, or this process wrote the record and
+            # the answer to the commit was lost.
             return
         self._replaced |= {record.holder, *(f.holder for f in record.former)}
         if 0 < record.era < board.escrow.era:
@@ -104,11 +101,12 @@
     def is_replaced(self, entry: protocol.Entry) -> bool:
         """Return whether another process has taken over the host's record.
 
-        In an older copy of the store it may be a predecessor's again.
+        In an older copy of the store it may be a predecessor's again. A
+        record that can't be read may be a successor's of another version.
         """
-        record = msgspec.json.decode(entry.value, type=records.HolderRecord)
+        record = records.read_holder(entry)
         start = self._process_start
-        return not (
+        return record is None or not (
             record.holder == self._board.escrow.holder
             or record.holder in self._replaced
             or (
--- a/src/cyclamenwing/gateway/pool_restoration.py
+++ b/src/cyclamenwing/gateway/pool_restoration.py
@@ -8,7 +8,6 @@
 import random
 
 import eliot
-import msgspec
 
 from cyclamenwing.budget import restoration
 from cyclamenwing.gateway import blackboard
@@ -58,8 +57,9 @@
         if snapshot.era != holders.era:
             return False
         others = [
-            msgspec.json.decode(e.value, type=records.HolderRecord)
-            for e in holders.entries
+            record
+            for entry in holders.entries
+            if (record := records.read_holder(entry)) is not None
         ]
         self._incomplete = any(other.restoring for other in others)
         has_older_records = self._incomplete or any(
--- a/src/cyclamenwing/gateway/pools.py
+++ b/src/cyclamenwing/gateway/pools.py
@@ -146,7 +146,7 @@
         era = snapshot.era
         previous = self._record.find(snapshot)
         if previous is not None:
-            self._record.load_predecessors(previous.value)
+            self._record.load_predecessors(previous)
         record = self._record.make({}, clock.read_time())
         outcome = await eras.commit(
             self._store,
--- a/src/cyclamenwing/gateway/records.py
+++ b/src/cyclamenwing/gateway/records.py
@@ -5,6 +5,7 @@
 from collections.abc import Mapping
 from collections.abc import Sequence
 
+import eliot
 import msgspec
 
 from cyclamenwing.budget import escrow
@@ -15,6 +16,9 @@
 # Most predecessors in a record. Where the processes of a host keep dying, only
 # the latest ones are kept; the holdings of older ones are not freed.
 MAX_PREDECESSORS = 8
+# Holder and tokens by which a pool that can't be read counts as used up.
+UNREADABLE = "unreadable"
+UNREADABLE_DRAWN = 2**62
 
 
 class PoolRecord(msgspec.Struct, omit_defaults=True):
@@ -87,17 +91,34 @@
 
 
 def read_pool(entry: protocol.Entry, first_era: int) -> restoration.PoolState:
-    """Return a pool that is stored.
+    """Return a pool that is stored, closed if it can't be read.
 
     :param first_era: era of records that name none
     """
-    record = msgspec.json.decode(entry.value, type=PoolRecord)
+    try:
+        record = msgspec.json.decode(entry.value, type=PoolRecord)
+    except msgspec.DecodeError as err:
+        eliot.log_message(
+            "funds:pool_unreadable", key=entry.key, reason=str(err)
+        )
+        record = PoolRecord({UNREADABLE: UNREADABLE_DRAWN})
     mark = restoration.Mark(
         record.era or first_era, record.basis, record.restored
     )
     return restoration.PoolState(entry.revision, record.drawn, mark)
 
 
+def read_holder(entry: protocol.Entry) -> HolderRecord | None:
+    """Return the record of a gateway, None if it can't be read."""
+    try:
+        return msgspec.json.decode(entry.value, type=HolderRecord)
+    except msgspec.DecodeError as err:
+        eliot.log_message(
+            "funds:record_unreadable", key=entry.key, reason=str(err)
+        )
+        return None
+
+
 def write_usage_bounds(
     usage_bounds: Mapping[str, escrow.UsageBound],
 ) -> dict[str, UsageBoundRecord]:
@@ -191,6 +212,7 @@
     "ProcessStart",
     "UsageBoundRecord",
     "encode_pool",
+    "read_holder",
     "read_pool",
     "read_predecessors",
     "write_predecessors",
--- a/tests/gateway/test_background_failures.py
+++ b/tests/gateway/test_background_failures.py
@@ -1,11 +1,13 @@
 """Fault pattern: an unexpected error in one background task of a gateway.
 
 The gateway goes on: the task starts again, and the others do not notice.
+Records of gateways in the store that can't be read end no task.
 """
 
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Awaitable
 from collections.abc import Callable
 from typing import Any
 
@@ -13,7 +15,9 @@
 from tests.gateway import deployments
 
 from cyclamenwing.gateway import follower
+from cyclamenwing.gateway import host_record
 from cyclamenwing.gateway import peers
+from cyclamenwing.gateway import pool_restoration
 from cyclamenwing.gateway import pools
 from cyclamenwing.gateway import registration
 from cyclamenwing.gateway import reservations
@@ -122,3 +126,76 @@
             await task
 
     asyncio.run(check())
+
+
+async def check_service(deployment: deployments.Deployment) -> None:
+    """Check that tokens are still drawn, and that the record is renewed."""
+    head, _ = await deployment.send("chat", headers=SIZE)
+    assert head.status == 200
+    board = deployment.gateways[-1].board
+    written_s = board.record_written_s
+    async with asyncio.timeout(5):
+        while board.record_written_s <= written_s:
+            await asyncio.sleep(0.05)
+
+
+def spoil_other_record(
+    deployment: deployments.Deployment, value: bytes
+) -> Awaitable[None]:
+    return deployment.store.put(host_record.HOLDER_PREFIX + "gone", value)
+
+
+def spoil_record_of_next_host(
+    deployment: deployments.Deployment, value: bytes
+) -> Awaitable[None]:
+    return deployment.store.put(host_record.HOLDER_PREFIX + "g1", value)
+
+
+def spoil_other_pool(
+    deployment: deployments.Deployment, value: bytes
+) -> Awaitable[None]:
+    return deployment.store.put(pool_restoration.POOL_PREFIX + "gone", value)
+
+
+@pytest.mark.parametrize("value", [b"", b"\xff", b"[]", b'{"drawn": 1}'])
+@pytest.mark.parametrize(
+    "spoil", [spoil_other_record, spoil_record_of_next_host, spoil_other_pool]
+)
+def test_record_that_cannot_be_read_does_not_stop_the_next_gateway(
+    spoil: Callable[[deployments.Deployment, bytes], Awaitable[None]],
+    value: bytes,
+) -> None:
+    async def check() -> None:
+        async with deployments.deploy() as deployment:
+            await spoil(deployment, value)
+            await deployment.add_gateway("g1")
+            await check_service(deployment)
+
+    asyncio.run(check())
+
+
+@pytest.mark.parametrize("value", [b"", b"\xff", b'{"drawn": 1}'])
+def test_pool_that_cannot_be_read_is_closed_and_others_go_on(
+    value: bytes,
+) -> None:
+    tenants = [
+        {"name": name, "api_keys": [key], "prepaid": deployments.PREPAID}
+        for name, key in (("t1", "k1"), ("t2", "k2"))
+    ]
+
+    async def check() -> None:
+        async with deployments.deploy() as deployment:
+            await deployment.store.put(
+                "op/config", deployments.make_configuration(2, tenants=tenants)
+            )
+            await deployment.store.put(
+                pool_restoration.POOL_PREFIX + "t2", value
+            )
+            await asyncio.sleep(1.0)
+            head, _ = await deployment.send(
+                "chat", headers=SIZE | {"Key": b"k2"}
+            )
+            assert head.status in (402, 503)
+            await check_service(deployment)
+
+    asyncio.run(check())
