--- a/src/cyclamenwing/gateway/blackboard.py
+++ b/src/cyclamenwing/gateway/blackboard.py
@@ -171,12 +171,14 @@
             if now_s - peer.received_s < PEER_TIMEOUT_S
         ]
 
-    def confirm_clock(self, wall_s: float, now_s: float) -> bool:
-        """Return whether live peers confirm that the wall clock is not ahead.
+    def bound_clock_lead(self, wall_s: float, now_s: float) -> float | None:
+        """Return how far the wall clock is ahead of live peers' at most.
+
+        None means that they do not confirm it.
 
         :param wall_s: time by the wall clock at `now_s`
         """
-        return record_age.confirm_clock(
+        return record_age.bound_clock_lead(
             wall_s,
             [
                 peer.wall_offset_s + now_s
--- a/src/cyclamenwing/gateway/host_record.py
+++ b/src/cyclamenwing/gateway/host_record.py
@@ -86,6 +86,7 @@
     ) -> records.HolderRecord:
         """Return the record to write."""
         wall_s = time.time()
+        clock_lead_s = self._board.bound_clock_lead(wall_s, now_s)
         return records.HolderRecord(
             self._board.escrow.holder,
             self._process_start.boot_id,
@@ -93,9 +94,10 @@
             wall_s,
             records.write_usage_bounds(usage_bounds),
             records.write_predecessors(self._board.predecessors),
-            self._board.confirm_clock(wall_s, now_s),
+            clock_lead_s is not None,
             self._board.escrow.era,
             bool(self._board.escrow.unrestored),
+            clock_lead_s,
         )
 
     def is_replaced(self, entry: protocol.Entry) -> bool:
--- a/src/cyclamenwing/gateway/record_age.py
+++ b/src/cyclamenwing/gateway/record_age.py
@@ -38,6 +38,8 @@
 WALL_SLACK_S = 0.5
 # Peers confirm a wall clock that differs from theirs by at most this.
 MAX_CLOCK_LEAD_S = 0.5
+# Added because confirmed clocks drift between the record and the restart.
+CLOCK_DRIFT_S = 0.05
 
 
 class Age(NamedTuple):
@@ -60,8 +62,8 @@
         has written the record since, as the wall clocks of other hosts are
         then no evidence
     :param age: upper bound on the age of its record if one was proved already
-    :param clock_confirmed: peers confirmed that the wall clock was not ahead
-        when the record was written
+    :param clock_lead_s: upper bound on how far the wall clock was ahead of the
+        peers' when the record was written; None if they did not confirm it
     """
 
     holder: str
@@ -69,7 +71,7 @@
     boot_elapsed_s: float | None
     wall_elapsed_s: float | None
     age: Age | None = None
-    clock_confirmed: bool = False
+    clock_lead_s: float | None = None
 
 
 class AgeEvidence(NamedTuple):
@@ -91,20 +93,22 @@
     clock_lead_s: float | None = None
 
 
-def confirm_clock(
+def bound_clock_lead(
     wall_s: float, peer_walls: Sequence[float], other_records: int
-) -> bool:
-    """Return whether peers confirm that a wall clock is not ahead.
+) -> float | None:
+    """Return an upper bound on how far a wall clock is ahead of the peers'.
+
+    None means that they do not confirm the clock.
 
     :param wall_s: present time by the clock
     :param peer_walls: the same by the peers' clocks; a delay of their messages
         makes them less
     :param other_records: number of other hosts that write records
     """
-    return (
-        len(peer_walls) >= max(other_records, MIN_WALL_CLOCK_HOSTS - 1)
-        and wall_s - min(peer_walls) <= MAX_CLOCK_LEAD_S
-    )
+    if len(peer_walls) < max(other_records, MIN_WALL_CLOCK_HOSTS - 1):
+        return None
+    lead_s = max(wall_s - min(peer_walls), 0.0)
+    return lead_s if lead_s <= MAX_CLOCK_LEAD_S else None
 
 
 def bound_age(
@@ -167,17 +171,19 @@
     """Return a bound by the wall clock of this host alone.
 
     Records of different ages are no contradiction here: hosts may have lost
-    the store at different times.
+    the store at different times. The clock shows too little if it was ahead
+    when the record was written, or is behind now. Peers bound both.
     """
     wall_s = predecessor.wall_elapsed_s
     leads = [e.clock_lead_s for e in evidence if e.clock_lead_s is not None]
-    if wall_s is None or not predecessor.clock_confirmed:
+    if wall_s is None or predecessor.clock_lead_s is None:
         return None
     if len(leads) < max(other_records, MIN_WALL_CLOCK_HOSTS - 1):
         return None
     if max(leads) > MAX_CLOCK_LEAD_S or wall_s < 0:
         return None
-    return wall_s + 2 * MAX_CLOCK_LEAD_S
+    lead_s = max(*leads, 0.0)
+    return wall_s + predecessor.clock_lead_s + lead_s + CLOCK_DRIFT_S
 
 
 __all__ = (
@@ -185,5 +191,5 @@
     "AgeEvidence",
     "Predecessor",
     "bound_age",
-    "confirm_clock",
+    "bound_clock_lead",
 )
--- a/src/cyclamenwing/gateway/records.py
+++ b/src/cyclamenwing/gateway/records.py
@@ -61,7 +61,10 @@
     :param since_s: time of writing by the boot clock of the host
     :param wall_s: time of writing in Unix seconds
     :param former: predecessors whose holdings still count in the pools
-    :param clock_confirmed: peers confirmed that the wall clock was not ahead
+    :param clock_confirmed: peers confirmed that the wall clock was not ahead;
+        read by versions that do not know the next field
+    :param clock_lead_s: upper bound on how far it was ahead, None if they did
+        not confirm it
     :param era: era of the store in which the record was written
     :param restoring: pools of an earlier era are not restored by it yet
     """
@@ -75,6 +78,7 @@
     clock_confirmed: bool = False
     era: int = 0
     restoring: bool = False
+    clock_lead_s: float | None = None
 
 
 class ProcessStart(msgspec.Struct, frozen=True):
@@ -190,12 +194,19 @@
                 elapsed_s if same_boot and elapsed_s >= 0 else None
             ),
             wall_elapsed_s=start.wall_s - record.wall_s,
-            clock_confirmed=record.clock_confirmed,
+            clock_lead_s=_read_clock_lead(record),
         )
     )
     return predecessors
 
 
+def _read_clock_lead(record: HolderRecord) -> float | None:
+    if record.clock_lead_s is None and record.clock_confirmed:
+        # Written by a version that did not record by how much.
+        return record_age.MAX_CLOCK_LEAD_S
+    return record.clock_lead_s
+
+
 def _read_usage_bounds(
     stored: Mapping[str, UsageBoundRecord],
 ) -> dict[str, escrow.UsageBound]:
