--- a/src/gateway.py
+++ b/src/gateway.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import argparse
+import os
 import sys
 
 from cyclamenwing import errors
@@ -23,4 +24,9 @@
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    exit_code = main()
+    sys.stdout.flush()
+    sys.stderr.flush()
+    # Nothing is left to write, and the teardown of the interpreter would take
+    # a part of the shutdown grace, most of all on a busy host.
+    os._exit(exit_code)
