--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -78,7 +78,14 @@
 
 
 def _get_ended(seen: trace.Trace) -> list[trace.Request]:
-    return [r for r in seen.requests if r.ended]
+    """Return what can be judged.
+
+    After a stall of the soak itself, answers are read before it is known how
+    long the stall was.
+    """
+    return [
+        r for r in seen.requests if r.ended and r.end_s <= seen.lags_known_s
+    ]
 
 
 def check_answers(seen: trace.Trace) -> Results:
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -103,6 +103,7 @@
             await self._check_recovery()
             await asyncio.sleep(SETTLE_S)
             await self._stop_tasks()
+            self._trace.end_lags()
             judged = checks.check(self._trace)
         finally:
             await self._end()
--- a/tests/soak/trace.py
+++ b/tests/soak/trace.py
@@ -5,6 +5,7 @@
 import collections
 import dataclasses
 import json
+import math
 import pathlib
 import time
 from typing import NamedTuple
@@ -114,6 +115,8 @@
         self.payments: list[Payment] = []
         self.findings: list[Finding] = []
         self.max_lag_s = 0.0
+        # Until then it is known when the soak itself did not run.
+        self.lags_known_s = 0.0
         self._lags: list[tuple[float, float]] = []
 
     def read_time(self) -> float:
@@ -146,10 +149,15 @@
         """Record how late the soak's own process resumed after a sleep."""
         now_s = self.read_time()
         lag_s = now_s - slept_s - expected_s
+        self.lags_known_s = now_s
         self.max_lag_s = max(self.max_lag_s, lag_s)
         if lag_s > expected_s:
             self._lags.append((now_s, lag_s))
 
+    def end_lags(self) -> None:
+        """Record that nothing more is measured."""
+        self.lags_known_s = math.inf
+
     def count_lag(self, begin_s: float, end_s: float) -> float:
         """Return the time in which the soak itself did not run."""
         return sum(
