--- a/src/cyclamenwing/gateway/app.py
+++ b/src/cyclamenwing/gateway/app.py
@@ -9,6 +9,7 @@
 
 import eliot
 
+from cyclamenwing import tasks
 from cyclamenwing.budget import escrow
 from cyclamenwing.budget import restoration
 from cyclamenwing.gateway import attempts
@@ -29,7 +30,6 @@
 from cyclamenwing.gateway import releases
 from cyclamenwing.gateway import reservations
 from cyclamenwing.gateway import settings as gateway_settings
-from cyclamenwing.gateway import tasks
 from cyclamenwing.gateway import watches
 from cyclamenwing.membership import delegates
 from cyclamenwing.metrics import recorder
--- a/src/cyclamenwing/gateway/tasks.py
+++ b/src/cyclamenwing/tasks.py
@@ -18,15 +18,15 @@
 async def supervise(name: str, run: Callable[[], Awaitable[None]]) -> None:
     """Run a task until it returns; start it again if it raises.
 
-    A gateway whose watches or draws have ended would serve on with what it
-    knew last, and count as ready.
+    A process whose watches have ended would serve on with what it knew last,
+    and count as ready.
     """
     while True:
         try:
             await run()
         except Exception as err:
             eliot.log_message(
-                "gateway:task_failed",
+                "task:failed",
                 task=name,
                 reason=repr(err),
                 trace=traceback.format_exc(limit=-TRACEBACK_CALLS),
--- a/tests/gateway/test_background_failures.py
+++ b/tests/gateway/test_background_failures.py
@@ -14,6 +14,7 @@
 import pytest
 from tests.gateway import deployments
 
+from cyclamenwing import tasks
 from cyclamenwing.gateway import follower
 from cyclamenwing.gateway import host_record
 from cyclamenwing.gateway import peers
@@ -21,7 +22,6 @@
 from cyclamenwing.gateway import pools
 from cyclamenwing.gateway import registration
 from cyclamenwing.gateway import reservations
-from cyclamenwing.gateway import tasks
 
 SIZE = {"Token-Counts": b"100,20"}
 RESUMED_S = tasks.RESTART_DELAY_S + 1.0
