--- a/src/cyclamenwing/entry/catalog.py
+++ b/src/cyclamenwing/entry/catalog.py
@@ -10,6 +10,7 @@
 import eliot
 
 from cyclamenwing import errors as base_errors
+from cyclamenwing import tasks
 from cyclamenwing.catalog import adoption
 from cyclamenwing.catalog import delta
 from cyclamenwing.catalog import errors
@@ -80,7 +81,7 @@
 
     def start(self) -> None:
         """Start following the catalog."""
-        self._task = asyncio.create_task(self._run())
+        self._task = tasks.start_loop(self._run)
 
     async def close(self) -> None:
         """Stop following the catalog."""
--- a/src/cyclamenwing/entry/dispatch.py
+++ b/src/cyclamenwing/entry/dispatch.py
@@ -11,6 +11,7 @@
 import eliot
 import msgspec
 
+from cyclamenwing import tasks
 from cyclamenwing.entry import blackboard
 from cyclamenwing.entry import quarantine
 from cyclamenwing.membership import types as membership_types
@@ -58,7 +59,7 @@
 
         The review notices slots that other entries have freed.
         """
-        self._task = asyncio.create_task(self._review_queues())
+        self._task = tasks.start_loop(self._review_queues)
 
     async def close(self) -> None:
         """Stop the periodic review of the queues."""
--- a/src/cyclamenwing/entry/funding.py
+++ b/src/cyclamenwing/entry/funding.py
@@ -10,6 +10,7 @@
 import eliot
 
 from cyclamenwing import errors as base_errors
+from cyclamenwing import tasks
 from cyclamenwing.budget import billing
 from cyclamenwing.budget import coordinator
 from cyclamenwing.budget import errors
@@ -75,7 +76,7 @@
 
     def start(self) -> None:
         """Start the periodic settlement with the ledger."""
-        self._task = asyncio.create_task(self._run())
+        self._task = tasks.start_loop(self._run)
 
     async def close(self) -> None:
         """Return unused units, send the last settlements and stop."""
--- a/src/cyclamenwing/entry/membership.py
+++ b/src/cyclamenwing/entry/membership.py
@@ -12,6 +12,7 @@
 
 import eliot
 
+from cyclamenwing import tasks
 from cyclamenwing.catalog import types as catalog_types
 from cyclamenwing.entry import blackboard
 from cyclamenwing.entry import fleet_handlers
@@ -116,11 +117,10 @@
 
     def start(self) -> None:
         """Start sending heartbeats."""
-        self._tasks.append(asyncio.create_task(self._run()))
-        self._tasks.append(asyncio.create_task(self._sync()))
+        self._tasks.append(tasks.start_loop(self._run))
+        self._tasks.append(tasks.start_loop(self._sync))
         if self._hosts is not None:
-            poll = self._poll_hosts(self._hosts)
-            self._tasks.append(asyncio.create_task(poll))
+            self._tasks.append(tasks.start_loop(self._poll_hosts, self._hosts))
 
     async def close(self) -> None:
         """Announce that this entry is leaving, then stop heartbeats."""
--- a/src/cyclamenwing/entry/quarantine.py
+++ b/src/cyclamenwing/entry/quarantine.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from cyclamenwing import errors as base_errors
+from cyclamenwing import tasks
 from cyclamenwing.entry import blackboard
 from cyclamenwing.membership import types as membership_types
 from cyclamenwing.membership import view
@@ -78,7 +79,7 @@
 
     def start(self) -> None:
         """Start the periodic expiry of records."""
-        self._task = asyncio.create_task(self._expire())
+        self._task = tasks.start_loop(self._expire)
 
     async def close(self) -> None:
         """Stop the periodic expiry of records."""
--- a/src/cyclamenwing/gateway/app.py
+++ b/src/cyclamenwing/gateway/app.py
@@ -224,8 +224,7 @@
             self._release_predecessors,
             self._close_idle_connections,
         ):
-            supervised = tasks.supervise(run.__qualname__, run)
-            self._tasks.append(asyncio.ensure_future(supervised))
+            self._tasks.append(tasks.start_loop(run))
         eliot.log_message(
             "gateway:started",
             host=settings.host,
--- a/src/cyclamenwing/sidecar/handlers.py
+++ b/src/cyclamenwing/sidecar/handlers.py
@@ -9,6 +9,7 @@
 from tornado import iostream
 
 from cyclamenwing import errors as base_errors
+from cyclamenwing import tasks
 from cyclamenwing.request import assembly
 from cyclamenwing.request import run_table
 from cyclamenwing.request import types
@@ -231,7 +232,7 @@
 
     def start(self) -> None:
         """Start the loop that drops runs past their retention."""
-        self._task = asyncio.create_task(self._expire())
+        self._task = tasks.start_loop(self._expire)
 
     async def close(self) -> None:
         """Wait until all followers are done, then stop the loop.
--- a/src/cyclamenwing/sidecar/membership.py
+++ b/src/cyclamenwing/sidecar/membership.py
@@ -10,6 +10,7 @@
 
 import eliot
 
+from cyclamenwing import tasks
 from cyclamenwing.catalog import types as catalog_types
 from cyclamenwing.membership import errors
 from cyclamenwing.membership import gossip_sources
@@ -76,7 +77,7 @@
 
     def start(self) -> None:
         """Start the heartbeat loop."""
-        self._task = asyncio.create_task(self._run())
+        self._task = tasks.start_loop(self._run)
 
     async def close(self) -> None:
         """Stop the heartbeat loop and cancel heartbeats in progress."""
--- a/src/cyclamenwing/tasks.py
+++ b/src/cyclamenwing/tasks.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import traceback
 from collections.abc import Awaitable
 from collections.abc import Callable
@@ -36,7 +37,17 @@
             return
 
 
+def start_loop(
+    run: Callable[..., Awaitable[None]], *args: object
+) -> asyncio.Task[None]:
+    """Start a supervised background task, named after its method."""
+    return asyncio.create_task(
+        supervise(run.__qualname__, functools.partial(run, *args))
+    )
+
+
 __all__ = (
     "RESTART_DELAY_S",
+    "start_loop",
     "supervise",
 )
--- a/src/cyclamenwing/transport/component.py
+++ b/src/cyclamenwing/transport/component.py
@@ -6,6 +6,8 @@
 from typing import Any
 from typing import Protocol
 
+from cyclamenwing import tasks
+
 
 class Component(Protocol):
     """Provide HTTP handlers or background work to a role."""
@@ -34,7 +36,7 @@
 
     def start(self) -> None:
         """Start the loop."""
-        self._task = asyncio.create_task(self._run())
+        self._task = tasks.start_loop(self._run)
 
     async def close(self) -> None:
         """Stop the loop."""
