--- a/src/cyclamenwing/gateway/pool_restoration.py
+++ b/src/cyclamenwing/gateway/pool_restoration.py
@@ -236,7 +236,7 @@
     ) -> dict[str, restoration.PoolState]:
         return {
             entry.key.removeprefix(POOL_PREFIX): records.read_pool(
-                entry, self._board.eras.first
+                entry, self._board.eras
             )
             for entry in snapshot.entries
         }
--- a/src/cyclamenwing/gateway/pools.py
+++ b/src/cyclamenwing/gateway/pools.py
@@ -372,7 +372,7 @@
                 self._merge_record(entry)
                 continue
             name = entry.key.removeprefix(POOL_PREFIX)
-            state = records.read_pool(entry, self._board.eras.first)
+            state = records.read_pool(entry, self._board.eras)
             own_escrow.update_pool(
                 name, state.revision, state.holders, state.mark
             )
--- a/src/cyclamenwing/gateway/records.py
+++ b/src/cyclamenwing/gateway/records.py
@@ -10,6 +10,7 @@
 
 from cyclamenwing.budget import escrow
 from cyclamenwing.budget import restoration
+from cyclamenwing.gateway import eras
 from cyclamenwing.gateway import record_age
 from cyclamenwing.store import protocol
 
@@ -94,10 +95,14 @@
     return msgspec.json.encode(PoolRecord(dict(holders), *mark))
 
 
-def read_pool(entry: protocol.Entry, first_era: int) -> restoration.PoolState:
+def read_pool(
+    entry: protocol.Entry, tracker: eras.EraTracker
+) -> restoration.PoolState:
     """Return a pool that is stored, closed if it can't be read.
 
-    :param first_era: era of records that name none
+    :param tracker: names the era of records that name none, the first one,
+        and that of records that can't be read, the present one, so that no
+        older state is restored in their place
     """
     try:
         record = msgspec.json.decode(entry.value, type=PoolRecord)
@@ -105,9 +110,9 @@
         eliot.log_message(
             "funds:pool_unreadable", key=entry.key, reason=str(err)
         )
-        record = PoolRecord({UNREADABLE: UNREADABLE_DRAWN})
+        record = PoolRecord({UNREADABLE: UNREADABLE_DRAWN}, tracker.known)
     mark = restoration.Mark(
-        record.era or first_era, record.basis, record.restored
+        record.era or tracker.first, record.basis, record.restored
     )
     return restoration.PoolState(entry.revision, record.drawn, mark)
 
--- a/src/cyclamenwing/gateway/releases.py
+++ b/src/cyclamenwing/gateway/releases.py
@@ -93,7 +93,7 @@
         )
         if isinstance(outcome, protocol.Conflict):
             for entry in outcome.entries:
-                state = records.read_pool(entry, self._board.eras.first)
+                state = records.read_pool(entry, self._board.eras)
                 own_escrow.update_pool(
                     workspace, state.revision, state.holders, state.mark
                 )
--- a/tests/gateway/test_background_failures.py
+++ b/tests/gateway/test_background_failures.py
@@ -174,26 +174,43 @@
     asyncio.run(check())
 
 
+TENANTS = [
+    {"name": name, "api_keys": [key], "prepaid": deployments.PREPAID}
+    for name, key in (("t1", "k1"), ("t2", "k2"))
+]
+
+
+@pytest.mark.parametrize("returned", [False, True])
 @pytest.mark.parametrize("value", [b"", b"\xff", b'{"drawn": 1}'])
 def test_pool_that_cannot_be_read_is_closed_and_others_go_on(
-    value: bytes,
+    value: bytes, returned: bool
 ) -> None:
-    tenants = [
-        {"name": name, "api_keys": [key], "prepaid": deployments.PREPAID}
-        for name, key in (("t1", "k1"), ("t2", "k2"))
-    ]
+    """Spoil a pool that is in use, also after a return to an older copy."""
 
     async def check() -> None:
         async with deployments.deploy() as deployment:
-            await deployment.store.put(
-                "op/config", deployments.make_configuration(2, tenants=tenants)
+            store = deployment.store
+            await store.put(
+                "op/config", deployments.make_configuration(2, tenants=TENANTS)
             )
-            await deployment.store.put(
-                pool_restoration.POOL_PREFIX + "t2", value
-            )
-            await asyncio.sleep(1.0)
+            await asyncio.sleep(0.5)
+            other_key = SIZE | {"Key": b"k2"}
+            assert (await deployment.send("chat", headers=other_key))[
+                0
+            ].status == 200
+            if returned:
+                await store.restore(store.copy())
+                board = deployment.gateways[0].board
+                async with asyncio.timeout(6):
+                    while board.escrow.era != 2 or board.escrow.unopened:
+                        await asyncio.sleep(0.05)
+            await store.put(pool_restoration.POOL_PREFIX + "t2", value)
+            await asyncio.sleep(2.5)
+            # Nothing is drawn from it, nor does it keep the other pool and
+            # the record from being written.
+            await check_service(deployment)
             head, _ = await deployment.send(
-                "chat", headers=SIZE | {"Key": b"k2"}
+                "chat", headers={"Token-Counts": b"60000,20"} | {"Key": b"k2"}
             )
             assert head.status in (402, 503)
             await check_service(deployment)
