--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -218,6 +218,7 @@
 
     async def _measure_lag(self) -> None:
         """Record how late this process itself runs."""
+        self._trace.begin_lags()
         while True:
             before_s = self._trace.read_time()
             await asyncio.sleep(LAG_POLL_S)
--- a/tests/soak/trace.py
+++ b/tests/soak/trace.py
@@ -116,7 +116,7 @@
         self.findings: list[Finding] = []
         self.max_lag_s = 0.0
         # Until then it is known when the soak itself did not run.
-        self.lags_known_s = 0.0
+        self.lags_known_s = math.inf
         self._lags: list[tuple[float, float]] = []
 
     def read_time(self) -> float:
@@ -154,6 +154,10 @@
         if lag_s > expected_s:
             self._lags.append((now_s, lag_s))
 
+    def begin_lags(self) -> None:
+        """Record that stalls are measured from now on."""
+        self.lags_known_s = self.read_time()
+
     def end_lags(self) -> None:
         """Record that nothing more is measured."""
         self.lags_known_s = math.inf
