--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -14,8 +14,9 @@
 CLEAN_SEED = 1
 SECONDS = 3.0
 # A planted fault shows only if requests meet it, which is up to the timing of
-# processes; one of these seeds must show it.
-PLANTED_SEEDS = (3, 4, 5)
+# processes; one of these seeds must show it. Beside other work on the machine
+# requests are fewer and it takes more of them.
+PLANTED_SEEDS = range(3, 13)
 # Planted faults by gateway, and the checks that find them there.
 PLANTS = (
     "disorder",
@@ -54,6 +55,7 @@
 
 def test_planted_faults_are_found(tmp_path: pathlib.Path) -> None:
     found: set[tuple[int, str]] = set()
+    overspent = False
     for seed in PLANTED_SEEDS:
         result = soak.run(
             soak.Settings(
@@ -67,11 +69,12 @@
             )
         )
         found |= {(f.gateway, f.check) for f in result.findings}
-        if set(FOUND) <= found:
+        # All gateways spend the budget, so any may be the one to exceed it.
+        overspent = "budget" in {check for _, check in found}
+        if set(FOUND) <= found and overspent:
             break
     assert set(FOUND) <= found
-    # All gateways spend the budget, so any may be the one to exceed it.
-    assert "budget" in {check for _, check in found}
+    assert overspent
 
 
 def test_requests_cut_by_the_former_shutdown_are_found(
