--- a/tests/budget/test_restoration.py
+++ b/tests/budget/test_restoration.py
@@ -38,6 +38,16 @@
     "notice": 0.2,
 }
 
+# The same walks in each run.
+WALKS = hypothesis.settings(
+    max_examples=EXAMPLES,
+    derandomize=True,
+    database=None,
+    deadline=None,
+    phases=[hypothesis.Phase.generate],
+    suppress_health_check=list(hypothesis.HealthCheck),
+)
+
 
 class Record(NamedTuple):
     """Hold what a host's record says."""
@@ -417,14 +427,7 @@
         self.returns += 1
 
 
-@hypothesis.settings(
-    max_examples=EXAMPLES,
-    derandomize=True,
-    database=None,
-    deadline=None,
-    phases=[hypothesis.Phase.generate],
-    suppress_health_check=list(hypothesis.HealthCheck),
-)
+@WALKS
 @hypothesis.given(st.integers(0, 2**32))
 def test_return_to_an_older_copy_overspends_nothing(seed: int) -> None:
     fleet = Fleet(seed)
--- a/tests/budget/test_two_returns.py
+++ b/tests/budget/test_two_returns.py
@@ -53,14 +53,7 @@
     return fleet
 
 
-@hypothesis.settings(
-    max_examples=EXAMPLES,
-    derandomize=True,
-    database=None,
-    deadline=None,
-    phases=[hypothesis.Phase.generate],
-    suppress_health_check=list(hypothesis.HealthCheck),
-)
+@hypothesis.settings(test_restoration.WALKS, max_examples=EXAMPLES)
 @hypothesis.given(st.integers(0, 2**32))
 def test_two_returns_with_a_death_between_overspend_nothing(
     seed: int,
