Log every lost attempt and what was found of its endpoint

Added: attempt:failed for the last attempt too, with the events that were forwarded; request, parts, events and count in suspect:crash; suspect:no_crash where the endpoint still accepts connections. format_request_id moves to gateway/calls, which both modules import.

--- a/src/cyclamenwing/gateway/attempts.py
+++ b/src/cyclamenwing/gateway/attempts.py
@@ -285,8 +285,8 @@
             eliot.log_message(
                 "attempt:foreign_answer",
                 address=connection.address,
-                request=format_request_id(context.call.request_id),
-                answered=format_request_id(metadata.request_id),
+                request=calls.format_request_id(context.call.request_id),
+                answered=calls.format_request_id(metadata.request_id),
             )
             await connection.read_body(
                 max(until_s - clock.read_time(), 0.0), MAX_ANSWER_BYTES
@@ -333,16 +333,10 @@
         await forwarder.forward_whole(head, body)
 
 
-def format_request_id(request_id: bytes | None) -> str | None:
-    """Return a request id as text for the log."""
-    return None if request_id is None else request_id.decode("latin-1")
-
-
 __all__ = (
     "DEADLINE_MARGIN_S",
     "AttemptLostError",
     "AttemptNotRunError",
     "Attempts",
     "Target",
-    "format_request_id",
 )
--- a/src/cyclamenwing/gateway/calls.py
+++ b/src/cyclamenwing/gateway/calls.py
@@ -125,6 +125,11 @@
         """Return status, headers and body of a refusal."""
 
 
+def format_request_id(request_id: bytes | None) -> str | None:
+    """Return a request id as text for the log."""
+    return None if request_id is None else request_id.decode("latin-1")
+
+
 __all__ = (
     "AnswerMetadata",
     "Call",
@@ -133,4 +138,5 @@
     "Refusal",
     "Size",
     "UpstreamOptions",
+    "format_request_id",
 )
--- a/src/cyclamenwing/gateway/handler.py
+++ b/src/cyclamenwing/gateway/handler.py
@@ -195,13 +195,15 @@
                 last_error = err
             except attempts.AttemptLostError as err:
                 last_error = err
-                if not self._may_retry(context, forwarder):
-                    break
             finally:
                 self._board.placement.end(
                     target.endpoint, target.request_number
                 )
             self._log_attempt(context, target, last_error)
+            if isinstance(
+                last_error, attempts.AttemptLostError
+            ) and not self._may_retry(context, forwarder):
+                break
             context.excluded.add(target.endpoint.name)
         raise self._make_final_error(context, last_error)
 
@@ -277,7 +279,7 @@
         refusal = err.make_refusal()
         eliot.log_message(
             "request:refused",
-            request=attempts.format_request_id(request_id),
+            request=calls.format_request_id(request_id),
             code=err.code,
             status=refusal.status,
             reason=err.message,
@@ -308,7 +310,7 @@
         config = self._board.configuration
         eliot.log_message(
             "request:done",
-            request=attempts.format_request_id(context.call.request_id),
+            request=calls.format_request_id(context.call.request_id),
             outcome=code,
             status=context.status,
             route=context.route.name,
@@ -333,11 +335,12 @@
     ) -> None:
         eliot.log_message(
             "attempt:failed",
-            request=attempts.format_request_id(context.call.request_id),
+            request=calls.format_request_id(context.call.request_id),
             endpoint=target.endpoint.name,
             code=err.code,
             reason=err.message,
             sent=context.sent_count,
+            events=context.events,
         )
 
 
--- a/src/cyclamenwing/gateway/poison_requests.py
+++ b/src/cyclamenwing/gateway/poison_requests.py
@@ -9,6 +9,7 @@
 import xxhash
 
 from cyclamenwing.gateway import blackboard
+from cyclamenwing.gateway import calls
 from cyclamenwing.gateway import clock
 from cyclamenwing.gateway import errors
 from cyclamenwing.gateway import request_context
@@ -101,25 +102,32 @@
         await asyncio.sleep(CONFIRM_DELAY_S)
         if not self._board.directory.accepts(endpoint, clock.read_time()):
             return
+        fingerprint = make_fingerprint(context)
         try:
             connection = await h1_client.ClientConnection.open(
                 endpoint.address, CONFIRM_TIMEOUT_S
             )
         except transport_errors.ConnectFailedError:
-            fingerprint = make_fingerprint(context)
             self._controller.record_crash(
                 self._board.quarantine,
                 fingerprint,
                 endpoint.name,
                 _read_ms(),
             )
-            eliot.log_message(
-                "suspect:crash",
-                fingerprint=fingerprint,
-                endpoint=endpoint.name,
-            )
+            crashed = True
         else:
             connection.close()
+            crashed = False
+        record = self._board.quarantine.records.get(fingerprint)
+        eliot.log_message(
+            "suspect:crash" if crashed else "suspect:no_crash",
+            request=calls.format_request_id(context.call.request_id),
+            fingerprint=fingerprint,
+            endpoint=endpoint.name,
+            crashes=len(record["crashes"]) if record else 0,
+            events=context.events,
+            parts=[part.name for part in context.call.parts],
+        )
 
 
 def make_fingerprint(context: request_context.RequestContext) -> str:
