--- a/src/cyclamenwing/standin/platform_endpoint.py
+++ b/src/cyclamenwing/standin/platform_endpoint.py
@@ -32,6 +32,8 @@
         when it sheds a request, as text; empty for none
     :ivar limit: requests per second that it names in all answers, as text;
         empty for none
+    :ivar deadly_part: part of a prompt at which the endpoint crashes as it
+        begins to answer; empty for none
     :ivar started_ms: start time in its entry, 0 for none
     :ivar arrivals: number of requests that reached it, executed or not
     :ivar arrival_times: when these arrived, by the steady clock
@@ -47,6 +49,7 @@
         self.leaving = False
         self.refuse_time = b""
         self.limit = b""
+        self.deadly_part = b""
         self.started_ms = int(time.time() * MS_PER_S)
         self.arrivals = 0
         self.arrival_times: list[float] = []
@@ -104,6 +107,10 @@
         if self.behaviour == "crash":
             self.stop()
             return
+        if self.deadly_part and self.deadly_part in read_parts(request):
+            await _stream(connection, request, extra, 0)
+            self.stop()
+            return
         try:
             await asyncio.sleep(self.pause_s)
         except asyncio.CancelledError:
@@ -127,6 +134,12 @@
     return (STAMP_HEADER, (b"Request-Id", request_id), *extra)
 
 
+def read_parts(request: h1.Request) -> list[bytes]:
+    """Return the names of the parts of a request's prompt."""
+    header = h1.find_header(request.headers, b"prompt-prefix") or b""
+    return [part.partition(b":")[0] for part in header.split(b",")]
+
+
 async def _answer(
     connection: h1.ServerConnection, request: h1.Request, extra: h1.Headers
 ) -> None:
@@ -219,4 +232,5 @@
     "STREAM_EVENTS",
     "EndpointStandin",
     "make_headers",
+    "read_parts",
 )
