--- a/src/cyclamenwing/standin/platform_endpoint.py
+++ b/src/cyclamenwing/standin/platform_endpoint.py
@@ -32,7 +32,7 @@
         when it sheds a request, as text; empty for none
     :ivar limit: requests per second that it names in all answers, as text;
         empty for none
-    :ivar deadly_part: part of a prompt at which the endpoint crashes as it
+    :ivar poison_part: part of a prompt at which the endpoint crashes as it
         begins to answer; empty for none
     :ivar started_ms: start time in its entry, 0 for none
     :ivar arrivals: number of requests that reached it, executed or not
@@ -49,7 +49,7 @@
         self.leaving = False
         self.refuse_time = b""
         self.limit = b""
-        self.deadly_part = b""
+        self.poison_part = b""
         self.started_ms = int(time.time() * MS_PER_S)
         self.arrivals = 0
         self.arrival_times: list[float] = []
@@ -107,7 +107,7 @@
         if self.behaviour == "crash":
             self.stop()
             return
-        if self.deadly_part and self.deadly_part in read_parts(request):
+        if self.poison_part and self.poison_part in read_parts(request):
             await _stream(connection, request, extra, 0)
             self.stop()
             return
--- a/tests/gateway/test_deadly_parts.py
+++ b/tests/gateway/test_poison_parts.py
@@ -14,7 +14,7 @@
 
 from cyclamenwing.standin import platform_endpoint
 
-DEADLY = "dead"
+POISON = "poison"
 ENDPOINTS = 16
 # Endpoints that may end under one part until all gateways refuse it.
 MAX_ENDED = 5
@@ -68,14 +68,14 @@
     return head.status
 
 
-def set_deadly(deployment: deployments.Deployment) -> None:
+def set_poison(deployment: deployments.Deployment) -> None:
     for endpoint in deployment.get_endpoints("llm"):
-        endpoint.deadly_part = DEADLY.encode()
+        endpoint.poison_part = POISON.encode()
 
 
 def count_ended(deployment: deployments.Deployment) -> int:
     return sum(
-        DEADLY.encode() in platform_endpoint.read_parts(request)
+        POISON.encode() in platform_endpoint.read_parts(request)
         for endpoint in deployment.get_endpoints("llm")
         for request in endpoint.runs
     )
@@ -83,14 +83,14 @@
 
 def test_part_that_crashes_endpoints_is_refused_at_all_gateways() -> None:
     async def check(deployment: deployments.Deployment) -> None:
-        set_deadly(deployment)
+        set_poison(deployment)
         for number in range(REQUESTS):
-            await send(deployment, 2 * number, DEADLY)
+            await send(deployment, 2 * number, POISON)
             assert await send(deployment, 2 * number + 1, "sound") == 200
             await asyncio.sleep(SETTLE_S)
         assert count_ended(deployment) <= MAX_ENDED
         for number in range(100, 104):
-            assert await send(deployment, number, DEADLY) == 503
+            assert await send(deployment, number, POISON) == 503
             assert await send(deployment, number + 100) == 200
 
     run(check)
