Quarantine parts of prompts that crash endpoints

Cause: crashes were counted by a fingerprint of the whole request, so requests that share only a part never added up. Ruled out: crashes that are not recognised (suspect:crash at every one), counts that are lost on the way (no record above one anywhere).

Change: a crash counts for the shared parts of each request that had no event yet. An answer that begins acquits its parts. Only refused connections count as crashes here, as a host that answers nothing may be cut off. The quarantine is checked again before each attempt. Records go to peers by gossip until they confirm them.

--- a/src/cyclamenwing/gateway/attempts.py
+++ b/src/cyclamenwing/gateway/attempts.py
@@ -34,7 +34,6 @@
 DEADLINE_MARGIN_S = 0.02
 # Answers to other requests that are skipped on a connection per attempt.
 MAX_FOREIGN_ANSWERS = 3
-SUCCESS_STATUSES = range(200, 300)
 
 ATTEMPTS = metric_types.Counter(
     "gateway_attempts", "Attempts at endpoints by outcome", ("outcome",)
@@ -193,6 +192,11 @@
             connection.close()
             self._board.metrics.count(ATTEMPTS, "excluded")
             raise AttemptNotRunError("the endpoint was excluded meanwhile")
+        try:
+            self._poison_requests.check_quarantine(context)
+        except errors.QuarantinedError as err:
+            connection.close()
+            raise AttemptNotRunError(err.message) from err
         return connection
 
     def _may_send(self, target: Target) -> bool:
@@ -300,7 +304,7 @@
     def _check_answer(
         self, head: h1.ResponseHead, metadata: calls.AnswerMetadata
     ) -> None:
-        if head.status in SUCCESS_STATUSES and not (
+        if head.status in forwarding.SUCCESS_STATUSES and not (
             metadata.signed and metadata.request_id is not None
         ):
             raise transport_errors.MalformedMessageError(
@@ -319,7 +323,7 @@
         connection: h1_client.ClientConnection,
     ) -> None:
         streams = context.route.kind is configuration.RouteKind.STREAM
-        if head.status in SUCCESS_STATUSES and streams:
+        if head.status in forwarding.SUCCESS_STATUSES and streams:
             await forwarder.forward_stream(head, connection)
             return
         if forwarder.started:
--- a/src/cyclamenwing/gateway/blackboard.py
+++ b/src/cyclamenwing/gateway/blackboard.py
@@ -17,6 +17,7 @@
 from cyclamenwing.metrics import recorder
 from cyclamenwing.routing import endpoints
 from cyclamenwing.routing import placement
+from cyclamenwing.routing import poison_parts
 from cyclamenwing.routing import quarantine
 from cyclamenwing.routing import retry_budget
 
@@ -65,6 +66,7 @@
     `predecessor_wall_age_s`.
 
     :param quarantine: requests that were running when endpoints crashed
+    :param poison_parts: parts of prompts that such requests share
     :param roster: members of the fleet and the delegates among them
     :param eras: era of the store
     :param configuration_confirmed: no peer knew a newer configuration since
@@ -104,6 +106,9 @@
     quarantine: quarantine.QuarantineBoard = dataclasses.field(
         default_factory=quarantine.QuarantineBoard
     )
+    poison_parts: poison_parts.PoisonParts = dataclasses.field(
+        default_factory=poison_parts.PoisonParts
+    )
     peers: dict[str, Peer] = dataclasses.field(default_factory=dict)
     registered: bool = False
     store_contact_s: float = 0.0
--- a/src/cyclamenwing/gateway/forwarding.py
+++ b/src/cyclamenwing/gateway/forwarding.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Awaitable
+from collections.abc import Callable
 
 import h11
 
@@ -17,6 +18,7 @@
 # A client that reads no more of its answer is left this long after its
 # deadline.
 WRITE_MARGIN_S = 1.0
+SUCCESS_STATUSES = range(200, 300)
 
 
 class AnswerForwarder:
@@ -24,15 +26,19 @@
 
     A stream that breaks may be resumed at another endpoint; its events then
     go on in the same answer.
+
+    :param record_answer: called once an answer of success has begun
     """
 
     def __init__(
         self,
         connection: h1.ServerConnection,
         context: request_context.RequestContext,
+        record_answer: Callable[[request_context.RequestContext], None],
     ) -> None:
         self._connection = connection
         self._context = context
+        self._record_answer = record_answer
         self.reader = events.EventReader()
         self.started = False
         # The whole answer of the endpoint is here and only has to be written.
@@ -42,6 +48,8 @@
     async def forward_whole(self, head: h1.ResponseHead, body: bytes) -> None:
         """Send a complete answer to the client."""
         self._record_first_byte(head)
+        if head.status in SUCCESS_STATUSES:
+            self._record_answer(self._context)
         self.started = True
         self.complete = True
         await self._write_to_client(
@@ -64,6 +72,8 @@
             if data is None:
                 break
             events_data = self.reader.feed(data)
+            if self.reader.count and not context.events:
+                self._record_answer(context)
             context.events = self.reader.count
             if events_data:
                 await self._forward_data(head, events_data)
@@ -100,4 +110,7 @@
             self._context.status = head.status
 
 
-__all__ = ("AnswerForwarder",)
+__all__ = (
+    "SUCCESS_STATUSES",
+    "AnswerForwarder",
+)
--- a/src/cyclamenwing/gateway/gossip.py
+++ b/src/cyclamenwing/gateway/gossip.py
@@ -20,6 +20,7 @@
 from cyclamenwing.budget import restoration
 from cyclamenwing.gateway import blackboard
 from cyclamenwing.gateway import clock
+from cyclamenwing.gateway import poison_notices
 from cyclamenwing.gateway import poison_requests
 from cyclamenwing.membership import delegates
 from cyclamenwing.routing import exclusions
@@ -95,6 +96,7 @@
     :param era: era of the store that it knows, and of `pools`
     :param marks: marks of those `pools` that were restored in this era
     :param limits: limits of endpoints that the peer has not been told of yet
+    :param parts: suspect parts of prompts
     """
 
     host: str
@@ -122,6 +124,7 @@
     era: int = 0
     marks: dict[str, restoration.Mark] = {}
     limits: list[rate_limits.LimitNotice] = []
+    parts: poison_notices.PartNotices | None = None
 
 
 class RecordAgeRequest(msgspec.Struct):
@@ -204,6 +207,7 @@
     ) -> None:
         self._board = board
         self._poison_requests = poison_tracker
+        self._part_notices = poison_notices.PartNoticeExchange(board)
         self._recent_parts: collections.deque[RecentParts] = collections.deque(
             maxlen=MAX_RECENT_PARTS
         )
@@ -300,6 +304,7 @@
                 if (mark := board.escrow.find_mark(name)).restored
             },
             limits=self._list_limits(delivered, serves, host, now_s),
+            parts=self._part_notices.build(address, host),
         )
 
     def _list_pools(
@@ -429,6 +434,9 @@
         self._merge_limits(message, now_s)
         if message.suspects is not None:
             self._poison_requests.merge_gossip(message.suspects)
+        self._part_notices.merge(
+            message.parts, message.address, message.host, message.holder
+        )
 
     def report_record_age(self, holder: str) -> RecordAgeReply:
         """Return the evidence on the age of a dead process's record."""
--- a/src/cyclamenwing/gateway/handler.py
+++ b/src/cyclamenwing/gateway/handler.py
@@ -89,10 +89,11 @@
         except errors.GatewayError as err:
             await self._refuse(connection, request, None, err)
             return
-        forwarder = forwarding.AnswerForwarder(connection, context)
+        forwarder = forwarding.AnswerForwarder(
+            connection, context, self._poison_requests.record_answer
+        )
         code = "cancelled"
         try:
-            self._poison_requests.check_quarantine(context)
             await self._serve_until_interrupted(context, forwarder)
             code = "passed"
         except errors.GatewayError as err:
@@ -132,6 +133,7 @@
         context: request_context.RequestContext,
         forwarder: forwarding.AnswerForwarder,
     ) -> None:
+        self._poison_requests.check_quarantine(context)
         # Before the reservation, which may wait for tokens.
         waiting = exclusions.make_waiting_error(
             self._board, context.service.name
@@ -178,6 +180,7 @@
         last_error: errors.GatewayError | None = None
         for attempt in range(MAX_ATTEMPTS):
             self._check_deadline(context, last_error)
+            self._check_quarantine(context)
             if (
                 attempt
                 and context.sent_count
@@ -224,6 +227,16 @@
                 f"deadline passed; last error: {last_error}"
             )
 
+    def _check_quarantine(
+        self, context: request_context.RequestContext
+    ) -> None:
+        try:
+            self._poison_requests.check_quarantine(context)
+        except errors.QuarantinedError as err:
+            if context.may_have_run:
+                raise errors.AnswerLostError(err.message, "unknown") from err
+            raise
+
     def _acquire_retry(self, context: request_context.RequestContext) -> bool:
         now_s = clock.read_time()
         return self._board.retry_budget.try_acquire(
--- a/src/cyclamenwing/gateway/poison_requests.py
+++ b/src/cyclamenwing/gateway/poison_requests.py
@@ -1,4 +1,8 @@
-"""Quarantine of poison requests, which crash the endpoints that run them."""
+"""Quarantine of poison requests, which crash the endpoints that run them.
+
+A request is told by its whole content, or by a part of its prompt that other
+requests share.
+"""
 
 from __future__ import annotations
 
@@ -39,10 +43,21 @@
     def check_quarantine(
         self, context: request_context.RequestContext
     ) -> None:
-        """Refuse a request that is quarantined.
+        """Refuse a request that is quarantined, or has such a part.
 
         :raises QuarantinedError: if it was running at too many crashes
         """
+        now_ms = _read_ms()
+        found = self._board.poison_parts.find_quarantined(
+            _list_parts(context), now_ms
+        )
+        if found is not None:
+            error = errors.QuarantinedError(
+                f"part {found.part} was in requests at {found.crashes} "
+                "endpoint crashes"
+            )
+            error.retry_after_s = (found.until_ms - now_ms) / MS_PER_S
+            raise error
         fingerprint = make_fingerprint(context)
         record = self._board.quarantine.records.get(fingerprint)
         if (
@@ -66,10 +81,24 @@
 
         :param context: request whose answer the endpoint lost
         """
-        task = asyncio.ensure_future(self._confirm_crash(context, endpoint))
+        task = asyncio.ensure_future(
+            self._confirm_crash(context, endpoint, _read_ms())
+        )
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
+    def record_answer(self, context: request_context.RequestContext) -> None:
+        """Acquit the parts of a request whose answer has begun."""
+        acquitted = self._board.poison_parts.record_answer(
+            _list_parts(context), _read_ms()
+        )
+        for part in acquitted:
+            eliot.log_message(
+                "suspect:part_acquitted",
+                part=part,
+                request=calls.format_request_id(context.call.request_id),
+            )
+
     def clear_answered(self, context: request_context.RequestContext) -> None:
         """Clear the crashes of a request that got a complete answer."""
         now_ms = _read_ms()
@@ -85,6 +114,7 @@
         """Return crash records to send to peers, None without any."""
         now_ms = _read_ms()
         holder = self._board.escrow.holder
+        self._board.poison_parts.expire(now_ms)
         self._controller.expire(self._board.quarantine, holder, now_ms)
         return self._controller.make_gossip(
             self._board.quarantine, holder, now_ms
@@ -98,6 +128,7 @@
         self,
         context: request_context.RequestContext,
         endpoint: endpoints.Endpoint,
+        lost_ms: int,
     ) -> None:
         await asyncio.sleep(CONFIRM_DELAY_S)
         if not self._board.directory.accepts(endpoint, clock.read_time()):
@@ -107,7 +138,7 @@
             connection = await h1_client.ClientConnection.open(
                 endpoint.address, CONFIRM_TIMEOUT_S
             )
-        except transport_errors.ConnectFailedError:
+        except transport_errors.ConnectFailedError as err:
             self._controller.record_crash(
                 self._board.quarantine,
                 fingerprint,
@@ -115,6 +146,11 @@
                 _read_ms(),
             )
             crashed = True
+            # Without any answer the host may merely be cut off.
+            if not context.events and not isinstance(
+                err.__cause__, TimeoutError
+            ):
+                self._suspect_parts(context, endpoint, lost_ms)
         else:
             connection.close()
             crashed = False
@@ -129,6 +165,29 @@
             parts=[part.name for part in context.call.parts],
         )
 
+    def _suspect_parts(
+        self,
+        context: request_context.RequestContext,
+        endpoint: endpoints.Endpoint,
+        lost_ms: int,
+    ) -> None:
+        now_ms = _read_ms()
+        parts = self._board.poison_parts
+        for part in parts.record_crash(
+            _list_parts(context),
+            endpoint.name,
+            endpoint.started_ms,
+            lost_ms,
+            now_ms,
+        ):
+            eliot.log_message(
+                "suspect:part",
+                part=part,
+                endpoint=endpoint.name,
+                crashes=parts.count_crashes(part),
+                quarantined=parts.is_quarantined(part, now_ms),
+            )
+
 
 def make_fingerprint(context: request_context.RequestContext) -> str:
     """Return a fingerprint that is the same for all repeats of a request."""
@@ -145,6 +204,10 @@
     return digest.hexdigest()
 
 
+def _list_parts(context: request_context.RequestContext) -> list[str]:
+    return [part.name for part in context.call.parts]
+
+
 def _read_ms() -> int:
     return int(time.time() * MS_PER_S)
 
