Take a stream that ends inside an event as broken off

Cause: only the framing told whole answers from cut ones, so such a stream was passed on as complete with half an event, was not gone on with elsewhere, and counted as an answer that clears crashes. One that ended before its first event became an empty success.

Change: a stream that ends inside an event is lost, whatever its framing; one without framing also if it has no event.

--- a/src/cyclamenwing/gateway/forwarding.py
+++ b/src/cyclamenwing/gateway/forwarding.py
@@ -77,8 +77,16 @@
             context.events = self.reader.count
             if events_data:
                 await self._forward_data(head, events_data)
-        if self.reader.partial or not self.started:
-            await self._forward_data(head, self.reader.partial)
+        if self.reader.partial:
+            raise transport_errors.ConnectionLostError(
+                "the stream ended inside an event", "unknown"
+            )
+        if not self.started:
+            if not _is_framed(head):
+                raise transport_errors.ConnectionLostError(
+                    "the connection ended before the first event", "unknown"
+                )
+            await self._forward_data(head, b"")
         await self._write_to_client(self._connection.finish())
 
     async def _forward_data(self, head: h1.ResponseHead, data: bytes) -> None:
@@ -110,6 +118,12 @@
             self._context.status = head.status
 
 
+def _is_framed(head: h1.ResponseHead) -> bool:
+    """Return whether the body's end is told from that of the connection."""
+    names = {name for name, _ in head.headers}
+    return not names.isdisjoint((b"content-length", b"transfer-encoding"))
+
+
 __all__ = (
     "SUCCESS_STATUSES",
     "AnswerForwarder",
--- a/src/cyclamenwing/standin/platform_endpoint.py
+++ b/src/cyclamenwing/standin/platform_endpoint.py
@@ -200,6 +200,51 @@
     await connection.finish()
 
 
+async def _answer_unframed(
+    connection: h1.ServerConnection, request: h1.Request, extra: h1.Headers
+) -> None:
+    """Send an answer with neither a length nor chunks."""
+    await _write_unframed(connection, request, extra, _list_events(request))
+
+
+async def _cut_unframed(
+    connection: h1.ServerConnection, request: h1.Request, extra: h1.Headers
+) -> None:
+    """Break such an answer off inside an event."""
+    begun = _list_events(request)[: STREAM_EVENTS // 2]
+    await _write_unframed(connection, request, extra, [*begun, b"id: 9\nda"])
+
+
+async def _begin_unframed(
+    connection: h1.ServerConnection, request: h1.Request, extra: h1.Headers
+) -> None:
+    """Break such an answer off before its first event."""
+    await _write_unframed(connection, request, extra, [])
+
+
+async def _write_unframed(
+    connection: h1.ServerConnection,
+    request: h1.Request,
+    extra: h1.Headers,
+    pieces: list[bytes],
+) -> None:
+    headers = (*make_headers(request, extra), (b"Connection", b"close"))
+    head = b"".join(b"%s: %s\r\n" % header for header in headers)
+    await connection.stream.write(b"HTTP/1.1 200 OK\r\n" + head + b"\r\n")
+    for piece in pieces:
+        await connection.stream.write(piece)
+    connection.close()
+
+
+def _list_events(request: h1.Request) -> list[bytes]:
+    """Return the events of a stream that the client has not received."""
+    last_event_id = h1.find_header(request.headers, b"last-event-id") or b"0"
+    return [
+        b"id: %d\ndata: %d\n\n" % (number, number)
+        for number in range(int(last_event_id) + 1, STREAM_EVENTS + 1)
+    ]
+
+
 async def _answer_other_request(
     connection: h1.ServerConnection, request: h1.Request, extra: h1.Headers
 ) -> None:
@@ -225,6 +270,9 @@
     "slow": _answer_slowly,
     "forge": _answer_other_request,
     "unsign": _answer_unsigned,
+    "unframed": _answer_unframed,
+    "cut unframed": _cut_unframed,
+    "begin unframed": _begin_unframed,
 }
 
 __all__ = (
