Keep quarantined parts in the store over a restart of all gateways

Cause: records of poison parts lived in the gateways only, so after a loss of all of them the part was sent to endpoints again until three more had ended. Found by reading the fix against what must outlast all hosts; ruled out for the restart of single gateways, which learn of it by gossip (new test, passes on the code before). Change: delegates keep the quarantined parts under one key, read at the start and written when one of them changes.

Before: test_part_is_still_refused_after_a_restart_of_all_gateways was served the part. After: it passes. The requests of these tests differ in their paths now; with the same path and an empty body they were also one poison request as a whole.

--- a/src/cyclamenwing/gateway/app.py
+++ b/src/cyclamenwing/gateway/app.py
@@ -22,6 +22,7 @@
 from cyclamenwing.gateway import grants
 from cyclamenwing.gateway import handler
 from cyclamenwing.gateway import peers
+from cyclamenwing.gateway import poison_records
 from cyclamenwing.gateway import poison_requests
 from cyclamenwing.gateway import pools
 from cyclamenwing.gateway import record_age
@@ -130,6 +131,9 @@
             self._store, board, http, settled
         )
         self._pools = pools.PoolClient(board, self._store, settled)
+        self._poison_records = poison_records.PoisonRecordStore(
+            board, self._store, settled
+        )
         self._releases = releases.PredecessorRelease(
             board, self._store, self._pools.request_draw
         )
@@ -221,6 +225,7 @@
             self._store.probe,
             self._pools.run,
             self._reservations.run,
+            self._poison_records.run,
             self._release_predecessors,
             self._close_idle_connections,
         ):
--- a/src/cyclamenwing/routing/poison_parts.py
+++ b/src/cyclamenwing/routing/poison_parts.py
@@ -188,6 +188,11 @@
         known = self._records.get(part)
         return _count_events(known.record.crashes.values()) if known else 0
 
+    def find_record(self, part: str) -> PartRecord | None:
+        """Return the record of a part, if there is one."""
+        known = self._records.get(part)
+        return known.record if known else None
+
     def list_notices(
         self, after: int, receiver: str
     ) -> tuple[list[PartRecord], int]:
--- a/tests/gateway/test_poison_parts.py
+++ b/tests/gateway/test_poison_parts.py
@@ -7,11 +7,14 @@
 from __future__ import annotations
 
 import asyncio
+import json
+import time
 from collections.abc import Callable
 from collections.abc import Coroutine
 
 from tests.gateway import deployments
 
+from cyclamenwing.routing import poison_parts
 from cyclamenwing.standin import platform_endpoint
 
 POISON = "poison"
@@ -58,14 +61,17 @@
 
 async def send(
     deployment: deployments.Deployment, number: int, *parts: str
-) -> int:
-    """Send a request to a gateway, each number to the next one."""
-    head, _ = await deployment.send(
-        "chat",
+) -> str:
+    """Send a request to a gateway, each number to the next one.
+
+    :return: "served", or the code of the refusal
+    """
+    head, body = await deployment.send(
+        f"chat/{number}",
         gateway=number % len(deployment.gateways),
         headers=make_headers(number, *parts),
     )
-    return head.status
+    return "served" if head.status == 200 else json.loads(body)["code"]
 
 
 def set_poison(deployment: deployments.Deployment) -> None:
@@ -86,11 +92,71 @@
         set_poison(deployment)
         for number in range(REQUESTS):
             await send(deployment, 2 * number, POISON)
-            assert await send(deployment, 2 * number + 1, "sound") == 200
+            assert await send(deployment, 2 * number + 1, "sound") == "served"
             await asyncio.sleep(SETTLE_S)
         assert count_ended(deployment) <= MAX_ENDED
         for number in range(100, 104):
-            assert await send(deployment, number, POISON) == 503
-            assert await send(deployment, number + 100) == 200
+            assert await send(deployment, number, POISON) == "quarantined"
+            assert await send(deployment, number + 100) == "served"
 
     run(check)
+
+
+async def quarantine_part(deployment: deployments.Deployment) -> None:
+    """Crash endpoints until all gateways refuse the part."""
+    set_poison(deployment)
+    for number in range(poison_parts.CRASHES_TO_QUARANTINE):
+        await send(deployment, number, POISON)
+        await asyncio.sleep(SETTLE_S)
+    for endpoint in deployment.get_endpoints("llm"):
+        endpoint.poison_part = b""
+
+
+def test_gateway_that_starts_learns_of_the_part_from_its_peers() -> None:
+    async def check(deployment: deployments.Deployment) -> None:
+        await quarantine_part(deployment)
+        await deployment.add_gateway("late")
+        await asyncio.sleep(SETTLE_S)
+        assert await send(deployment, 4, POISON) == "quarantined"
+        assert await send(deployment, 9) == "served"
+
+    run(check)
+
+
+def test_part_is_still_refused_after_a_restart_of_all_gateways() -> None:
+    async def check(deployment: deployments.Deployment) -> None:
+        await quarantine_part(deployment)
+        for gateway in deployment.gateways:
+            gateway.stop()
+        deployment.gateways.clear()
+        for number in range(2):
+            await deployment.add_gateway(f"g{number}")
+        await asyncio.sleep(SETTLE_S)
+        for number in (10, 11):
+            assert await send(deployment, number, POISON) == "quarantined"
+            assert await send(deployment, number + 10) == "served"
+
+    run(check, gateways=2)
+
+
+def test_request_that_waits_for_a_connection_is_refused_meanwhile() -> None:
+    async def check(deployment: deployments.Deployment) -> None:
+        tracker = deployment.gateways[0].board.poison_parts
+        ran = deployment.count_runs("llm")
+        # Without tokens a request waits until they are granted.
+        headers = make_headers(1, POISON)
+        task = asyncio.ensure_future(
+            deployment.send("resume", gateway=0, headers=headers)
+        )
+        await asyncio.sleep(0)
+        now_ms = int(time.time() * 1000)
+        for number in range(poison_parts.CRASHES_TO_QUARANTINE):
+            at_ms = now_ms - number * 1000
+            tracker.record_crash(
+                ["first", POISON, "own"], f"x{number}", 1, at_ms, at_ms
+            )
+        head, _ = await task
+        assert head.status == 503
+        assert deployment.count_runs("llm") == ran
+
+    run(check, gateways=1)
