Log the software versions of endpoints and of resumed streams

No decision changes. The expected endpoint of tests/platform gets the version of its entry, so it compares one field more.

--- a/src/cyclamenwing/gateway/attempts.py
+++ b/src/cyclamenwing/gateway/attempts.py
@@ -112,6 +112,7 @@
         if chosen is None:
             return None
         context.endpoint = chosen.name
+        context.software = chosen.software
         limits = self._board.directory.limits
         counted = limits.is_limited(chosen.incarnation)
         limits.try_acquire(chosen.incarnation, now_s)
--- a/src/cyclamenwing/gateway/calls.py
+++ b/src/cyclamenwing/gateway/calls.py
@@ -35,6 +35,8 @@
     :param wait_s: time until the client's deadline, None if not set
     :param parts: parts of the prompt, in order
     :param last_event_id: event after which a stream is to be resumed
+    :param resumes: the client's request that brought the first event of that
+        stream; its header names no request to go on with
     """
 
     request_id: bytes | None
@@ -45,6 +47,7 @@
     size: Size | None
     parts: tuple[Part, ...]
     last_event_id: bytes | None
+    resumes: bytes | None = None
 
 
 class UpstreamOptions(NamedTuple):
--- a/src/cyclamenwing/gateway/follower.py
+++ b/src/cyclamenwing/gateway/follower.py
@@ -256,6 +256,7 @@
                 endpoint=endpoint.name,
                 service=endpoint.service,
                 address=endpoint.address,
+                software=endpoint.software,
                 draining=endpoint.draining,
                 excluded=self._board.directory.is_gone(endpoint),
             )
--- a/src/cyclamenwing/gateway/request_context.py
+++ b/src/cyclamenwing/gateway/request_context.py
@@ -19,6 +19,7 @@
     :param sent_count: attempts whose request was sent to an endpoint
     :param may_have_run: an endpoint has run the request, or may have
     :param reserved_s: time at which its tokens were reserved
+    :param software: software version of the endpoint chosen last
     :param excluded: names of endpoints that are not tried again
     """
 
@@ -34,6 +35,7 @@
     may_have_run: bool = False
     status: int = 0
     endpoint: str = ""
+    software: str = ""
     reserved_s: float | None = None
     first_byte_s: float | None = None
     events: int = 0
--- a/src/cyclamenwing/platform/endpoints.py
+++ b/src/cyclamenwing/platform/endpoints.py
@@ -20,6 +20,8 @@
     address: str
     state: Literal["ready", "draining"]
     zone: str = ""
+    # Version of its software; that of its weights is with its models.
+    version: str = ""
     # Requests that the endpoint runs at the same time.
     slots: int = 1
     # Remaining time in which the endpoint is slow after its start.
@@ -51,6 +53,7 @@
         slots=max(entry.slots, 1),
         draining=entry.state == "draining",
         started_ms=entry.born,
+        software=entry.version,
     )
 
 
--- a/src/cyclamenwing/platform/messages.py
+++ b/src/cyclamenwing/platform/messages.py
@@ -54,6 +54,7 @@
             size=_read_size(get_header(b"token-counts")),
             parts=_read_parts(get_header(b"prompt-prefix", b"")),
             last_event_id=get_header(b"last-event-id"),
+            resumes=get_header(b"resumes"),
         )
     except ValueError as err:
         raise errors.RequestUnreadableError(str(err)) from err
--- a/src/cyclamenwing/routing/endpoints.py
+++ b/src/cyclamenwing/routing/endpoints.py
@@ -18,7 +18,7 @@
     """Describe one incarnation of an endpoint.
 
     `slots` is the number of requests that it runs at once, `started_ms` the
-    time at which its process started.
+    time at which its process started, `software` the version of its software.
     """
 
     name: str
@@ -28,6 +28,7 @@
     slots: int
     draining: bool
     started_ms: int = 0
+    software: str = ""
 
     @property
     def incarnation(self) -> exclusions.Incarnation:
--- a/tests/platform/test_endpoints.py
+++ b/tests/platform/test_endpoints.py
@@ -30,7 +30,7 @@
 
 def test_entry_is_translated() -> None:
     assert read(ENTRY) == types.Endpoint(
-        "i-1", "llm", "10.0.0.9:8080", "z1", 64, False, 1700000000000
+        "i-1", "llm", "10.0.0.9:8080", "z1", 64, False, 1700000000000, "v1"
     )
 
 
