--- a/src/cyclamenwing/standin/platform_endpoint.py
+++ b/src/cyclamenwing/standin/platform_endpoint.py
@@ -34,6 +34,7 @@
         empty for none
     :ivar poison_part: part of a prompt at which the endpoint crashes as it
         begins to answer; empty for none
+    :ivar software: version of its software in its entry
     :ivar started_ms: start time in its entry, 0 for none
     :ivar arrivals: number of requests that reached it, executed or not
     :ivar arrival_times: when these arrived, by the steady clock
@@ -50,6 +51,7 @@
         self.refuse_time = b""
         self.limit = b""
         self.poison_part = b""
+        self.software = "v1"
         self.started_ms = int(time.time() * MS_PER_S)
         self.arrivals = 0
         self.arrival_times: list[float] = []
@@ -69,7 +71,7 @@
             "service": self.service,
             "address": self.address,
             "zone": "z1",
-            "version": "v1",
+            "version": self.software,
             "slots": 6,
             "state": state,
             "cold_left_ms": 0,
