Keep streams at the software version that began them

Cause: nothing read the version in an endpoint's entry, so a broken stream went on at any endpoint of its service, within one answer and when its client returned. Not ruled out: an endpoint that starts again under its name with another version before its entry changes.

Change: the first event binds a stream to the version of its endpoint; later attempts choose among that version only. While a service has more than one version, the gateway tells two others, derived from the request's id, which version began it; a gateway to which the client returns asks them. When a second version appears, gateways tell of the streams that began before. With one version in the time that a stream can last nothing is sent or asked; a gateway that starts learns by gossip what was there before. A stream that nobody knows beside two versions, or whose version is gone, is refused at once (stream_version_unknown, stream_version_gone).

The tests' gateways count as having served for long, as only those know that there was one version.

--- a/src/cyclamenwing/gateway/app.py
+++ b/src/cyclamenwing/gateway/app.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import secrets
 import time
 from typing import Any
@@ -31,6 +32,7 @@
 from cyclamenwing.gateway import releases
 from cyclamenwing.gateway import reservations
 from cyclamenwing.gateway import settings as gateway_settings
+from cyclamenwing.gateway import stream_origins
 from cyclamenwing.gateway import watches
 from cyclamenwing.membership import delegates
 from cyclamenwing.metrics import recorder
@@ -38,6 +40,7 @@
 from cyclamenwing.routing import placement
 from cyclamenwing.routing import rate_limits
 from cyclamenwing.routing import retry_budget
+from cyclamenwing.routing import versions
 from cyclamenwing.store import errors as store_errors
 from cyclamenwing.store import protocol
 from cyclamenwing.transport import h1
@@ -113,6 +116,10 @@
                 ),
                 clock.read_time(),
             ),
+            # Before the first start of the fleet there were no streams.
+            versions=versions.VersionHistory(
+                -math.inf if settings.bootstrap else clock.read_time()
+            ),
             # A pause between the two readings must not make peers seem behind.
             started_wall_s=time.time(),
             started_s=clock.read_time(),
@@ -134,6 +141,7 @@
         self._poison_records = poison_records.PoisonRecordStore(
             board, self._store, settled
         )
+        self._streams = stream_origins.StreamOrigins(board, http)
         self._releases = releases.PredecessorRelease(
             board, self._store, self._pools.request_draw
         )
@@ -149,6 +157,8 @@
         self._peers.handlers.update({
             relay.RELAY_PATH: self._store.answer_peer,
             watches.WATCH_PATH: self._watched.answer,
+            stream_origins.NOTE_PATH: self._streams.answer_note,
+            stream_origins.QUERY_PATH: self._streams.answer_query,
             grants.GRANT_PATH: self._reservations.answer_grant,
             grants.RETURN_PATH: self._reservations.answer_return,
         })
@@ -161,6 +171,7 @@
             attempts.Attempts(
                 board, dialect, self._peers, self._connections, poison_tracker
             ),
+            self._streams,
         )
         self._client_server = h1_server.Server(
             self._handler.handle, self._get_limits
@@ -226,6 +237,7 @@
             self._pools.run,
             self._reservations.run,
             self._poison_records.run,
+            self._streams.run,
             self._release_predecessors,
             self._close_idle_connections,
         ):
--- a/src/cyclamenwing/gateway/attempts.py
+++ b/src/cyclamenwing/gateway/attempts.py
@@ -100,6 +100,9 @@
                 context.service.name, now_s
             )
             if e.name not in context.excluded
+            and (
+                context.origin is None or e.software == context.origin.software
+            )
         ]
         engine = context.service.engine
         placement = self._board.placement
--- a/src/cyclamenwing/gateway/blackboard.py
+++ b/src/cyclamenwing/gateway/blackboard.py
@@ -20,6 +20,7 @@
 from cyclamenwing.routing import poison_parts
 from cyclamenwing.routing import quarantine
 from cyclamenwing.routing import retry_budget
+from cyclamenwing.routing import versions
 
 # A peer without gossip for longer counts as gone: pools and retry budgets are
 # shared among the other gateways.
@@ -67,6 +68,7 @@
 
     :param quarantine: requests that were running when endpoints crashed
     :param poison_parts: parts of prompts that such requests share
+    :param versions: software versions of the endpoints lately
     :param roster: members of the fleet and the delegates among them
     :param eras: era of the store
     :param configuration_confirmed: no peer knew a newer configuration since
@@ -97,6 +99,7 @@
     metrics: recorder.Recorder
     roster: delegates.Roster
     eras: eras.EraTracker
+    versions: versions.VersionHistory
     configuration: configuration.Configuration | None = None
     configuration_confirmed: bool = False
     directory: endpoints.Directory = dataclasses.field(
--- a/src/cyclamenwing/gateway/errors.py
+++ b/src/cyclamenwing/gateway/errors.py
@@ -103,6 +103,20 @@
     retry_after_s = 30.0
 
 
+class StreamVersionUnknownError(GatewayError):
+    """Report a stream to take up whose software version no gateway knows."""
+
+    code = "stream_version_unknown"
+    retry_after_s = 0.3
+
+
+class StreamVersionGoneError(GatewayError):
+    """Report a stream to take up whose software version no longer serves."""
+
+    code = "stream_version_gone"
+    retry_after_s = 1.0
+
+
 class AnswerLostError(GatewayError):
     """Report a request that may have run and whose answer was lost."""
 
@@ -144,6 +158,8 @@
     "OverloadedError",
     "PeerDataError",
     "QuarantinedError",
+    "StreamVersionGoneError",
+    "StreamVersionUnknownError",
     "UnknownKeyError",
     "UnknownRouteError",
     "UnreadableRequestError",
--- a/src/cyclamenwing/gateway/gossip.py
+++ b/src/cyclamenwing/gateway/gossip.py
@@ -27,6 +27,7 @@
 from cyclamenwing.routing import placement
 from cyclamenwing.routing import quarantine
 from cyclamenwing.routing import rate_limits
+from cyclamenwing.routing import versions
 
 # Records are renewed more often than this while the store is reachable. Peers
 # learn of an older record early enough for its usage bounds to enter their
@@ -97,6 +98,8 @@
     :param marks: marks of those `pools` that were restored in this era
     :param limits: limits of endpoints that the peer has not been told of yet
     :param parts: suspect parts of prompts
+    :param software: software versions of the endpoints that it saw lately
+    :param software_span_s: time for which it has missed none
     """
 
     host: str
@@ -125,6 +128,8 @@
     marks: dict[str, restoration.Mark] = {}
     limits: list[rate_limits.LimitNotice] = []
     parts: poison_notices.PartNotices | None = None
+    software: list[versions.SeenVersion] = []
+    software_span_s: float = 0.0
 
 
 class RecordAgeRequest(msgspec.Struct):
@@ -305,6 +310,8 @@
             },
             limits=self._list_limits(delivered, serves, host, now_s),
             parts=self._part_notices.build(address, host),
+            software=board.versions.list_seen(now_s),
+            software_span_s=board.versions.measure_span(now_s),
         )
 
     def _list_pools(
@@ -432,6 +439,7 @@
         self._merge_pools(message, now_s)
         board.placement.merge_superseded(message.superseded, now_s)
         self._merge_limits(message, now_s)
+        board.versions.merge(message.software, message.software_span_s, now_s)
         if message.suspects is not None:
             self._poison_requests.merge_gossip(message.suspects)
         self._part_notices.merge(
--- a/src/cyclamenwing/gateway/handler.py
+++ b/src/cyclamenwing/gateway/handler.py
@@ -11,12 +11,14 @@
 from cyclamenwing.gateway import blackboard
 from cyclamenwing.gateway import calls
 from cyclamenwing.gateway import clock
+from cyclamenwing.gateway import configuration
 from cyclamenwing.gateway import errors
 from cyclamenwing.gateway import exclusions
 from cyclamenwing.gateway import forwarding
 from cyclamenwing.gateway import poison_requests
 from cyclamenwing.gateway import request_context
 from cyclamenwing.gateway import reservations
+from cyclamenwing.gateway import stream_origins
 from cyclamenwing.metrics import types as metric_types
 from cyclamenwing.transport import h1
 
@@ -44,12 +46,14 @@
         token_reservations: reservations.Reservations,
         poison_tracker: poison_requests.PoisonRequestTracker,
         endpoint_attempts: attempts.Attempts,
+        origins: stream_origins.StreamOrigins,
     ) -> None:
         self._board = board
         self._dialect = dialect
         self._reservations = token_reservations
         self._poison_requests = poison_tracker
         self._attempts = endpoint_attempts
+        self._origins = origins
         self._interruptible: dict[
             asyncio.Timeout, forwarding.AnswerForwarder
         ] = {}
@@ -90,7 +94,7 @@
             await self._refuse(connection, request, None, err)
             return
         forwarder = forwarding.AnswerForwarder(
-            connection, context, self._poison_requests.record_answer
+            connection, context, self._record_answer
         )
         code = "cancelled"
         try:
@@ -134,6 +138,8 @@
         forwarder: forwarding.AnswerForwarder,
     ) -> None:
         self._poison_requests.check_quarantine(context)
+        if context.route.resumable and context.call.last_event_id is not None:
+            await self._origins.resolve(context)
         # Before the reservation, which may wait for tokens.
         waiting = exclusions.make_waiting_error(
             self._board, context.service.name
@@ -147,6 +153,11 @@
         finally:
             self._settle(context)
 
+    def _record_answer(self, context: request_context.RequestContext) -> None:
+        self._poison_requests.record_answer(context)
+        if context.route.kind is configuration.RouteKind.STREAM:
+            self._origins.record(context)
+
     async def _reserve(self, context: request_context.RequestContext) -> None:
         workspace = context.workspace
         if workspace is None or workspace.prepaid_tokens is None:
@@ -278,6 +289,12 @@
         if waiting is not None:
             return waiting
         if last_error is None:
+            origin = context.origin
+            if origin is not None:
+                return errors.StreamVersionGoneError(
+                    f"no endpoint of {origin.service} has the version "
+                    f"{origin.software}"
+                )
             return errors.NoEndpointError(context.service.name)
         return errors.OverloadedError(last_error.message)
 
--- a/src/cyclamenwing/gateway/request_context.py
+++ b/src/cyclamenwing/gateway/request_context.py
@@ -7,6 +7,7 @@
 from cyclamenwing.gateway import calls
 from cyclamenwing.gateway import configuration
 from cyclamenwing.routing import placement
+from cyclamenwing.routing import versions
 from cyclamenwing.transport import h1
 
 
@@ -20,6 +21,8 @@
     :param may_have_run: an endpoint has run the request, or may have
     :param reserved_s: time at which its tokens were reserved
     :param software: software version of the endpoint chosen last
+    :param origin: version at which its stream began and has to go on, None
+        until the client has an event
     :param excluded: names of endpoints that are not tried again
     """
 
@@ -36,6 +39,7 @@
     status: int = 0
     endpoint: str = ""
     software: str = ""
+    origin: versions.Origin | None = None
     reserved_s: float | None = None
     first_byte_s: float | None = None
     events: int = 0
--- a/src/cyclamenwing/routing/endpoints.py
+++ b/src/cyclamenwing/routing/endpoints.py
@@ -188,6 +188,14 @@
             service, [e.incarnation for e in remaining], min(waits), now_s
         )
 
+    def list_software(self) -> set[tuple[str, str]]:
+        """Return the services and software versions of all endpoints."""
+        known = [
+            *self.registered.values(),
+            *(e for e, _ in self.lapsed.values()),
+        ]
+        return {(e.service, e.software) for e in known}
+
     def count_leaving(self) -> int:
         """Return the number of registered endpoints that leave."""
         return sum(self.is_gone(e) for e in self.registered.values())
--- a/tests/gateway/test_stream_versions.py
+++ b/tests/gateway/test_stream_versions.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import json
+import math
 from collections.abc import Callable
 from collections.abc import Coroutine
 
@@ -38,6 +39,9 @@
 def run(check: Check, gateways: int = 1) -> None:
     async def run_check() -> None:
         async with deployments.deploy(gateways) as deployment:
+            for gateway in deployment.gateways:
+                # As if they had served for long.
+                gateway.board.versions.since_s = -math.inf
             await check(deployment)
 
     asyncio.run(run_check())
