--- a/src/cyclamenwing/gateway/poison_records.py
+++ b/src/cyclamenwing/gateway/poison_records.py
@@ -99,7 +99,7 @@
                 records = msgspec.json.decode(
                     entry.value, type=list[poison_parts.PartRecord]
                 )
-            except msgspec.DecodeError as err:
+            except (msgspec.DecodeError, UnicodeDecodeError) as err:
                 eliot.log_message(
                     "suspect:record_unreadable", key=KEY, reason=str(err)
                 )
--- a/src/cyclamenwing/gateway/poison_requests.py
+++ b/src/cyclamenwing/gateway/poison_requests.py
@@ -17,6 +17,7 @@
 from cyclamenwing.gateway import clock
 from cyclamenwing.gateway import errors
 from cyclamenwing.gateway import request_context
+from cyclamenwing.metrics import types as metric_types
 from cyclamenwing.routing import endpoints
 from cyclamenwing.routing import quarantine
 from cyclamenwing.transport import errors as transport_errors
@@ -31,6 +32,11 @@
 CONFIRM_TIMEOUT_S = 0.3
 MS_PER_S = 1000
 
+POISON_PARTS = metric_types.Gauge(
+    "gateway_poison_parts",
+    "Prompt parts whose requests are refused as they crash endpoints",
+)
+
 
 class PoisonRequestTracker:
     """Track requests at crashes of endpoints and refuse poison requests."""
@@ -39,6 +45,10 @@
         self._board = board
         self._controller = quarantine.QuarantineController()
         self._tasks: set[asyncio.Task[None]] = set()
+        board.metrics.register_gauge(
+            POISON_PARTS,
+            lambda: len(board.poison_parts.list_quarantined(_read_ms())),
+        )
 
     def check_quarantine(
         self, context: request_context.RequestContext
@@ -214,6 +224,7 @@
 
 __all__ = (
     "CRASHES_TO_QUARANTINE",
+    "POISON_PARTS",
     "PoisonRequestTracker",
     "make_fingerprint",
 )
