--- a/tests/gateway/test_poison_parts.py
+++ b/tests/gateway/test_poison_parts.py
@@ -9,13 +9,17 @@
 import asyncio
 import json
 import time
+import types
 from collections.abc import Callable
 from collections.abc import Coroutine
 
+import pytest
 from tests.gateway import deployments
 
+from cyclamenwing.gateway import poison_requests
 from cyclamenwing.routing import poison_parts
 from cyclamenwing.standin import platform_endpoint
+from cyclamenwing.transport import errors
 
 POISON = "poison"
 ENDPOINTS = 16
@@ -87,6 +91,20 @@
     )
 
 
+def suspect(deployment: deployments.Deployment, part: str, count: int) -> None:
+    """Let the first gateway have seen crashes under a part."""
+    now_ms = int(time.time() * 1000)
+    for number in range(count):
+        at_ms = now_ms - number * 1000
+        deployment.gateways[0].board.poison_parts.record_crash(
+            ["first", part, "own"], f"x{number}", 1, at_ms, at_ms
+        )
+
+
+def count_crashes(deployment: deployments.Deployment, part: str) -> int:
+    return deployment.gateways[0].board.poison_parts.count_crashes(part)
+
+
 def test_part_that_crashes_endpoints_is_refused_at_all_gateways() -> None:
     async def check(deployment: deployments.Deployment) -> None:
         set_poison(deployment)
@@ -141,22 +159,70 @@
 
 def test_request_that_waits_for_a_connection_is_refused_meanwhile() -> None:
     async def check(deployment: deployments.Deployment) -> None:
-        tracker = deployment.gateways[0].board.poison_parts
         ran = deployment.count_runs("llm")
-        # Without tokens a request waits until they are granted.
         headers = make_headers(1, POISON)
         task = asyncio.ensure_future(
             deployment.send("resume", gateway=0, headers=headers)
         )
         await asyncio.sleep(0)
-        now_ms = int(time.time() * 1000)
-        for number in range(poison_parts.CRASHES_TO_QUARANTINE):
-            at_ms = now_ms - number * 1000
-            tracker.record_crash(
-                ["first", POISON, "own"], f"x{number}", 1, at_ms, at_ms
-            )
+        suspect(deployment, POISON, poison_parts.CRASHES_TO_QUARANTINE)
         head, _ = await task
         assert head.status == 503
         assert deployment.count_runs("llm") == ran
 
     run(check, gateways=1)
+
+
+def test_stream_that_had_an_event_does_not_make_its_parts_suspect() -> None:
+    async def check(deployment: deployments.Deployment) -> None:
+        deployment.set_behaviour("llm", "slow")
+        connection = await deployment.open(
+            "chat", b"POST", headers=make_headers(1, "beside")
+        )
+        await connection.read_head(5.0)
+        for endpoint in deployment.get_endpoints("llm"):
+            endpoint.stop()
+        with pytest.raises(errors.TransportError):
+            await connection.read_body(5.0, 100_000)
+        await asyncio.sleep(SETTLE_S)
+        assert count_crashes(deployment, "beside") == 0
+
+    run(check, gateways=1)
+
+
+def test_answer_of_failure_acquits_nothing() -> None:
+    async def check(deployment: deployments.Deployment) -> None:
+        suspect(deployment, "beside", 2)
+        deployment.set_behaviour("llm", "fail")
+        await deployment.send("chat", headers=make_headers(1, "beside"))
+        assert count_crashes(deployment, "beside") == 2
+        deployment.set_behaviour("llm", "serve")
+        await deployment.send("chat", headers=make_headers(2, "beside"))
+        assert count_crashes(deployment, "beside") == 0
+
+    run(check, gateways=1)
+
+
+@pytest.mark.parametrize(
+    ("cause", "crashes"), [(ConnectionRefusedError(), 1), (TimeoutError(), 0)]
+)
+def test_host_that_answers_nothing_is_no_crash(
+    monkeypatch: pytest.MonkeyPatch, cause: Exception, crashes: int
+) -> None:
+    class Connection:
+        @staticmethod
+        async def open(address: str, timeout_s: float) -> None:
+            raise errors.ConnectFailedError(address) from cause
+
+    async def check(deployment: deployments.Deployment) -> None:
+        set_poison(deployment)
+        monkeypatch.setattr(
+            poison_requests,
+            "h1_client",
+            types.SimpleNamespace(ClientConnection=Connection),
+        )
+        await send(deployment, 1, POISON)
+        await asyncio.sleep(SETTLE_S)
+        assert count_crashes(deployment, POISON) == crashes
+
+    run(check, gateways=1)
--- a/tests/routing/test_poison_parts.py
+++ b/tests/routing/test_poison_parts.py
@@ -118,8 +118,9 @@
     board = poison_parts.PoisonParts()
     board.record_answer([FIRST, "own"], NOW_MS - STEP_MS)
     needed = poison_parts.CRASHES_AFTER_ANSWERS
-    now_ms = crash_often(board, FIRST, count=needed - 1)
-    assert not is_refused(board, now_ms, FIRST)
+    for count in (CRASHES, needed - 1):
+        now_ms = crash_often(board, FIRST, count=count)
+        assert not is_refused(board, now_ms, FIRST)
     crash(board, needed, FIRST)
     assert is_refused(board, now_ms + STEP_MS, FIRST)
 
