Soak with two software versions, and take up streams that broke off

Callers now name the request that brought the first event and their last event; events name the version of their endpoint; a new check holds that a stream has one. Planted: gateways that go on at any version are found, without the plant nothing is (3 gateways, 12 changes of endpoints).

--- a/tests/gateway/test_poison_parts.py
+++ b/tests/gateway/test_poison_parts.py
@@ -12,6 +12,7 @@
 import types
 from collections.abc import Callable
 from collections.abc import Coroutine
+from typing import Any
 
 import pytest
 from tests.gateway import deployments
@@ -226,3 +227,22 @@
         assert count_crashes(deployment, POISON) == crashes
 
     run(check, gateways=1)
+
+
+def test_request_is_not_sent_if_its_part_was_quarantined_on_the_way(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def check(deployment: deployments.Deployment) -> None:
+        pool = deployment.gateways[0]._connections
+        acquire = pool.acquire
+
+        async def acquire_slowly(*args: Any) -> Any:
+            connection = await acquire(*args)
+            suspect(deployment, POISON, poison_parts.CRASHES_TO_QUARANTINE)
+            return connection
+
+        monkeypatch.setattr(pool, "acquire", acquire_slowly)
+        assert await send(deployment, 1, POISON) == "quarantined"
+        assert not deployment.count_runs("llm")
+
+    run(check, gateways=1)
--- a/tests/soak/caller.py
+++ b/tests/soak/caller.py
@@ -67,11 +67,12 @@
     async def _run_task(self) -> None:
         kind = self._rng.choice(tuple(configuration.KINDS))
         self._tasks += 1
+        request: trace.Request | None = None
         for number in range(MAX_TRIES):
             target = self._choose_target()
             if target is None:
                 return
-            request = await self.send(target, kind, number)
+            request = await self.send(target, kind, number, before=request)
             if request is None or not _may_repeat(request, kind):
                 return
 
@@ -90,10 +91,13 @@
         kind: str,
         number: int = 0,
         newest: bool = False,
+        before: trace.Request | None = None,
     ) -> trace.Request | None:
         """Send one request; return None if no connection opens.
 
         :param newest: ask for the route of the newest configuration
+        :param before: the request that it repeats, and whose stream it takes
+            up if there was an event
         """
         try:
             connection = await self._get_connection(target)
@@ -101,6 +105,8 @@
             return None
         request, message = self._make_request(target, kind, number, newest)
         request.reused = connection.uses > 0
+        if before is not None:
+            _take_up(before, request, message)
         self._trace.requests.append(request)
         answer = wire.Answer()
         try:
@@ -185,6 +191,21 @@
     return not request.whole and kind in configuration.REPEATABLE
 
 
+def _take_up(
+    before: trace.Request, request: trace.Request, message: wire.Message
+) -> None:
+    """Let a request go on with the stream of the one before."""
+    received = before.events_before + before.events
+    if not received:
+        return
+    request.begun_by = before.begun_by or before.request_id
+    request.events_before = received
+    message.headers.extend([
+        ("Resumes", request.begun_by),
+        ("Last-Event-Id", str(received)),
+    ])
+
+
 def _check_content(
     request: trace.Request, message: wire.Message, answer: wire.Answer
 ) -> None:
@@ -202,13 +223,17 @@
         return
     whole_events = answer.body.split(b"\n\n")[:-1]
     request.events = len(whole_events)
+    names = [endpoint.read_software(event) for event in whole_events]
+    request.software = tuple(sorted({name.decode() for name in names}))
+    first = request.events_before + 1
     expected = b"".join(
-        endpoint.make_event(request_id, number + 1)
-        for number in range(request.events)
+        endpoint.make_event(request_id, number, name)
+        for number, name in enumerate(names, first)
     )
+    received = request.events_before + request.events
     if not answer.body.startswith(expected):
         request.fault = "events out of order"
-    elif answer.whole and request.events != endpoint.STREAM_EVENTS:
+    elif answer.whole and received != endpoint.STREAM_EVENTS:
         request.fault = "stream ended early as if it were whole"
 
 
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -310,6 +310,22 @@
         )
 
 
+def check_software(seen: trace.Trace) -> Results:
+    """A stream holds events of one software version, over all attempts."""
+    streams: dict[str, list[trace.Request]] = {}
+    for request in _get_ended(seen):
+        if request.software:
+            begun_by = request.begun_by or request.request_id
+            streams.setdefault(begun_by, []).append(request)
+    for requests in streams.values():
+        names = {name for r in requests for name in r.software}
+        yield (
+            _find("software", requests[-1], f"events of {sorted(names)}")
+            if len(names) > 1
+            else None
+        )
+
+
 def check_limits(seen: trace.Trace) -> Results:
     """An endpoint gets no more than the limit that it named to gateways."""
     requests = {r.request_id: r for r in seen.requests}
@@ -401,6 +417,7 @@
     "budget": check_budgets,
     "drain": check_drains,
     "version": check_versions,
+    "software": check_software,
     "limit": check_limits,
     "process": check_processes,
 }
--- a/tests/soak/endpoint.py
+++ b/tests/soak/endpoint.py
@@ -21,6 +21,8 @@
 LONG_S = 0.3
 SLOW_S = 0.6
 LIMIT_HEADER = b"server-limit"
+# Tells a behaviour the version of its endpoint.
+SOFTWARE_HEADER = b"software"
 EVENT_GAP_S = 0.04
 
 
@@ -28,12 +30,20 @@
     """Serve requests until it is crashed; it can be started again.
 
     :ivar behaviour: a key of `BEHAVIOURS`, or ``shed``
+    :ivar software: version of its software, which its events name
     :ivar limit: requests per second that it names in its answers, as text
     """
 
-    def __init__(self, name: str, service: str, recorder: trace.Trace) -> None:
+    def __init__(
+        self,
+        name: str,
+        service: str,
+        recorder: trace.Trace,
+        software: str = "v1",
+    ) -> None:
         self.name = name
         self.service = service
+        self.software = software
         self.behaviour = "serve"
         self.limit = b""
         self._trace = recorder
@@ -46,6 +56,7 @@
             "service": self.service,
             "address": address,
             "zone": "z1",
+            "version": self.software,
             "slots": 64,
             "state": state,
         })
@@ -70,9 +81,13 @@
             return
         request_id = h1.find_header(request.headers, b"request-id") or b""
         self._trace.record_arrival(request_id.decode(), self.name)
-        if self.limit:
-            header = (LIMIT_HEADER, self.limit)
-            request = request._replace(headers=(*request.headers, header))
+        request = request._replace(
+            headers=(
+                *request.headers,
+                (SOFTWARE_HEADER, self.software.encode()),
+                *([(LIMIT_HEADER, self.limit)] if self.limit else ()),
+            )
+        )
         if self.behaviour == "shed":
             headers = (*_make_headers(request), (b"Not-Executed", b"1"))
             await connection.respond(503, headers, b"")
@@ -92,9 +107,19 @@
     return b"%s|%s" % (request_id, body)
 
 
-def make_event(request_id: bytes, number: int) -> bytes:
+def make_event(request_id: bytes, number: int, software: bytes) -> bytes:
     """Return an event of the stream that answers a request."""
-    return b"id: %d\ndata: %s %d\n\n" % (number, request_id, number)
+    return b"id: %d\ndata: %s %d %s\n\n" % (
+        number,
+        request_id,
+        number,
+        software,
+    )
+
+
+def read_software(event: bytes) -> bytes:
+    """Return the version that an event names."""
+    return event.rpartition(b" ")[2].strip()
 
 
 def _read_id(request: h1.Request) -> bytes:
@@ -121,8 +146,9 @@
     head = h1.ResponseHead(200, b"", _make_headers(request))
     await connection.start(head, None)
     last = int(h1.find_header(request.headers, b"last-event-id") or b"0")
+    software = h1.find_header(request.headers, SOFTWARE_HEADER) or b""
     for number in range(last + 1, events + 1):
-        await connection.write(make_event(_read_id(request), number))
+        await connection.write(make_event(_read_id(request), number, software))
         await asyncio.sleep(EVENT_GAP_S)
 
 
@@ -182,4 +208,5 @@
     "Endpoint",
     "make_body",
     "make_event",
+    "read_software",
 )
--- a/tests/soak/launcher.py
+++ b/tests/soak/launcher.py
@@ -23,6 +23,7 @@
 from cyclamenwing.gateway import forwarding
 from cyclamenwing.gateway import handler
 from cyclamenwing.gateway import reservations
+from cyclamenwing.gateway import stream_origins
 from cyclamenwing.routing import endpoints
 from cyclamenwing.routing import rate_limits
 
@@ -180,6 +181,16 @@
     )
 
 
+def plant_any_version() -> None:
+    """Let streams go on at any version."""
+
+    async def resolve(*args: Any) -> None:
+        pass
+
+    _replace(stream_origins.StreamOrigins, "record", lambda *args: None)
+    _replace(stream_origins.StreamOrigins, "resolve", resolve)
+
+
 PLANTS: dict[str, Callable[[], None]] = {
     "former-shutdown": plant_former_shutdown,
     "second-run": plant_second_run,
@@ -193,6 +204,7 @@
     "late-exit": plant_late_exit,
     "leak": plant_leak,
     "whole-limit": plant_whole_limit,
+    "any-version": plant_any_version,
 }
 
 
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -24,6 +24,8 @@
 from cyclamenwing.standin import metadata_store
 
 ENDPOINTS = {"a0": "api", "a1": "api", "a2": "api", "m0": "llm", "m1": "llm"}
+# Endpoints of a run with two software versions, with their versions.
+VERSIONED_ENDPOINTS = {"m0": "v1", "m1": "v2", "m2": "v1", "m3": "v2"}
 START_TIMEOUT_S = 30.0
 # All gateways serve the newest configuration this long after the last fault.
 RECOVERY_BOUND_S = 10.0
@@ -41,6 +43,7 @@
     :param plants: planted faults by gateway, for tests of the checks
     :param schedule: faults in place of those that the seed draws
     :param limits: endpoints that name a limit for most of the run, at most
+    :param versions: half of the endpoints that stream have another version
     """
 
     seed: int
@@ -51,6 +54,7 @@
     schedule: tuple[faults.Event, ...] = ()
     callers: int = 16
     limits: int = 0
+    versions: bool = False
 
 
 class Result(NamedTuple):
@@ -83,7 +87,13 @@
         self._endpoints = [
             endpoint.Endpoint(name, service, self._trace)
             for name, service in ENDPOINTS.items()
+            if not (settings.versions and name in VERSIONED_ENDPOINTS)
         ]
+        if settings.versions:
+            self._endpoints += [
+                endpoint.Endpoint(name, "llm", self._trace, software)
+                for name, software in VERSIONED_ENDPOINTS.items()
+            ]
 
     async def run(self) -> Result:
         """Run the schedule; end all processes in any case."""
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -117,6 +117,34 @@
     assert ("limit" in found) == bool(plant)
 
 
+@pytest.mark.parametrize("plant", ["", "any-version"])
+def test_streams_over_two_versions_are_found(
+    tmp_path: pathlib.Path, plant: str
+) -> None:
+    schedule = tuple(
+        faults.Event(0.2 * n, "endpoint-behaviour", 1.0, n) for n in range(12)
+    )
+    found: set[str] = set()
+    for seed in PLANTED_SEEDS if plant else range(1):
+        result = soak.run(
+            soak.Settings(
+                seed,
+                0.0,
+                3,
+                tmp_path / f"run-{seed}",
+                (plant,) * 3,
+                schedule,
+                callers=24,
+                versions=True,
+            )
+        )
+        assert result.judged["software"] > 0
+        found = {f.check for f in result.findings}
+        if "software" in found:
+            break
+    assert ("software" in found) == bool(plant)
+
+
 def make_request(**changes: Any) -> trace.Request:
     values: dict[str, Any] = {
         "request_id": "r",
--- a/tests/soak/trace.py
+++ b/tests/soak/trace.py
@@ -29,6 +29,10 @@
     :param whole: the answer was framed completely
     :param fault: what is wrong with the content of the answer
     :param timed_out: the caller gave up
+    :param begun_by: the request that brought the first event of its stream,
+        empty if this one may bring it
+    :param events_before: events that the caller had of that stream
+    :param software: versions that its own events name
     """
 
     request_id: str
@@ -49,6 +53,9 @@
     events: int = 0
     fault: str = ""
     cause: str = ""
+    begun_by: str = ""
+    events_before: int = 0
+    software: tuple[str, ...] = ()
 
     @property
     def ended(self) -> bool:
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -60,7 +60,12 @@
         folder = keep / f"seed-{seed}"
         result = soak.run(
             soak.Settings(
-                seed, args.seconds, args.gateways, folder, limits=args.limits
+                seed,
+                args.seconds,
+                args.gateways,
+                folder,
+                limits=args.limits,
+                versions=args.versions,
             )
         )
         _print_result(result)
@@ -89,6 +94,11 @@
         default=0,
         help="endpoints that name a limit, at most",
     )
+    parser.add_argument(
+        "--versions",
+        action="store_true",
+        help="let endpoints have two software versions",
+    )
     parser.add_argument(
         "--regressions", action="store_true", help="run seeds that have failed"
     )
