Test streams without a history, and over a route to two services

Breaking the need for a history of versions, and the choice of the service that began a stream, was caught by no test; each has one now.

--- a/tests/gateway/test_stream_versions.py
+++ b/tests/gateway/test_stream_versions.py
@@ -16,6 +16,7 @@
 import pytest
 from tests.gateway import deployments
 
+from cyclamenwing.gateway import clock
 from cyclamenwing.standin import platform_endpoint
 from cyclamenwing.transport import errors
 from cyclamenwing.transport import h1
@@ -239,3 +240,63 @@
             assert await resume_stream(deployment, gateway) == (200, REST)
 
     run(check, gateways=2)
+
+
+def test_gateway_without_history_refuses_streams_that_nobody_knows() -> None:
+    async def check(deployment: deployments.Deployment) -> None:
+        await set_versions(deployment, "v1")
+        history = deployment.gateways[0].board.versions
+        history.since_s = clock.read_time()
+        status, body = await resume_stream(deployment, 0)
+        assert (status, read_code(body)) == (503, "stream_version_unknown")
+        # Twice the time-out of the longest resumable route.
+        history.since_s = clock.read_time() - 4.0
+        assert await resume_stream(deployment, 0) == (200, REST)
+
+    run(check)
+
+
+def test_stream_goes_on_at_its_service_where_a_route_leads_to_two() -> None:
+    async def check(deployment: deployments.Deployment) -> None:
+        shares = [
+            {"service": "llm", "weight": 50},
+            {"service": "other", "weight": 50},
+        ]
+        route = deployments.make_route(
+            "resume",
+            "streaming",
+            "llm",
+            sticky=True,
+            attempts=2,
+            resumable=True,
+            split=shares,
+        )
+        engine = {"slots": 64, "kv_capacity": 400_000, "stride": 4}
+        services = [
+            {"name": name, "engine": engine} for name in ("llm", "other")
+        ]
+        for name in ("o1", "o2"):
+            endpoint = platform_endpoint.EndpointStandin(name, "other")
+            endpoint.listen()
+            deployment.endpoints.append(endpoint)
+            await deployment.store.put(f"servers/{name}", endpoint.describe())
+        await deployment.store.put(
+            "op/config",
+            deployments.make_configuration(
+                2, routes=[route], services=services
+            ),
+        )
+        await asyncio.sleep(SETTLE_S)
+        deployment.set_behaviour("other", "cut")
+        await begin_stream(deployment)
+        deployment.set_behaviour("other", "serve")
+        [service] = {
+            e.service for e in deployment.endpoints if list_resumed(e)
+        }
+        for _ in range(8):
+            assert await resume_stream(deployment, 0) == (200, REST)
+        assert {
+            e.service for e in deployment.endpoints if list_resumed(e)
+        } == {service}
+
+    run(check)
