Cut streams at chosen endpoints where the soak looks for mixed versions

Cause: the test's own schedule. Of its 12 changes of endpoints two made one cut its streams. The first, at 0.4 s, was always skipped, as its endpoint had another fault until 1.0 s; the second, at 2.0 s, only if the fault that ended at 2.0 s was still there. Ruled out: the check, which judged streams in each run, and the plant, which shows whenever streams are cut. Change: draws by which one endpoint of each version cuts its streams, in pairs that don't overlap; the test counts that all of them took place.

--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -34,6 +34,16 @@
 )
 
 
+# Draws by which an endpoint of each version cuts its streams; those of the
+# other pair serve meanwhile.
+CUTTING_DRAWS = ((25, 10), (19, 2), (64, 29), (42, 86))
+CUTS = tuple(
+    faults.Event(1.2 * number, "endpoint-behaviour", 1.0, draw)
+    for number, draws in enumerate(CUTTING_DRAWS)
+    for draw in draws
+)
+
+
 def make_schedule() -> tuple[faults.Event, ...]:
     """Return faults that bring out what is planted."""
     return (
@@ -121,9 +131,6 @@
 def test_streams_over_two_versions_are_found(
     tmp_path: pathlib.Path, plant: str
 ) -> None:
-    schedule = tuple(
-        faults.Event(0.2 * n, "endpoint-behaviour", 1.0, n) for n in range(12)
-    )
     found: set[str] = set()
     for seed in PLANTED_SEEDS if plant else range(1):
         result = soak.run(
@@ -133,12 +140,13 @@
                 3,
                 tmp_path / f"run-{seed}",
                 (plant,) * 3,
-                schedule,
+                CUTS,
                 callers=24,
                 versions=True,
             )
         )
         assert result.judged["software"] > 0
+        assert result.seen.count_faults()["endpoint-cut"] == len(CUTS)
         found = {f.check for f in result.findings}
         if "software" in found:
             break
