Split gossip by kind of notice, and read regions and cold bounds

Deployments with cold endpoints and evacuated availability zones need regions and three more bounds. Ruled out: one generic exchange for all notices; loads, limits and pools differ in what is passed on and when. Behaviour is unchanged. Settings take `region`, `regions`, `cold_over`, `cold_slack` and `evacuate_ms`; their absence is the default.

--- a/src/cyclamenwing/gateway/peers.py
+++ b/src/cyclamenwing/gateway/peers.py
@@ -22,6 +22,7 @@
 from cyclamenwing.gateway import compression
 from cyclamenwing.gateway import errors as gateway_errors
 from cyclamenwing.gateway import gossip
+from cyclamenwing.gateway import gossip_messages
 from cyclamenwing.gateway import poison_requests
 from cyclamenwing.gateway import record_age
 from cyclamenwing.transport import h1
@@ -115,7 +116,7 @@
     ) -> int:
         """Ask a peer for tokens; return how many it transferred."""
         body = msgspec.json.encode(
-            gossip.TransferRequest(
+            gossip_messages.TransferRequest(
                 workspace, tokens, self._board.escrow.holder
             )
         )
@@ -125,7 +126,9 @@
             )
             if status != 200:
                 return 0
-            reply = msgspec.json.decode(answer, type=gossip.TransferReply)
+            reply = msgspec.json.decode(
+                answer, type=gossip_messages.TransferReply
+            )
         except (errors.CodedError, msgspec.DecodeError) as err:
             eliot.log_message(
                 "peers:transfer_failed", peer=peer.host, reason=str(err)
@@ -144,7 +147,7 @@
         self, holder: str
     ) -> list[record_age.AgeEvidence]:
         """Ask all members about the record of a process that has died."""
-        body = msgspec.json.encode(gossip.RecordAgeRequest(holder))
+        body = msgspec.json.encode(gossip_messages.RecordAgeRequest(holder))
         board = self._board
         # A wall clock that was wrong at the start may have been set since, so
         # peers are compared with the time that it showed then. The time taken
@@ -172,7 +175,7 @@
                 continue
             if answer[0] == 200:
                 reply = msgspec.json.decode(
-                    answer[1], type=gossip.RecordAgeReply
+                    answer[1], type=gossip_messages.RecordAgeReply
                 )
                 evidence.append(
                     record_age.AgeEvidence(
@@ -244,7 +247,9 @@
             )
             if status != 200:
                 return
-            reply = msgspec.json.decode(answer, type=gossip.GossipMessage)
+            reply = msgspec.json.decode(
+                answer, type=gossip_messages.GossipMessage
+            )
         except (errors.CodedError, msgspec.DecodeError) as err:
             if address not in self._retry_at_s:
                 eliot.log_message(
@@ -263,7 +268,7 @@
         if sent.late and reply.registered and not renewed:
             self._board.escrow.record_peer_notice()
 
-    def _merge(self, message: gossip.GossipMessage) -> None:
+    def _merge(self, message: gossip_messages.GossipMessage) -> None:
         self.gossip.merge_message(message)
         config = self._board.configuration
         newer = message.version > (config.version if config else 0)
@@ -272,7 +277,7 @@
             self._start_task(self._fetch_configuration(message))
 
     async def _fetch_configuration(
-        self, message: gossip.GossipMessage
+        self, message: gossip_messages.GossipMessage
     ) -> None:
         """Fetch a newer configuration unless it arrives by itself.
 
@@ -308,7 +313,9 @@
         task.add_done_callback(self._tasks.discard)
 
     async def _answer_gossip(self, body: bytes) -> bytes:
-        received = msgspec.json.decode(body, type=gossip.GossipMessage)
+        received = msgspec.json.decode(
+            body, type=gossip_messages.GossipMessage
+        )
         self._merge(received)
         reply = self.gossip.build_message(received.address, received.host)
         # If the reply is lost, the peer learns of the pools by their next
@@ -317,7 +324,9 @@
         return msgspec.json.encode(reply)
 
     async def _answer_transfer(self, body: bytes) -> bytes:
-        request = msgspec.json.decode(body, type=gossip.TransferRequest)
+        request = msgspec.json.decode(
+            body, type=gossip_messages.TransferRequest
+        )
         tokens = 0
         if self.transfer_tokens is not None:
             tokens = await self.transfer_tokens(
@@ -331,10 +340,12 @@
             tokens=tokens,
             left=self._board.escrow.open_account(request.workspace).held,
         )
-        return msgspec.json.encode(gossip.TransferReply(tokens))
+        return msgspec.json.encode(gossip_messages.TransferReply(tokens))
 
     async def _answer_record_age(self, body: bytes) -> bytes:
-        request = msgspec.json.decode(body, type=gossip.RecordAgeRequest)
+        request = msgspec.json.decode(
+            body, type=gossip_messages.RecordAgeRequest
+        )
         reply = self.gossip.report_record_age(request.holder)
         eliot.log_message(
             "peers:record_age_sent",
--- a/src/cyclamenwing/gateway/settings.py
+++ b/src/cyclamenwing/gateway/settings.py
@@ -19,6 +19,11 @@
     :param retry_ratio: retries allowed per request of a service
     :param retry_window_s: window over which requests are counted for it
     :param retry_slack: retries allowed in a window beyond the ratio
+    :param cold_over: multiple of a cold endpoint's rate that it may get in a
+        second
+    :param cold_slack: requests beyond that in the same second
+    :param evacuate_ms: time after an order by which an availability zone gets
+        no more requests
     """
 
     drain_ms: float = 2000.0
@@ -28,6 +33,9 @@
     retry_window_s: float = 10.0
     retry_slack: float = 50.0
     settle_ms: float = 1500.0
+    cold_over: float = 1.5
+    cold_slack: float = 5.0
+    evacuate_ms: float = 5000.0
 
 
 class Limits(msgspec.Struct, kw_only=True):
@@ -52,6 +60,8 @@
 class GatewaySettings(msgspec.Struct, kw_only=True):
     """Hold the settings of a gateway; addresses are ``ip:port``.
 
+    :param region: region of the host, empty if not known
+    :param regions: region of each availability zone
     :param listen: address for requests of clients
     :param ready: address for readiness checks of the load balancer
     :param control: address for calls of other gateways
@@ -66,6 +76,8 @@
     ready: str
     control: str
     store: str
+    region: str = ""
+    regions: dict[str, str] = {}
     metrics: str = ""
     seeds: list[str] = []
     bootstrap: bool = False
--- a/tests/gateway/test_serving.py
+++ b/tests/gateway/test_serving.py
@@ -19,7 +19,7 @@
 from cyclamenwing.budget import escrow
 from cyclamenwing.gateway import app
 from cyclamenwing.gateway import clock
-from cyclamenwing.gateway import gossip
+from cyclamenwing.gateway import gossip_messages
 from cyclamenwing.gateway import peers
 from cyclamenwing.gateway import poison_requests
 from cyclamenwing.gateway import pools
@@ -343,7 +343,9 @@
             donor.board.settings.control,
             "POST",
             peers.TRANSFER_PATH,
-            msgspec.json.encode(gossip.TransferRequest("t1", 60_000, "other")),
+            msgspec.json.encode(
+                gossip_messages.TransferRequest("t1", 60_000, "other")
+            ),
             1.0,
         )
         assert (status, json.loads(answer)) == (200, {"tokens": 60_000})
--- a/tests/gateway/test_shutdown_tokens.py
+++ b/tests/gateway/test_shutdown_tokens.py
@@ -16,7 +16,7 @@
 
 from cyclamenwing.budget import escrow
 from cyclamenwing.gateway import app
-from cyclamenwing.gateway import gossip
+from cyclamenwing.gateway import gossip_messages
 from cyclamenwing.gateway import grants
 from cyclamenwing.gateway import peers
 from cyclamenwing.gateway import pools
@@ -33,7 +33,7 @@
     ),
     grants.RETURN_PATH: msgspec.json.encode({"t1": 500}),
     peers.TRANSFER_PATH: msgspec.json.encode(
-        gossip.TransferRequest("t1", 500, "g9-1")
+        gossip_messages.TransferRequest("t1", 500, "g9-1")
     ),
 }
 
