Send nothing to zones that operators evacuate

Cause: an operator who takes an availability zone out of use had no way to stop requests to it but to drain each endpoint, and a request cannot be kept in a region.

Gateways now read the keys below the evacuation prefix with the configuration, tell peers of all orders in each gossip message, and filter endpoints twice: in the list of usable endpoints, and after the connect. Of two orders the one with the higher era and revision applies. Prompt parts leave a zone one after the other if the order came as a live change, as its age is then small. Requests whose endpoints are all in evacuated zones are refused at once with a spread return time.

Routes and workspaces may name home regions. The zones of both lists are found at admission and restrict the same two filters.

Ruled out: notices that are sent once to each peer, like those of limits. A process that starts and gets its configuration from a peer could then serve before it has the orders, if the reply that carried them was lost. Orders are few, so each message carries all of them.

tests/soak/launcher.py: the planted fault replaces Directory.list_usable, which has one more argument now.

--- a/src/cyclamenwing/cli/gateway.py
+++ b/src/cyclamenwing/cli/gateway.py
@@ -27,6 +27,7 @@
 CODEC = follower.Codec(
     configuration_prefix=configuration.KEY_PREFIX,
     configuration_key=configuration.KEY,
+    evacuations_prefix=configuration.EVACUATION_KEY_PREFIX,
     endpoints_prefix=endpoints.KEY_PREFIX,
     read_configuration=configuration.read_configuration,
     read_endpoint=endpoints.read_endpoint,
--- a/src/cyclamenwing/gateway/admission.py
+++ b/src/cyclamenwing/gateway/admission.py
@@ -11,6 +11,9 @@
 from cyclamenwing.gateway import configuration
 from cyclamenwing.gateway import errors
 from cyclamenwing.gateway import request_context
+from cyclamenwing.routing import endpoints
+from cyclamenwing.routing import evacuations
+from cyclamenwing.routing import homes
 from cyclamenwing.routing import placement
 from cyclamenwing.transport import h1
 
@@ -55,6 +58,10 @@
     if started_s + wait_s <= now_s:
         raise errors.DeadlineError("the deadline passed before admission")
     _check_draining(board, started_s + wait_s, now_s)
+    regions = (
+        route.home_regions,
+        workspace.home_regions if workspace else frozenset(),
+    )
     return request_context.RequestContext(
         request=request,
         call=call,
@@ -66,6 +73,11 @@
         service=service,
         started_s=started_s,
         deadline_s=started_s + wait_s,
+        scope=endpoints.Scope(
+            board.homes.find_zones(*regions),
+            evacuations.find_moving_part(call.parts),
+        ),
+        homes=homes.join_regions(*regions),
     )
 
 
--- a/src/cyclamenwing/gateway/app.py
+++ b/src/cyclamenwing/gateway/app.py
@@ -37,6 +37,7 @@
 from cyclamenwing.membership import delegates
 from cyclamenwing.metrics import recorder
 from cyclamenwing.routing import endpoints
+from cyclamenwing.routing import evacuations
 from cyclamenwing.routing import placement
 from cyclamenwing.routing import rate_limits
 from cyclamenwing.routing import retry_budget
@@ -103,7 +104,10 @@
             ),
             metrics=metrics,
             directory=endpoints.Directory(
-                limits=rate_limits.RateLimits(settings.host, incarnation)
+                limits=rate_limits.RateLimits(settings.host, incarnation),
+                evacuations=evacuations.Evacuations(
+                    bounds.evacuate_ms / MS_PER_S
+                ),
             ),
             eras=eras.EraTracker(metrics),
             roster=delegates.Roster(
@@ -227,6 +231,7 @@
             self._endpoints.load_snapshot,
             self._endpoints.apply_change,
         )
+        self._configurations.follower = configuration_follower
         self._endpoints.follower = endpoint_follower
         for run in (
             configuration_follower.run,
--- a/src/cyclamenwing/gateway/attempts.py
+++ b/src/cyclamenwing/gateway/attempts.py
@@ -97,7 +97,7 @@
         candidates = [
             e
             for e in self._board.directory.list_usable(
-                context.service.name, now_s
+                context.service.name, now_s, context.scope
             )
             if e.name not in context.excluded
             and (
@@ -192,7 +192,7 @@
             )
             self._board.metrics.count(ATTEMPTS, "connect_failed")
             raise AttemptNotRunError(err.message) from err
-        if not self._may_send(target):
+        if not self._may_send(target, context.scope):
             connection.close()
             self._board.metrics.count(ATTEMPTS, "excluded")
             raise AttemptNotRunError("the endpoint was excluded meanwhile")
@@ -203,15 +203,16 @@
             raise AttemptNotRunError(err.message) from err
         return connection
 
-    def _may_send(self, target: Target) -> bool:
+    def _may_send(self, target: Target, scope: endpoints.Scope) -> bool:
         """Return whether the endpoint still accepts requests.
 
-        It may have named a limit since it was chosen.
+        It may have named a limit since it was chosen, or its zone may have
+        been evacuated.
         """
         directory = self._board.directory
         now_s = clock.read_time()
         incarnation = target.endpoint.incarnation
-        return directory.accepts(target.endpoint, now_s) and (
+        return directory.accepts(target.endpoint, now_s, scope) and (
             target.counted
             or not directory.limits.is_limited(incarnation)
             or directory.limits.try_acquire(incarnation, now_s)
--- a/src/cyclamenwing/gateway/blackboard.py
+++ b/src/cyclamenwing/gateway/blackboard.py
@@ -16,6 +16,7 @@
 from cyclamenwing.membership import delegates
 from cyclamenwing.metrics import recorder
 from cyclamenwing.routing import endpoints
+from cyclamenwing.routing import homes
 from cyclamenwing.routing import placement
 from cyclamenwing.routing import poison_parts
 from cyclamenwing.routing import quarantine
@@ -129,6 +130,15 @@
     record_written_s: float = 0.0
     predecessor_wall_age_s: float | None = None
     active_requests: int = 0
+    homes: homes.Homes = dataclasses.field(init=False)
+
+    def __post_init__(self) -> None:
+        """Derive what follows from the settings."""
+        self.homes = homes.Homes(
+            self.settings.regions,
+            self.settings.availability_zone,
+            self.settings.region,
+        )
 
     @property
     def ready(self) -> bool:
--- a/src/cyclamenwing/gateway/errors.py
+++ b/src/cyclamenwing/gateway/errors.py
@@ -88,6 +88,18 @@
     code = "endpoints_waiting"
 
 
+class ZonesEvacuatedError(GatewayError):
+    """Report a service with endpoints in evacuated zones only."""
+
+    code = "zones_evacuated"
+
+
+class NoHomeEndpointError(GatewayError):
+    """Report a service without an endpoint in the homes of a request."""
+
+    code = "no_home_endpoint"
+
+
 class OverloadedError(GatewayError):
     """Report that endpoints refused the request, or a spent retry budget."""
 
@@ -155,6 +167,7 @@
     "LeavingError",
     "NoConfigurationError",
     "NoEndpointError",
+    "NoHomeEndpointError",
     "OverloadedError",
     "PeerDataError",
     "QuarantinedError",
@@ -163,4 +176,5 @@
     "UnknownKeyError",
     "UnknownRouteError",
     "UnreadableRequestError",
+    "ZonesEvacuatedError",
 )
--- a/src/cyclamenwing/gateway/exclusions.py
+++ b/src/cyclamenwing/gateway/exclusions.py
@@ -150,10 +150,12 @@
 
 
 def make_waiting_error(
-    board: blackboard.Blackboard, service: str
+    board: blackboard.Blackboard,
+    service: str,
+    scope: endpoints.Scope = endpoints.ANY_ENDPOINT,
 ) -> errors.EndpointsWaitingError | None:
     """Return the error for a service if all its endpoints want a pause."""
-    wait_s = board.directory.measure_wait(service, clock.read_time())
+    wait_s = board.directory.measure_wait(service, clock.read_time(), scope)
     if wait_s is None:
         return None
     error = errors.EndpointsWaitingError(
--- a/src/cyclamenwing/gateway/follower.py
+++ b/src/cyclamenwing/gateway/follower.py
@@ -13,14 +13,19 @@
 from cyclamenwing.gateway import blackboard
 from cyclamenwing.gateway import clock
 from cyclamenwing.gateway import configuration
+from cyclamenwing.gateway import evacuation_notices
 from cyclamenwing.gateway import watches
 from cyclamenwing.routing import endpoints
+from cyclamenwing.routing import evacuations
 from cyclamenwing.store import errors as store_errors
 from cyclamenwing.store import protocol
 
 # Length of one long poll. A shorter one detects a dead connection sooner, a
 # longer one makes fewer calls.
 FOLLOW_WAIT_S = 3.0
+# A change counts as recent if the store's answer before it is not older. Long
+# polls end sooner unless the store, a link or this process was slow.
+MAX_LIVE_GAP_S = FOLLOW_WAIT_S + 0.5
 RETRY_DELAY_S = 0.2
 MAX_RETRY_DELAY_S = 1.0
 # An endpoint that is removed this soon after an outage of the store may be
@@ -40,6 +45,7 @@
 
     configuration_prefix: str
     configuration_key: str
+    evacuations_prefix: str
     endpoints_prefix: str
     read_configuration: Callable[[bytes], configuration.Configuration]
     read_endpoint: Callable[[str, bytes], endpoints.Endpoint]
@@ -50,7 +56,8 @@
     """Watch the keys below one prefix of the store.
 
     `last_failure_s` is the time of the latest failed call, None once the
-    store has answered for `UNCERTAIN_REMOVAL_S` since.
+    store has answered for `UNCERTAIN_REMOVAL_S` since. `position` is that of
+    the read or the changes that are being applied.
 
     :param store: watches the store, maybe through a delegate
     :param load_snapshot: called with all entries after a full read
@@ -72,6 +79,13 @@
         self._load_snapshot = load_snapshot
         self._apply_change = apply_change
         self.last_failure_s: float | None = clock.read_time()
+        self.position = Position(0, 0)
+
+    @property
+    def live(self) -> bool:
+        """Return whether the changes being applied were made recently."""
+        gap_s = clock.read_time() - self._cache.answered_s
+        return self.last_failure_s is None and gap_s < MAX_LIVE_GAP_S
 
     async def run(self) -> None:
         """Watch until cancelled; read all keys again after lost history."""
@@ -101,6 +115,9 @@
     async def _read_snapshot(self) -> Position:
         snapshot = await self._store.read(self._prefix)
         self._note_failure(snapshot.failure_age_s)
+        self.position = Position(
+            snapshot.era or self._board.eras.known, snapshot.revision
+        )
         self._load_snapshot(snapshot.entries)
         await self._cache.load(snapshot)
         return Position(snapshot.era, snapshot.revision)
@@ -121,6 +138,9 @@
                 f"era {changes.era} has followed era {era}"
             )
         self._note_failure(changes.failure_age_s)
+        self.position = Position(
+            era or self._board.eras.known, max(changes.revision, revision)
+        )
         for change in changes.changes:
             self._apply_change(change)
         await self._cache.apply(changes)
@@ -155,21 +175,46 @@
 
 
 class ConfigurationFollower:
-    """Adopt newer configurations from the store or from a peer."""
+    """Adopt newer configurations, and orders to evacuate zones."""
 
     def __init__(self, board: blackboard.Blackboard, codec: Codec) -> None:
         self._board = board
         self._codec = codec
+        self._notices = evacuation_notices.OrderReporter(board)
+        self.follower: Follower | None = None
 
     def load_snapshot(self, entries: Sequence[protocol.Entry]) -> None:
-        """Adopt the configuration in a full read."""
+        """Adopt the orders and the configuration in a full read.
+
+        Orders come first: no request is served by a configuration that was
+        read before them.
+        """
+        zones = {
+            zone: entry.revision
+            for entry in entries
+            if (zone := self._read_zone(entry.key))
+        }
+        position = self.follower.position if self.follower else Position(0, 0)
+        now_s = clock.read_time()
+        self._notices.report(
+            self._board.directory.evacuations.load(
+                zones, position.era, position.revision, now_s
+            ),
+            "store",
+        )
         for entry in entries:
-            self.apply_change(
-                protocol.Change(entry.key, entry.value, entry.revision)
-            )
+            if entry.key == self._codec.configuration_key:
+                self.adopt(entry.value, "store")
 
     def apply_change(self, change: protocol.Change) -> None:
-        """Adopt a changed configuration; keep the current one if removed."""
+        """Adopt a changed configuration or order.
+
+        A configuration that is removed stays the current one.
+        """
+        zone = self._read_zone(change.key)
+        if zone:
+            self._apply_order(zone, change)
+            return
         if change.key != self._codec.configuration_key:
             return
         if change.value is None:
@@ -177,6 +222,25 @@
             return
         self.adopt(change.value, "store")
 
+    def _read_zone(self, key: str) -> str:
+        """Return the zone of an order's key, empty for any other key."""
+        prefix = self._codec.evacuations_prefix
+        return key.removeprefix(prefix) if key.startswith(prefix) else ""
+
+    def _apply_order(self, zone: str, change: protocol.Change) -> None:
+        followed = self.follower
+        order = evacuations.Order(
+            zone,
+            followed.position.era if followed else 0,
+            change.revision,
+            change.value is not None,
+        )
+        live = followed is not None and followed.live
+        if self._board.directory.evacuations.apply(
+            order, clock.read_time(), live
+        ):
+            self._notices.report([order], "store")
+
     def adopt(self, value: bytes, source: str) -> None:
         """Adopt an encoded configuration if it is newer than the current one.
 
--- a/src/cyclamenwing/gateway/gossip.py
+++ b/src/cyclamenwing/gateway/gossip.py
@@ -15,6 +15,7 @@
 
 from cyclamenwing.gateway import blackboard
 from cyclamenwing.gateway import clock
+from cyclamenwing.gateway import evacuation_notices
 from cyclamenwing.gateway import gossip_messages
 from cyclamenwing.gateway import limit_notices
 from cyclamenwing.gateway import load_notices
@@ -45,6 +46,7 @@
         self._load_notices = load_notices.LoadNoticeExchange(board)
         self._limit_notices = limit_notices.LimitNoticeExchange(board)
         self._pool_notices = pool_notices.PoolNoticeExchange(board)
+        self._order_notices = evacuation_notices.OrderNoticeExchange(board)
         self.record_sent_parts = self._load_notices.record_sent_parts
         self._message_number = 0
         self._replaced_peers: dict[str, blackboard.Peer] = {}
@@ -118,6 +120,7 @@
             parts=self._part_notices.build(address, host),
             software=board.versions.list_seen(now_s),
             software_span_s=board.versions.measure_span(now_s),
+            evacuations=self._order_notices.build(now_s),
         )
 
     def has_late_record(self, now_s: float) -> bool:
@@ -163,6 +166,7 @@
             message.gateways,
             None if message.wall_s is None else message.wall_s - now_s,
         )
+        self._order_notices.merge(message.evacuations, message.host, now_s)
         self._merge_members(message, now_s)
         from_delegate = not message.attached
         self._load_notices.merge_loads(message.host, message.sites, now_s)
--- a/src/cyclamenwing/gateway/handler.py
+++ b/src/cyclamenwing/gateway/handler.py
@@ -13,12 +13,12 @@
 from cyclamenwing.gateway import clock
 from cyclamenwing.gateway import configuration
 from cyclamenwing.gateway import errors
-from cyclamenwing.gateway import exclusions
 from cyclamenwing.gateway import forwarding
 from cyclamenwing.gateway import poison_requests
 from cyclamenwing.gateway import request_context
 from cyclamenwing.gateway import reservations
 from cyclamenwing.gateway import stream_origins
+from cyclamenwing.gateway import unavailability
 from cyclamenwing.metrics import types as metric_types
 from cyclamenwing.transport import h1
 
@@ -141,11 +141,9 @@
         if context.route.resumable and context.call.last_event_id is not None:
             await self._origins.resolve(context)
         # Before the reservation, which may wait for tokens.
-        waiting = exclusions.make_waiting_error(
-            self._board, context.service.name
-        )
-        if waiting is not None:
-            raise waiting
+        unavailable = unavailability.make_error(self._board, context)
+        if unavailable is not None:
+            raise unavailable
         await self._reserve(context)
         context.reserved_s = clock.read_time()
         try:
@@ -283,11 +281,9 @@
             return errors.AnswerLostError(
                 last_error.message if last_error else "", "unknown"
             )
-        waiting = exclusions.make_waiting_error(
-            self._board, context.service.name
-        )
-        if waiting is not None:
-            return waiting
+        unavailable = unavailability.make_error(self._board, context)
+        if unavailable is not None:
+            return unavailable
         if last_error is None:
             origin = context.origin
             if origin is not None:
--- a/src/cyclamenwing/gateway/request_context.py
+++ b/src/cyclamenwing/gateway/request_context.py
@@ -6,6 +6,7 @@
 
 from cyclamenwing.gateway import calls
 from cyclamenwing.gateway import configuration
+from cyclamenwing.routing import endpoints
 from cyclamenwing.routing import placement
 from cyclamenwing.routing import versions
 from cyclamenwing.transport import h1
@@ -24,6 +25,8 @@
     :param origin: version at which its stream began and has to go on, None
         until the client has an event
     :param excluded: names of endpoints that are not tried again
+    :param scope: endpoints that it may be sent to
+    :param homes: regions of that scope, for the log; None for any
     """
 
     request: h1.Request
@@ -44,6 +47,8 @@
     first_byte_s: float | None = None
     events: int = 0
     excluded: set[str] = dataclasses.field(default_factory=set)
+    scope: endpoints.Scope = endpoints.ANY_ENDPOINT
+    homes: frozenset[str] | None = None
 
     @property
     def max_tokens(self) -> int:
--- a/src/cyclamenwing/platform/configuration.py
+++ b/src/cyclamenwing/platform/configuration.py
@@ -12,6 +12,9 @@
 
 KEY = "op/config"
 KEY_PREFIX = "op/"
+# Operators write this key with the name of an availability zone to evacuate
+# the zone, and remove it to end the evacuation. Its value has no meaning.
+EVACUATION_KEY_PREFIX = "op/evacuate/"
 MS_PER_S = 1000.0
 # Latency objective of routes without `goal_ms`. These are plain calls, which
 # usually have to end within half a second.
@@ -64,6 +67,8 @@
     sticky: bool = False
     # A broken stream may be resumed after its last event.
     resumable: bool = False
+    # Regions whose endpoints may get the requests; empty means any.
+    home_regions: list[str] = []
 
 
 class EngineEntry(msgspec.Struct):
@@ -105,6 +110,8 @@
     priority: int | None = None
     # Total tokens that the workspace may consume; top-ups raise this number.
     prepaid: int | None = None
+    # As for routes. An endpoint must be in a region of both lists.
+    home_regions: list[str] = []
 
 
 class ConfigEntry(msgspec.Struct):
@@ -139,7 +146,10 @@
         services={item.name: _read_service(item) for item in entry.services},
         workspaces={
             item.name: configuration.Workspace(
-                item.name, item.priority, item.prepaid
+                item.name,
+                item.priority,
+                item.prepaid,
+                frozenset(item.home_regions),
             )
             for item in entry.tenants
         },
@@ -187,6 +197,7 @@
         public=entry.public,
         resumable=entry.resumable,
         cached=entry.sticky,
+        home_regions=frozenset(entry.home_regions),
     )
 
 
@@ -207,6 +218,7 @@
 
 
 __all__ = (
+    "EVACUATION_KEY_PREFIX",
     "KEY",
     "KEY_PREFIX",
     "read_configuration",
--- a/src/cyclamenwing/routing/endpoints.py
+++ b/src/cyclamenwing/routing/endpoints.py
@@ -5,6 +5,7 @@
 import dataclasses
 from typing import NamedTuple
 
+from cyclamenwing.routing import evacuations
 from cyclamenwing.routing import exclusions
 from cyclamenwing.routing import rate_limits
 
@@ -36,6 +37,20 @@
         return exclusions.Incarnation(self.name, self.started_ms, self.address)
 
 
+class Scope(NamedTuple):
+    """Restrict the endpoints that a request may be sent to.
+
+    :param zones: availability zones of its home, None for any
+    :param part: prompt part with which it leaves an evacuated zone
+    """
+
+    zones: frozenset[str] | None = None
+    part: str = ""
+
+
+ANY_ENDPOINT = Scope()
+
+
 @dataclasses.dataclass(slots=True)
 class Directory:
     """Hold the registered endpoints.
@@ -56,6 +71,9 @@
     limits: rate_limits.RateLimits = dataclasses.field(
         default_factory=rate_limits.RateLimits
     )
+    evacuations: evacuations.Evacuations = dataclasses.field(
+        default_factory=evacuations.Evacuations
+    )
     version: int = 0
     # Registered endpoints that are not gone, by service, until a change.
     _remaining: dict[str, list[Endpoint]] = dataclasses.field(
@@ -133,17 +151,29 @@
         """Return whether an endpoint leaves or was removed."""
         return self.exclusions.is_gone(endpoint.incarnation)
 
-    def accepts(self, endpoint: Endpoint, now_s: float) -> bool:
+    def accepts(
+        self,
+        endpoint: Endpoint,
+        now_s: float,
+        scope: Scope = ANY_ENDPOINT,
+    ) -> bool:
         """Return whether an endpoint may get new requests now."""
         incarnation = endpoint.incarnation
         return not (
             self.exclusions.is_gone(incarnation)
             or self.exclusions.read_wait(incarnation, now_s)
+            or self._is_outside(endpoint, now_s, scope)
         )
 
-    def list_usable(self, service: str, now_s: float) -> list[Endpoint]:
+    def list_usable(
+        self, service: str, now_s: float, scope: Scope = ANY_ENDPOINT
+    ) -> list[Endpoint]:
         """Return the endpoints of a service that accept new requests."""
         usable = self._list_remaining(service)
+        if self.evacuations.active or scope.zones is not None:
+            usable = [
+                e for e in usable if not self._is_outside(e, now_s, scope)
+            ]
         if self.exclusions.waits or self.limits.limits:
             usable = [e for e in usable if not self._read_wait(e, now_s)]
         if usable:
@@ -155,11 +185,13 @@
             e
             for e, _ in self.lapsed.values()
             if e.service == service
-            and self.accepts(e, now_s)
+            and self.accepts(e, now_s, scope)
             and not self.limits.measure_wait(e.incarnation, now_s)
         ]
 
-    def measure_wait(self, service: str, now_s: float) -> float | None:
+    def measure_wait(
+        self, service: str, now_s: float, scope: Scope = ANY_ENDPOINT
+    ) -> float | None:
         """Return the seconds until an endpoint of a service accepts requests.
 
         It is None if one accepts them now or none will. Where limits bind,
@@ -167,14 +199,13 @@
         """
         if not (self.exclusions.waits or self.limits.limits):
             return None
-        if self.list_usable(service, now_s):
+        if self.list_usable(service, now_s, scope):
             return None
-        lapsed = [
+        remaining = [
             e
-            for e, _ in self.lapsed.values()
-            if e.service == service and not self.is_gone(e)
+            for e in self._list_known(service)
+            if not self._is_outside(e, now_s, scope)
         ]
-        remaining = [*self._list_remaining(service), *lapsed]
         waits = [
             max(
                 self.exclusions.read_wait(e.incarnation, now_s),
@@ -188,6 +219,29 @@
             service, [e.incarnation for e in remaining], min(waits), now_s
         )
 
+    def is_evacuated(
+        self, service: str, now_s: float, scope: Scope = ANY_ENDPOINT
+    ) -> bool:
+        """Return whether a service has endpoints in evacuated zones only."""
+        if not self.evacuations.active:
+            return False
+        zones = {
+            e.zone
+            for e in self._list_known(service)
+            if scope.zones is None or e.zone in scope.zones
+        }
+        return bool(zones) and all(
+            self.evacuations.is_evacuated(zone, now_s, scope.part)
+            for zone in zones
+        )
+
+    def has_home(self, service: str, scope: Scope) -> bool:
+        """Return whether a service has endpoints in a request's home."""
+        zones = scope.zones
+        return zones is None or any(
+            e.zone in zones for e in self._list_known(service)
+        )
+
     def list_software(self) -> set[tuple[str, str]]:
         """Return the services and software versions of all endpoints."""
         known = [
@@ -207,6 +261,24 @@
             for e in self.registered.values()
         )
 
+    def _is_outside(
+        self, endpoint: Endpoint, now_s: float, scope: Scope
+    ) -> bool:
+        """Return whether an endpoint is evacuated or not in a home."""
+        zone = endpoint.zone
+        return (
+            scope.zones is not None and zone not in scope.zones
+        ) or self.evacuations.is_evacuated(zone, now_s, scope.part)
+
+    def _list_known(self, service: str) -> list[Endpoint]:
+        """Return the endpoints of a service that are not gone."""
+        lapsed = [
+            e
+            for e, _ in self.lapsed.values()
+            if e.service == service and not self.is_gone(e)
+        ]
+        return [*self._list_remaining(service), *lapsed]
+
     def _read_wait(self, endpoint: Endpoint, now_s: float) -> float:
         return self.exclusions.read_wait(
             endpoint.incarnation, now_s
@@ -229,7 +301,9 @@
 
 
 __all__ = (
+    "ANY_ENDPOINT",
     "LAPSE_GRACE_S",
     "Directory",
     "Endpoint",
+    "Scope",
 )
--- a/src/cyclamenwing/standin/platform_endpoint.py
+++ b/src/cyclamenwing/standin/platform_endpoint.py
@@ -34,6 +34,7 @@
         empty for none
     :ivar poison_part: part of a prompt at which the endpoint crashes as it
         begins to answer; empty for none
+    :ivar zone: availability zone in its entry
     :ivar software: version of its software in its entry
     :ivar started_ms: start time in its entry, 0 for none
     :ivar arrivals: number of requests that reached it, executed or not
@@ -51,6 +52,7 @@
         self.refuse_time = b""
         self.limit = b""
         self.poison_part = b""
+        self.zone = "z1"
         self.software = "v1"
         self.started_ms = int(time.time() * MS_PER_S)
         self.arrivals = 0
@@ -70,7 +72,7 @@
         return msgspec.json.encode({
             "service": self.service,
             "address": self.address,
-            "zone": "z1",
+            "zone": self.zone,
             "version": self.software,
             "slots": 6,
             "state": state,
--- a/tests/soak/launcher.py
+++ b/tests/soak/launcher.py
@@ -108,7 +108,7 @@
     _replace(
         endpoints.Directory,
         "list_usable",
-        lambda self, service, now_s: [
+        lambda self, service, *args: [
             e for e in self.registered.values() if e.service == service
         ],
     )
