--- a/tests/gateway/deployments.py
+++ b/tests/gateway/deployments.py
@@ -94,6 +94,8 @@
             platform_endpoint.EndpointStandin("m2", "llm"),
         ]
         self.gateways: list[app.Gateway] = []
+        # Region of each zone, in the settings of gateways.
+        self.regions: dict[str, str] = {}
 
     async def start(self, gateways: int = 1) -> None:
         for endpoint in self.endpoints:
@@ -124,6 +126,7 @@
                 control=addresses.reserve_address(),
                 store=self.store_address,
                 seeds=seeds,
+                regions=self.regions,
                 bounds=settings.Bounds(grace_s=4.0),
             ),
             store.KeyValueStore,
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -151,3 +151,22 @@
 def test_malformed_configuration_is_refused(data: bytes) -> None:
     with pytest.raises(errors.ConfigurationUnreadableError):
         configuration.read_configuration(data)
+
+
+# Guards against a configuration whose homes are not applied, or which refuses
+# everything because it sets none.
+def test_home_regions_of_routes_and_workspaces_are_read() -> None:
+    route = ROUTE | {"home_regions": ["north", "south"]}
+    tenant = {"name": "t", "api_keys": ["k"], "home_regions": ["north"]}
+    config = configuration.read_configuration(
+        msgspec.json.encode({
+            "version": 1,
+            "routes": [route],
+            "tenants": [tenant, {"name": "u", "api_keys": ["k2"]}],
+        })
+    )
+    found = config.find_route("api.example", "/a/x")
+    assert found is not None
+    assert found.home_regions == {"north", "south"}
+    assert config.workspaces["t"].home_regions == {"north"}
+    assert config.workspaces["u"].home_regions == frozenset()
