Test late orders, and messages of processes that know no orders

An order that arrives after a failure of the watch, or after a gap longer than a long poll, must not be spread: it may already be as old as the bound allows.

--- a/tests/gateway/test_evacuations.py
+++ b/tests/gateway/test_evacuations.py
@@ -14,11 +14,13 @@
 from typing import Any
 
 import eliot
+import msgspec
 import pytest
 from tests.gateway import deployments
 
 from cyclamenwing.gateway import app
 from cyclamenwing.gateway import clock
+from cyclamenwing.gateway import gossip_messages
 from cyclamenwing.membership import delegates
 from cyclamenwing.routing import endpoints
 from cyclamenwing.routing import evacuations
@@ -206,6 +208,31 @@
     run(check)
 
 
+# Guards against parts that stay in the zone beyond the bound, as the order was
+# old when it arrived: the process was paused, or the store or a link slow.
+@pytest.mark.parametrize("late", ["gap", "failure"])
+def test_parts_leave_at_once_if_the_order_may_be_old(late: str) -> None:
+    async def check(deployment: deployments.Deployment) -> None:
+        gateway = deployment.gateways[0]
+        follower = gateway._configurations.follower
+        assert follower is not None
+        await wait_until(lambda: follower.last_failure_s is None, 10.0)
+        if late == "gap":
+            gateway._watched.caches["op/"].answered_s -= 4.0
+        else:
+            follower.last_failure_s = clock.read_time()
+        await evacuate(deployment, "z1")
+        await wait_known(deployment, "z1")
+        known = gateway.board.directory.evacuations
+        now_s = clock.read_time()
+        assert all(
+            known.is_evacuated("z1", now_s, f"p{number}")
+            for number in range(100)
+        )
+
+    run(check)
+
+
 # Guards against answers that are broken off because their zone is evacuated.
 def test_request_in_progress_ends_in_the_zone() -> None:
     async def check(deployment: deployments.Deployment) -> None:
@@ -272,6 +299,28 @@
     run(check, gateways=3)
 
 
+# Guards against an upgrade during which gateways can't read each other's
+# messages.
+def test_message_without_orders_is_read() -> None:
+    async def check(deployment: deployments.Deployment) -> None:
+        await evacuate(deployment, "z1")
+        await wait_known(deployment, "z1")
+        gossip = deployment.gateways[0]._peers.gossip
+        message = gossip.build_message("peer:1")
+        assert [n.order.zone for n in message.evacuations] == ["z1"]
+        sent = msgspec.json.decode(msgspec.json.encode(message))
+        assert msgspec.convert(sent, gossip_messages.GossipMessage) == message
+        del sent["evacuations"]
+        older = msgspec.convert(sent, gossip_messages.GossipMessage)
+        assert older.evacuations == []
+        gossip.merge_message(
+            msgspec.structs.replace(older, host="old", number=10**9)
+        )
+        assert knows(deployment.gateways[0], "z1")
+
+    run(check)
+
+
 # Guards against a process that serves before it knows the orders.
 @pytest.mark.parametrize("from_peer", [False, True])
 def test_gateway_that_restarts_knows_the_orders_before_it_serves(
