Leave endpoints that lapsed too long ago out of refusals

An expired entry stays in the list of lapsed endpoints until a request that finds no other endpoint. It counted as an endpoint at home or in an evacuated zone until then, so the request was refused with the wrong code, after it had waited for tokens.

--- a/src/cyclamenwing/gateway/unavailability.py
+++ b/src/cyclamenwing/gateway/unavailability.py
@@ -28,14 +28,15 @@
     """Return the error if a request can't be sent to any endpoint now."""
     service = context.service.name
     scope = context.scope
+    now_s = clock.read_time()
     error: errors.GatewayError
-    if not board.directory.has_home(service, scope):
+    if not board.directory.has_home(service, now_s, scope):
         board.metrics.count(HOME_REFUSALS)
         names = ", ".join(sorted(context.homes or ())) or "none in common"
         error = errors.NoHomeEndpointError(
             f"no endpoint of {service} is in the home regions ({names})"
         )
-    elif board.directory.is_evacuated(service, clock.read_time(), scope):
+    elif board.directory.is_evacuated(service, now_s, scope):
         error = errors.ZonesEvacuatedError(
             f"all endpoints of {service} are in evacuated zones"
         )
--- a/src/cyclamenwing/routing/endpoints.py
+++ b/src/cyclamenwing/routing/endpoints.py
@@ -199,7 +199,9 @@
             return None
         if self.list_usable(service, now_s, scope):
             return None
-        remaining = self._list_inside(self._list_known(service), now_s, scope)
+        remaining = self._list_inside(
+            self._list_known(service, now_s), now_s, scope
+        )
         waits = [
             max(
                 self.exclusions.read_wait(e.incarnation, now_s),
@@ -220,7 +222,7 @@
         if not self.evacuations.active:
             return False
         found = False
-        for endpoint in self._list_known(service):
+        for endpoint in self._list_known(service, now_s):
             if scope.zones is None or endpoint.zone in scope.zones:
                 found = True
                 if not self.evacuations.is_evacuated(
@@ -229,11 +231,11 @@
                     return False
         return found
 
-    def has_home(self, service: str, scope: Scope) -> bool:
+    def has_home(self, service: str, now_s: float, scope: Scope) -> bool:
         """Return whether a service has endpoints in a request's home."""
         zones = scope.zones
         return zones is None or any(
-            e.zone in zones for e in self._list_known(service)
+            e.zone in zones for e in self._list_known(service, now_s)
         )
 
     def list_software(self) -> set[tuple[str, str]]:
@@ -268,12 +270,12 @@
             scope.zones is not None and zone not in scope.zones
         ) or self.evacuations.is_evacuated(zone, now_s, scope.part)
 
-    def _list_known(self, service: str) -> list[Endpoint]:
+    def _list_known(self, service: str, now_s: float) -> list[Endpoint]:
         """Return the endpoints of a service that are not gone."""
         lapsed = [
             e
-            for e, _ in self.lapsed.values()
-            if e.service == service and not self.is_gone(e)
+            for e, until_s in self.lapsed.values()
+            if e.service == service and until_s > now_s and not self.is_gone(e)
         ]
         return [*self._list_remaining(service), *lapsed]
 
--- a/tests/routing/test_endpoints.py
+++ b/tests/routing/test_endpoints.py
@@ -131,12 +131,27 @@
     directory.record_wait(ONE, 0.0, 2.0)
     assert directory.list_usable("api", 0.0, HOME) == []
     assert directory.measure_wait("api", 0.0, HOME) == 2.0
-    assert directory.has_home("api", HOME)
+    assert directory.has_home("api", 0.0, HOME)
     directory.drop("e2", 0.0, in_doubt=True)
     assert directory.list_usable("api", 0.0, HOME) == []
     evacuate(directory, "a")
     assert directory.is_evacuated("api", 0.0, HOME)
     directory.drop("e1", 0.0, in_doubt=False)
-    assert not directory.has_home("api", HOME)
-    assert directory.has_home("api", endpoints.ANY_ENDPOINT)
+    assert not directory.has_home("api", 0.0, HOME)
+    assert directory.has_home("api", 0.0, endpoints.ANY_ENDPOINT)
     assert directory.list_usable("api", 0.0, HOME) == []
+
+
+# Guards against a lapsed endpoint that counts until the next request that
+# finds no other.
+def test_lapsed_endpoint_is_in_a_home_or_zone_for_the_grace_time_only() -> (
+    None
+):
+    directory = make_directory(ONE)
+    directory.drop("e1", 0.0, in_doubt=True)
+    evacuate(directory, "a")
+    early_s, late_s = 0.0, endpoints.LAPSE_GRACE_S
+    assert directory.has_home("api", early_s, HOME)
+    assert directory.is_evacuated("api", early_s)
+    assert not directory.has_home("api", late_s, HOME)
+    assert not directory.is_evacuated("api", late_s)
