--- a/src/cyclamenwing/routing/endpoints.py
+++ b/src/cyclamenwing/routing/endpoints.py
@@ -5,6 +5,7 @@
 import dataclasses
 from typing import NamedTuple
 
+from cyclamenwing.routing import evacuations
 from cyclamenwing.routing import exclusions
 from cyclamenwing.routing import rate_limits
 
@@ -36,6 +37,20 @@
         return exclusions.Incarnation(self.name, self.started_ms, self.address)
 
 
+class Scope(NamedTuple):
+    """Restrict the endpoints that a request may be sent to.
+
+    :param zones: availability zones of its home, None for any
+    :param part: prompt part with which it leaves an evacuated zone
+    """
+
+    zones: frozenset[str] | None = None
+    part: str = ""
+
+
+ANY_ENDPOINT = Scope()
+
+
 @dataclasses.dataclass(slots=True)
 class Directory:
     """Hold the registered endpoints.
@@ -56,6 +71,9 @@
     limits: rate_limits.RateLimits = dataclasses.field(
         default_factory=rate_limits.RateLimits
     )
+    evacuations: evacuations.Evacuations = dataclasses.field(
+        default_factory=evacuations.Evacuations
+    )
     version: int = 0
     # Registered endpoints that are not gone, by service, until a change.
     _remaining: dict[str, list[Endpoint]] = dataclasses.field(
@@ -133,17 +151,27 @@
         """Return whether an endpoint leaves or was removed."""
         return self.exclusions.is_gone(endpoint.incarnation)
 
-    def accepts(self, endpoint: Endpoint, now_s: float) -> bool:
+    def accepts(
+        self,
+        endpoint: Endpoint,
+        now_s: float,
+        scope: Scope = ANY_ENDPOINT,
+    ) -> bool:
         """Return whether an endpoint may get new requests now."""
         incarnation = endpoint.incarnation
         return not (
             self.exclusions.is_gone(incarnation)
             or self.exclusions.read_wait(incarnation, now_s)
+            or self._is_outside(endpoint.zone, now_s, scope)
         )
 
-    def list_usable(self, service: str, now_s: float) -> list[Endpoint]:
+    def list_usable(
+        self, service: str, now_s: float, scope: Scope = ANY_ENDPOINT
+    ) -> list[Endpoint]:
         """Return the endpoints of a service that accept new requests."""
         usable = self._list_remaining(service)
+        if self.evacuations.active or scope.zones is not None:
+            usable = self._list_inside(usable, now_s, scope)
         if self.exclusions.waits or self.limits.limits:
             usable = [e for e in usable if not self._read_wait(e, now_s)]
         if usable:
@@ -155,11 +183,13 @@
             e
             for e, _ in self.lapsed.values()
             if e.service == service
-            and self.accepts(e, now_s)
+            and self.accepts(e, now_s, scope)
             and not self.limits.measure_wait(e.incarnation, now_s)
         ]
 
-    def measure_wait(self, service: str, now_s: float) -> float | None:
+    def measure_wait(
+        self, service: str, now_s: float, scope: Scope = ANY_ENDPOINT
+    ) -> float | None:
         """Return the seconds until an endpoint of a service accepts requests.
 
         It is None if one accepts them now or none will. Where limits bind,
@@ -167,14 +197,11 @@
         """
         if not (self.exclusions.waits or self.limits.limits):
             return None
-        if self.list_usable(service, now_s):
+        if self.list_usable(service, now_s, scope):
             return None
-        lapsed = [
-            e
-            for e, _ in self.lapsed.values()
-            if e.service == service and not self.is_gone(e)
-        ]
-        remaining = [*self._list_remaining(service), *lapsed]
+        remaining = self._list_inside(
+            self._list_known(service, now_s), now_s, scope
+        )
         waits = [
             max(
                 self.exclusions.read_wait(e.incarnation, now_s),
@@ -188,6 +215,29 @@
             service, [e.incarnation for e in remaining], min(waits), now_s
         )
 
+    def is_evacuated(
+        self, service: str, now_s: float, scope: Scope = ANY_ENDPOINT
+    ) -> bool:
+        """Return whether a service has endpoints in evacuated zones only."""
+        if not self.evacuations.active:
+            return False
+        found = False
+        for endpoint in self._list_known(service, now_s):
+            if scope.zones is None or endpoint.zone in scope.zones:
+                found = True
+                if not self.evacuations.is_evacuated(
+                    endpoint.zone, now_s, scope.part
+                ):
+                    return False
+        return found
+
+    def has_home(self, service: str, now_s: float, scope: Scope) -> bool:
+        """Return whether a service has endpoints in a request's home."""
+        zones = scope.zones
+        return zones is None or any(
+            e.zone in zones for e in self._list_known(service, now_s)
+        )
+
     def list_software(self) -> set[tuple[str, str]]:
         """Return the services and software versions of all endpoints."""
         known = [
@@ -207,6 +257,28 @@
             for e in self.registered.values()
         )
 
+    def _list_inside(
+        self, candidates: list[Endpoint], now_s: float, scope: Scope
+    ) -> list[Endpoint]:
+        zones = {e.zone for e in candidates}
+        closed = {z for z in zones if self._is_outside(z, now_s, scope)}
+        return [e for e in candidates if e.zone not in closed]
+
+    def _is_outside(self, zone: str, now_s: float, scope: Scope) -> bool:
+        """Return whether a zone is evacuated or not in a home."""
+        return (
+            scope.zones is not None and zone not in scope.zones
+        ) or self.evacuations.is_evacuated(zone, now_s, scope.part)
+
+    def _list_known(self, service: str, now_s: float) -> list[Endpoint]:
+        """Return the endpoints of a service that are not gone."""
+        lapsed = [
+            e
+            for e, until_s in self.lapsed.values()
+            if e.service == service and until_s > now_s and not self.is_gone(e)
+        ]
+        return [*self._list_remaining(service), *lapsed]
+
     def _read_wait(self, endpoint: Endpoint, now_s: float) -> float:
         return self.exclusions.read_wait(
             endpoint.incarnation, now_s
@@ -229,7 +301,9 @@
 
 
 __all__ = (
+    "ANY_ENDPOINT",
     "LAPSE_GRACE_S",
     "Directory",
     "Endpoint",
+    "Scope",
 )
