Limit cold endpoints as one more kind of limit

Cause: an endpoint that starts during traffic, or turns cold, crashes well above the rate that its service states (cold_per_s), and each gateway sends to it at once because its queue is empty.

Ruled out: a second mechanism of shares. The senders, shares and windows of rate_limits are now in routing/limit_shares.py with one policy per kind of limit. Limits that endpoints name keep their policy.

Changed: routing/cold_starts.py holds which incarnations are cold until when, routing/cold_limits.py the shares in a window of 1 s. Gateways learn it from entries, answers, refused connections and peers. No test of the sum over a fleet yet; tests of named limits pass unchanged.

--- a/src/cyclamenwing/gateway/app.py
+++ b/src/cyclamenwing/gateway/app.py
@@ -17,6 +17,7 @@
 from cyclamenwing.gateway import blackboard
 from cyclamenwing.gateway import calls
 from cyclamenwing.gateway import clock
+from cyclamenwing.gateway import cold_notices
 from cyclamenwing.gateway import connections
 from cyclamenwing.gateway import eras
 from cyclamenwing.gateway import follower
@@ -36,6 +37,7 @@
 from cyclamenwing.gateway import watches
 from cyclamenwing.membership import delegates
 from cyclamenwing.metrics import recorder
+from cyclamenwing.routing import cold_limits
 from cyclamenwing.routing import endpoints
 from cyclamenwing.routing import placement
 from cyclamenwing.routing import rate_limits
@@ -103,7 +105,16 @@
             ),
             metrics=metrics,
             directory=endpoints.Directory(
-                limits=rate_limits.RateLimits(settings.host, incarnation)
+                limits=rate_limits.RateLimits(
+                    settings.host,
+                    incarnation,
+                    cold_limits.ColdLimits(
+                        settings.host,
+                        incarnation,
+                        bounds.cold_over,
+                        bounds.cold_slack,
+                    ),
+                )
             ),
             eras=eras.EraTracker(metrics),
             roster=delegates.Roster(
@@ -381,6 +392,7 @@
         while True:
             await asyncio.sleep(IDLE_CHECK_INTERVAL_S)
             self._connections.close_expired()
+            cold_notices.report_warm(self.board)
             directory = self.board.directory
             directory.limits.trim(directory.registered, clock.read_time())
 
--- a/src/cyclamenwing/gateway/attempts.py
+++ b/src/cyclamenwing/gateway/attempts.py
@@ -10,6 +10,7 @@
 from cyclamenwing.gateway import blackboard
 from cyclamenwing.gateway import calls
 from cyclamenwing.gateway import clock
+from cyclamenwing.gateway import cold_notices
 from cyclamenwing.gateway import configuration
 from cyclamenwing.gateway import connections
 from cyclamenwing.gateway import errors
@@ -62,12 +63,13 @@
     """Hold the endpoint of an attempt.
 
     :param request_number: number of its `placement.InFlightRequest`
-    :param counted: the request counts towards the endpoint's limit already
+    :param counted: number of the endpoint's limits towards which the request
+        counts already
     """
 
     endpoint: endpoints.Endpoint
     request_number: int
-    counted: bool
+    counted: int
 
 
 class Attempts:
@@ -117,7 +119,7 @@
         context.endpoint = chosen.name
         context.software = chosen.software
         limits = self._board.directory.limits
-        counted = limits.is_limited(chosen.incarnation)
+        counted = limits.count_limits(chosen.incarnation, now_s)
         limits.try_acquire(chosen.incarnation, now_s)
         request_number = placement.start(chosen, context.demand, now_s)
         if context.demand.parts:
@@ -162,6 +164,7 @@
             endpoint_state.record_failure(clock.read_time())
             self._connections.close_idle(endpoint)
             self._board.metrics.count(ATTEMPTS, "lost")
+            cold_notices.record_failed(self._board, endpoint, err)
             self._poison_requests.investigate_lost(context, endpoint)
             raise AttemptLostError(err.message) from err
         finally:
@@ -191,6 +194,7 @@
                 clock.read_time()
             )
             self._board.metrics.count(ATTEMPTS, "connect_failed")
+            cold_notices.record_failed(self._board, endpoint, err)
             raise AttemptNotRunError(err.message) from err
         if not self._may_send(target):
             connection.close()
@@ -206,14 +210,13 @@
     def _may_send(self, target: Target) -> bool:
         """Return whether the endpoint still accepts requests.
 
-        It may have named a limit since it was chosen.
+        It may have named a limit or turned cold since it was chosen.
         """
         directory = self._board.directory
         now_s = clock.read_time()
         incarnation = target.endpoint.incarnation
         return directory.accepts(target.endpoint, now_s) and (
-            target.counted
-            or not directory.limits.is_limited(incarnation)
+            target.counted >= directory.limits.count_limits(incarnation, now_s)
             or directory.limits.try_acquire(incarnation, now_s)
         )
 
--- a/src/cyclamenwing/gateway/calls.py
+++ b/src/cyclamenwing/gateway/calls.py
@@ -79,6 +79,8 @@
     :param limit_rps: requests per second that the endpoint takes from all
         gateways together; its header doesn't say that it concerns the sum
     :param limit_unreadable: the endpoint names a limit that is no such rate
+    :param cold_remaining_s: cold time that the endpoint has left, None if it
+        does not say
     """
 
     request_id: bytes | None
@@ -91,6 +93,7 @@
     refuse_s: float | None = None
     limit_rps: float | None = None
     limit_unreadable: bool = False
+    cold_remaining_s: float | None = None
 
 
 class Refusal(NamedTuple):
--- a/src/cyclamenwing/gateway/configuration.py
+++ b/src/cyclamenwing/gateway/configuration.py
@@ -6,6 +6,7 @@
 from collections.abc import Mapping
 from typing import NamedTuple
 
+from cyclamenwing.routing import cold_marks
 from cyclamenwing.transport import h1
 
 
@@ -78,12 +79,16 @@
 
 
 class Service(NamedTuple):
-    """Describe a service and its endpoints; plain ones have no engine."""
+    """Describe a service and its endpoints; plain ones have no engine.
+
+    :param cold: what its cold endpoints take, None if it has none
+    """
 
     name: str
     health_path: str
     max_connections: int
     engine: Engine | None
+    cold: cold_marks.ColdTerms | None = None
 
 
 class Workspace(NamedTuple):
--- a/src/cyclamenwing/gateway/exclusions.py
+++ b/src/cyclamenwing/gateway/exclusions.py
@@ -10,6 +10,7 @@
 from cyclamenwing.gateway import blackboard
 from cyclamenwing.gateway import calls
 from cyclamenwing.gateway import clock
+from cyclamenwing.gateway import cold_notices
 from cyclamenwing.gateway import connections
 from cyclamenwing.gateway import errors
 from cyclamenwing.metrics import types as metric_types
@@ -52,6 +53,7 @@
         self._unreadable_limits: dict[
             routing_exclusions.Incarnation, None
         ] = {}
+        cold_notices.register_gauges(board)
         board.metrics.register_gauge(LEAVING, board.directory.count_leaving)
         board.metrics.register_gauge(
             LIMITED, board.directory.limits.count_limited
@@ -87,11 +89,17 @@
 
         :param sent_s: time at which the request was sent
         """
+        limits = self._board.directory.limits
+        incarnation = endpoint.incarnation
+        now_s = clock.read_time()
         if status == http.HTTPStatus.MISDIRECTED_REQUEST:
             # Another process has the address.
+            limits.release(incarnation, sent_s, now_s)
             return
-        limits = self._board.directory.limits
-        incarnation = endpoint.incarnation
+        if limits.cold.starts.record_answer(
+            incarnation, metadata.cold_remaining_s, sent_s, now_s
+        ):
+            cold_notices.log_cold(self._board, incarnation, now_s)
         unreadable = metadata.limit_unreadable
         if unreadable:
             changed = incarnation not in self._unreadable_limits
--- a/src/cyclamenwing/gateway/follower.py
+++ b/src/cyclamenwing/gateway/follower.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from collections.abc import Callable
 from collections.abc import Sequence
 from typing import NamedTuple
@@ -12,6 +13,7 @@
 from cyclamenwing import errors
 from cyclamenwing.gateway import blackboard
 from cyclamenwing.gateway import clock
+from cyclamenwing.gateway import cold_notices
 from cyclamenwing.gateway import configuration
 from cyclamenwing.gateway import watches
 from cyclamenwing.routing import endpoints
@@ -191,6 +193,7 @@
         if current is not None and config.version <= current.version:
             return
         self._board.configuration = config
+        cold_notices.apply_configuration(self._board)
         eliot.log_message(
             "configuration:adopted",
             version=config.version,
@@ -217,7 +220,7 @@
         names = set()
         for entry in entries:
             names.add(self._codec.read_endpoint_name(entry.key))
-            self._put(entry.key, entry.value, entry.revision)
+            self._put(entry.key, entry.value, entry.revision, live=False)
         for name in set(self._board.directory.registered) - names:
             self._drop(name, now_s, in_doubt=True)
         self._board.endpoints_loaded = True
@@ -226,7 +229,7 @@
     def apply_change(self, change: protocol.Change) -> None:
         """Apply one change to the directory."""
         if change.value is not None:
-            self._put(change.key, change.value, change.revision)
+            self._put(change.key, change.value, change.revision, live=True)
             return
         now_s = clock.read_time()
         last_failure_s = (
@@ -242,7 +245,7 @@
         )
         self._board.placement.forget(self._list_names())
 
-    def _put(self, key: str, value: bytes, revision: int) -> None:
+    def _put(self, key: str, value: bytes, revision: int, live: bool) -> None:
         try:
             endpoint = self._codec.read_endpoint(key, value)
         except errors.CodedError as err:
@@ -250,6 +253,11 @@
             name = self._codec.read_endpoint_name(key)
             self._drop(name, clock.read_time(), False, revision)
             return
+        now_s = clock.read_time()
+        if self._board.directory.record_cold_entry(
+            endpoint, now_s, time.time(), live
+        ):
+            cold_notices.log_cold(self._board, endpoint.incarnation, now_s)
         if self._board.directory.put(endpoint, revision):
             eliot.log_message(
                 "endpoint:seen",
--- a/src/cyclamenwing/gateway/gossip.py
+++ b/src/cyclamenwing/gateway/gossip.py
@@ -15,6 +15,7 @@
 
 from cyclamenwing.gateway import blackboard
 from cyclamenwing.gateway import clock
+from cyclamenwing.gateway import cold_notices
 from cyclamenwing.gateway import gossip_messages
 from cyclamenwing.gateway import limit_notices
 from cyclamenwing.gateway import load_notices
@@ -44,6 +45,7 @@
         self._part_notices = poison_notices.PartNoticeExchange(board)
         self._load_notices = load_notices.LoadNoticeExchange(board)
         self._limit_notices = limit_notices.LimitNoticeExchange(board)
+        self._cold_notices = cold_notices.ColdNoticeExchange(board)
         self._pool_notices = pool_notices.PoolNoticeExchange(board)
         self.record_sent_parts = self._load_notices.record_sent_parts
         self._message_number = 0
@@ -118,6 +120,7 @@
             parts=self._part_notices.build(address, host),
             software=board.versions.list_seen(now_s),
             software_span_s=board.versions.measure_span(now_s),
+            cold=self._cold_notices.build(address, serves, host, now_s),
         )
 
     def has_late_record(self, now_s: float) -> bool:
@@ -134,6 +137,7 @@
             address, message.era, message.pools
         )
         self._limit_notices.record_delivered(address, message.limits)
+        self._cold_notices.record_delivered(address, message.cold)
         members = self._delivered_members.setdefault(address, {})
         for member in message.members:
             members[member.host] = member.started_ms
@@ -176,6 +180,9 @@
         self._limit_notices.merge(
             message.limits, message.host, from_delegate, now_s
         )
+        self._cold_notices.merge(
+            message.cold, message.host, from_delegate, now_s
+        )
         board.versions.merge(message.software, message.software_span_s, now_s)
         if message.suspects is not None:
             self._poison_requests.merge_gossip(message.suspects)
@@ -211,6 +218,7 @@
             self._load_notices.forget(message.host, message.address)
             self._pool_notices.forget(message.address)
             self._limit_notices.forget(message.address)
+            self._cold_notices.forget(message.address)
             self._delivered_members.pop(message.address, None)
             self._replaced_peers[previous.holder] = previous
 
--- a/src/cyclamenwing/gateway/gossip_messages.py
+++ b/src/cyclamenwing/gateway/gossip_messages.py
@@ -8,6 +8,7 @@
 from cyclamenwing.gateway import load_notices
 from cyclamenwing.gateway import poison_notices
 from cyclamenwing.membership import delegates
+from cyclamenwing.routing import cold_marks
 from cyclamenwing.routing import placement
 from cyclamenwing.routing import quarantine
 from cyclamenwing.routing import rate_limits
@@ -45,6 +46,7 @@
     :param marks: marks of those `pools` that were restored in this era
     :param limits: limits of endpoints that the peer has not been told of yet
     :param parts: suspect parts of prompts
+    :param cold: cold endpoints that the peer has not been told of yet
     :param software: software versions of the endpoints that it saw lately
     :param software_span_s: time for which it has missed none
     """
@@ -77,6 +79,7 @@
     parts: poison_notices.PartNotices | None = None
     software: list[versions.SeenVersion] = []
     software_span_s: float = 0.0
+    cold: list[cold_marks.ColdNotice] = []
 
 
 class RecordAgeRequest(msgspec.Struct):
--- a/src/cyclamenwing/gateway/peers.py
+++ b/src/cyclamenwing/gateway/peers.py
@@ -196,9 +196,11 @@
     def _start_due_exchanges(self, now_s: float) -> None:
         roster = self._board.roster
         roster.refresh(now_s)
-        self._board.directory.limits.set_members(roster.alive)
-        targets = self._list_targets(now_s)
-        interval_s = compute_interval(len(targets))
+        limits = self._board.directory.limits
+        limits.set_members(roster.alive, roster.members, now_s)
+        urgent = limits.cold.starts.take_urgent()
+        targets = self._list_targets(now_s, urgent)
+        interval_s = 0.0 if urgent else compute_interval(len(targets))
         known = set(self._list_addresses())
         for address in self._board.settings.seeds:
             if address != roster.own.address and address not in known:
@@ -210,8 +212,11 @@
             self._last_call_s[address] = now_s
             self._start_task(self._exchange_gossip(address, host))
 
-    def _list_targets(self, now_s: float) -> dict[str, str]:
-        """Return the hosts of the peers to call, by address."""
+    def _list_targets(self, now_s: float, urgent: bool) -> dict[str, str]:
+        """Return the hosts of the peers to call, by address.
+
+        :param urgent: tell also those that call by themselves later
+        """
         roster = self._board.roster
         if not roster.acts_as_delegate:
             chosen = roster.find_delegates(now_s)[:1]
@@ -225,6 +230,7 @@
             for member in others
             if member.host > roster.own.host
             or late
+            or urgent
             or not self._has_recent_gossip(member.host, now_s, max_silence_s)
         }
 
--- a/src/cyclamenwing/gateway/poison_requests.py
+++ b/src/cyclamenwing/gateway/poison_requests.py
@@ -15,6 +15,7 @@
 from cyclamenwing.gateway import blackboard
 from cyclamenwing.gateway import calls
 from cyclamenwing.gateway import clock
+from cyclamenwing.gateway import cold_notices
 from cyclamenwing.gateway import errors
 from cyclamenwing.gateway import request_context
 from cyclamenwing.metrics import types as metric_types
@@ -156,6 +157,7 @@
                 _read_ms(),
             )
             crashed = True
+            cold_notices.record_failed(self._board, endpoint, err)
             # Without any answer the host may merely be cut off.
             if not context.events and not isinstance(
                 err.__cause__, TimeoutError
--- a/src/cyclamenwing/platform/configuration.py
+++ b/src/cyclamenwing/platform/configuration.py
@@ -8,6 +8,8 @@
 
 from cyclamenwing.gateway import configuration
 from cyclamenwing.platform import errors
+from cyclamenwing.routing import cold_marks
+from cyclamenwing.routing import rate_limits
 from cyclamenwing.transport import h1
 
 KEY = "op/config"
@@ -85,6 +87,11 @@
     # Connections that one endpoint accepts from all clients together.
     max_conns: int = 64
     engine: EngineEntry | None = None
+    # Seconds for which an endpoint is cold after its start, and the requests
+    # per second that it tolerates meanwhile. No endpoint is cold unless both
+    # are above 0.
+    cold_s: float = 0.0
+    cold_per_s: float = 0.0
 
 
 class LimitsEntry(msgspec.Struct):
@@ -198,11 +205,21 @@
             entry.engine.kv_capacity,
             max(entry.engine.stride, 1),
         )
+    cold = None
+    if entry.cold_s > 0 and entry.cold_per_s > 0:
+        cold = cold_marks.ColdTerms(
+            min(entry.cold_s, cold_marks.MAX_LEFT_S),
+            min(
+                max(entry.cold_per_s, rate_limits.MIN_LIMIT_RPS),
+                rate_limits.MAX_LIMIT_RPS,
+            ),
+        )
     return configuration.Service(
         name=entry.name,
         health_path=entry.health_path,
         max_connections=entry.max_conns,
         engine=engine,
+        cold=cold,
     )
 
 
--- a/src/cyclamenwing/platform/endpoints.py
+++ b/src/cyclamenwing/platform/endpoints.py
@@ -10,6 +10,7 @@
 from cyclamenwing.routing import endpoints
 
 KEY_PREFIX = "servers/"
+MS_PER_S = 1000.0
 
 
 class EndpointEntry(msgspec.Struct):
@@ -24,7 +25,7 @@
     version: str = ""
     # Requests that the endpoint runs at the same time.
     slots: int = 1
-    # Remaining time in which the endpoint is slow after its start.
+    # Remaining time in which the endpoint is cold, at the time of writing.
     cold_left_ms: float = 0.0
     # Start time of this incarnation in Unix milliseconds.
     born: int = 0
@@ -54,6 +55,7 @@
         draining=entry.state == "draining",
         started_ms=entry.born,
         software=entry.version,
+        cold_remaining_s=max(entry.cold_left_ms, 0.0) / MS_PER_S,
     )
 
 
--- a/src/cyclamenwing/platform/messages.py
+++ b/src/cyclamenwing/platform/messages.py
@@ -102,6 +102,7 @@
         limit_rps=limit_rps,
         limit_unreadable=limit_rps is None
         and get_header(b"server-limit") is not None,
+        cold_remaining_s=_read_cold_time(get_header(b"cold-ms")),
     )
 
 
@@ -144,6 +145,14 @@
     return min(refuse_s, MAX_REFUSE_S) if math.isfinite(refuse_s) else None
 
 
+def _read_cold_time(value: bytes | None) -> float | None:
+    """Return seconds; None if not stated or not a finite number."""
+    if value is None or not _DECIMAL.fullmatch(value):
+        return None
+    cold_s = float(value) / MS_PER_S
+    return min(cold_s, MAX_REFUSE_S) if math.isfinite(cold_s) else None
+
+
 def _read_limit(value: bytes | None) -> float | None:
     """Return requests per second; None if not named or not above zero."""
     if value is None or not _DECIMAL.fullmatch(value):
--- a/src/cyclamenwing/routing/endpoints.py
+++ b/src/cyclamenwing/routing/endpoints.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+from collections.abc import Iterable
 from typing import NamedTuple
 
 from cyclamenwing.routing import exclusions
@@ -12,6 +13,8 @@
 # within two seconds of the store's return. The grace time is a little shorter,
 # to leave time for requests that are already on their way.
 LAPSE_GRACE_S = 1.7
+# Within `Directory` the module's name is that of a field.
+Incarnation = exclusions.Incarnation
 
 
 class Endpoint(NamedTuple):
@@ -19,6 +22,8 @@
 
     `slots` is the number of requests that it runs at once, `started_ms` the
     time at which its process started, `software` the version of its software.
+    `cold_remaining_s` is the cold time that was left when the entry was
+    written; the directory does not keep it.
     """
 
     name: str
@@ -29,6 +34,7 @@
     draining: bool
     started_ms: int = 0
     software: str = ""
+    cold_remaining_s: float = 0.0
 
     @property
     def incarnation(self) -> exclusions.Incarnation:
@@ -70,6 +76,7 @@
 
         :param revision: revision of its entry in the store
         """
+        endpoint = endpoint._replace(cold_remaining_s=0.0)
         incarnation = endpoint.incarnation
         self._remaining.clear()
         self.exclusions.restore(incarnation, revision)
@@ -90,6 +97,55 @@
         self._record_change()
         return True
 
+    def record_cold_entry(
+        self, endpoint: Endpoint, now_s: float, wall_s: float, live: bool
+    ) -> bool:
+        """Record what an entry says of the cold time; return whether new.
+
+        It is called before `put`, so that the limit holds from the first
+        request on.
+
+        :param wall_s: time by the wall clock at `now_s`
+        :param live: the entry is no part of a full read
+        """
+        incarnation = endpoint.incarnation
+        starts = self.limits.cold.starts
+        cold = starts.record_entry(
+            incarnation,
+            endpoint.service,
+            endpoint.cold_remaining_s,
+            now_s,
+            wall_s,
+            live,
+        )
+        known = self.registered.get(endpoint.name)
+        if (
+            known is not None
+            and known.incarnation != incarnation
+            and known.address == endpoint.address
+            and starts.find_terms(incarnation) is not None
+        ):
+            self.limits.carry_over(known.incarnation, incarnation, now_s)
+        return cold
+
+    def mark_cold(
+        self,
+        incarnations: Iterable[Incarnation],
+        seconds: float | None,
+        source: str,
+        now_s: float,
+    ) -> list[Incarnation]:
+        """Take endpoints as cold; return those that were not before.
+
+        Endpoints of services without cold limits are left out.
+
+        :param seconds: None for the usual time of their service
+        :param source: where this comes from, for the log
+        """
+        return self.limits.cold.starts.mark_cold(
+            incarnations, seconds, source, now_s
+        )
+
     def drop(
         self, name: str, now_s: float, in_doubt: bool, revision: int = 0
     ) -> bool:
@@ -144,7 +200,7 @@
     def list_usable(self, service: str, now_s: float) -> list[Endpoint]:
         """Return the endpoints of a service that accept new requests."""
         usable = self._list_remaining(service)
-        if self.exclusions.waits or self.limits.limits:
+        if self.exclusions.waits or self.limits.any_limited:
             usable = [e for e in usable if not self._read_wait(e, now_s)]
         if usable:
             return [*usable]
@@ -165,7 +221,7 @@
         It is None if one accepts them now or none will. Where limits bind,
         each call returns a later time, at the rate that these allow.
         """
-        if not (self.exclusions.waits or self.limits.limits):
+        if not (self.exclusions.waits or self.limits.any_limited):
             return None
         if self.list_usable(service, now_s):
             return None
--- a/src/cyclamenwing/routing/rate_limits.py
+++ b/src/cyclamenwing/routing/rate_limits.py
@@ -7,6 +7,9 @@
 rendezvous hashing, so that a change of the members changes few of them. The
 senders share a part of the limit evenly; the rest covers bursts and views of
 the members that differ for a while.
+
+The limit of a cold endpoint is one more limit, with a shorter window. Where
+an endpoint has both, the lower one applies.
 """
 
 from __future__ import annotations
@@ -18,8 +21,9 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
-from cyclamenwing.membership import rendezvous
+from cyclamenwing.routing import cold_limits
 from cyclamenwing.routing import exclusions
+from cyclamenwing.routing import limit_shares
 
 # Limits are kept within these bounds.
 MIN_LIMIT_RPS = 1e-6
@@ -47,6 +51,15 @@
 MAX_ORIGINS_KEPT = 64
 # Clients are told to return within this time.
 MAX_RETURN_S = 10.0
+NAMED_POLICY = limit_shares.Policy(
+    WINDOW_S,
+    USED_SHARE,
+    MIN_SENDERS,
+    SENDERS_PER_RPS,
+    BURST_REQUESTS,
+    HOLD_OFF_S,
+)
+Share = limit_shares.Share
 
 
 class LimitNotice(NamedTuple):
@@ -66,51 +79,23 @@
 
 
 @dataclasses.dataclass(slots=True)
-class EndpointLimit:
+class EndpointLimit(limit_shares.Allowance):
     """Hold the limit of one incarnation of an endpoint.
 
-    :param limit_rps: None once the limit has ended
     :param heard_s: time of the latest answer that is known to say so
     :param origin: process that got this answer
     :param number: its sequence number among the notices of that process
     :param source: host that passed the notice on, empty for an own one
     :param from_delegate: that host tells all other delegates itself
     :param seen: newest number of each process
-    :param tokens: requests that this gateway may send now
-    :param sends: this gateway is one of the senders
-    :param sends_from_s: end of the hold-off
-    :param probed_s: its latest request, 0 for none
     """
 
-    limit_rps: float | None
     heard_s: float
     origin: str
     number: int
     source: str = ""
     from_delegate: bool = False
     seen: dict[str, int] = dataclasses.field(default_factory=dict)
-    tokens: float = 0.0
-    refilled_s: float = 0.0
-    sends: bool | None = None
-    sends_from_s: float = 0.0
-    probed_s: float = 0.0
-
-
-class Share(NamedTuple):
-    """Hold what one sender may send to an endpoint.
-
-    :param quota: most requests in a window
-    """
-
-    rate_rps: float
-    quota: int
-
-
-class Rank(NamedTuple):
-    """Hold this gateway's score for an endpoint and its place by that."""
-
-    score: int
-    place: int
 
 
 class RateLimits:
@@ -120,30 +105,35 @@
 
     :param host: this gateway
     :param origin: its process
+    :param cold: limits of cold endpoints
     """
 
-    def __init__(self, host: str = "", origin: str = "") -> None:
-        self._host = host
+    def __init__(
+        self,
+        host: str = "",
+        origin: str = "",
+        cold: cold_limits.ColdLimits | None = None,
+    ) -> None:
         self._origin = origin
-        self._members = frozenset((host,))
-        self._ranks: dict[str, Rank] = {}
+        self._view = limit_shares.MemberView(host)
         self._number = 0
         self._returns_s: dict[str, float] = {}
         self._sent: dict[exclusions.Incarnation, collections.deque[float]] = {}
         self.limits: dict[exclusions.Incarnation, EndpointLimit] = {}
+        self.cold = cold or cold_limits.ColdLimits(host, origin)
+
+    def set_members(
+        self,
+        hosts: Iterable[str],
+        known: Iterable[str] = (),
+        now_s: float | None = None,
+    ) -> None:
+        """Replace the gateways that share the limits.
 
-    def set_members(self, hosts: Iterable[str]) -> None:
-        """Replace the gateways that share the limits."""
-        members = frozenset((*hosts, self._host))
-        if members == self._members:
-            return
-        joined = members - self._members
-        left = self._members - members
-        self._members = members
-        for name, rank in self._ranks.items():
-            change = _count_better(name, joined, rank.score)
-            change -= _count_better(name, left, rank.score)
-            self._ranks[name] = rank._replace(place=rank.place + change)
+        :param known: the same and those that have been silent for long
+        """
+        self._view.replace(hosts)
+        self.cold.set_members(self._view.members, known, now_s)
 
     def record_answer(
         self,
@@ -211,7 +201,9 @@
     ) -> None:
         limit = self.limits.pop(notice.incarnation, None)
         if limit is None:
-            limit = EndpointLimit(None, 0.0, "", 0)
+            limit = EndpointLimit(
+                limit_rps=None, heard_s=0.0, origin="", number=0
+            )
         if limit.limit_rps is None:
             limit.tokens = 0.0
             limit.refilled_s = now_s
@@ -247,11 +239,23 @@
             for incarnation, limit in self.limits.items()
         ]
 
+    @property
+    def any_limited(self) -> bool:
+        """Return whether any endpoint may have a limit."""
+        return bool(self.limits or self.cold.starts.marks)
+
     def is_limited(self, incarnation: exclusions.Incarnation) -> bool:
         """Return whether an endpoint has named a limit that still holds."""
         limit = self.limits.get(incarnation)
         return limit is not None and limit.limit_rps is not None
 
+    def count_limits(
+        self, incarnation: exclusions.Incarnation, now_s: float
+    ) -> int:
+        """Return the number of limits of an endpoint: named, cold or both."""
+        cold = self.cold.starts.read(incarnation, now_s) is not None
+        return self.is_limited(incarnation) + cold
+
     def try_acquire(
         self, incarnation: exclusions.Incarnation, now_s: float
     ) -> bool:
@@ -259,57 +263,108 @@
         wait_s = self.measure_wait(incarnation, now_s)
         if wait_s > 0:
             return False
-        limit = self.limits.get(incarnation)
-        if limit is not None and limit.limit_rps is not None:
-            limit.tokens = max(limit.tokens - 1.0, 0.0)
-            limit.probed_s = now_s
+        for allowance in self._list_allowances(incarnation):
+            allowance.tokens = max(allowance.tokens - 1.0, 0.0)
+            allowance.probed_s = now_s
         sent = self._sent.setdefault(incarnation, collections.deque())
         sent.append(now_s)
         self._count_sent(incarnation, now_s)
         return True
 
+    def release(
+        self, incarnation: exclusions.Incarnation, sent_s: float, now_s: float
+    ) -> None:
+        """Count a request no longer that another process got instead.
+
+        Only the limit of a cold endpoint leaves out such requests.
+        """
+        self.cold.release(
+            incarnation, self._sent.get(incarnation), sent_s, now_s
+        )
+
+    def carry_over(
+        self,
+        before: exclusions.Incarnation,
+        after: exclusions.Incarnation,
+        now_s: float,
+    ) -> None:
+        """Count what was sent to the former process at an address.
+
+        The next process may have got it: its entry arrives late.
+        """
+        sent = self._sent.get(before)
+        if sent:
+            later = self._sent.get(after, ())
+            self._sent[after] = collections.deque(sorted((*sent, *later)))
+            self._count_sent(after, now_s)
+        self.cold.carry_over(before, after)
+
     def measure_wait(
         self, incarnation: exclusions.Incarnation, now_s: float
     ) -> float:
         """Return the seconds until this gateway may send a request."""
+        wait_s = 0.0
         limit = self.limits.get(incarnation)
-        if limit is None or limit.limit_rps is None:
-            return 0.0
-        rank = self._rank(incarnation)
-        members = len(self._members)
+        if limit is not None and limit.limit_rps is not None:
+            wait_s = self._measure_named(incarnation, limit, now_s)
+        if self.cold.starts.marks:
+            sent = self._sent.get(incarnation)
+            cold_s = self.cold.measure_wait(incarnation, sent, now_s)
+            wait_s = max(wait_s, cold_s)
+        return wait_s
+
+    def _measure_named(
+        self,
+        incarnation: exclusions.Incarnation,
+        limit: EndpointLimit,
+        now_s: float,
+    ) -> float:
+        assert limit.limit_rps is not None
+        rank = self._view.rank(incarnation.name)
+        members = len(self._view.members)
         senders = count_senders(limit.limit_rps, members)
-        sends = rank < senders
-        if sends and limit.sends is False:
-            limit.sends_from_s = now_s + HOLD_OFF_S
-            limit.tokens = 0.0
-            limit.refilled_s = now_s
-        limit.sends = sends
-        if not sends:
+        limit.choose_role(rank < senders, HOLD_OFF_S, now_s)
+        if not limit.sends:
             return _measure_probe(limit, rank - senders, members, now_s)
-        share = compute_share(limit.limit_rps, members)
-        elapsed_s = max(now_s - limit.refilled_s, 0.0)
-        limit.tokens = min(
-            limit.tokens + elapsed_s * share.rate_rps, BURST_REQUESTS
+        self._count_sent(incarnation, now_s)
+        return limit.measure_wait(
+            compute_share(limit.limit_rps, members),
+            NAMED_POLICY,
+            self._sent.get(incarnation),
+            now_s,
         )
-        limit.refilled_s = now_s
-        wait_s = max(limit.sends_from_s - now_s, 0.0)
-        if limit.tokens < 1.0:
-            wait_s = max(wait_s, (1.0 - limit.tokens) / share.rate_rps)
-        # Requests from before the limit was named count in the window, too.
-        if self._count_sent(incarnation, now_s) >= share.quota:
-            oldest_s = self._sent[incarnation][-share.quota]
-            wait_s = max(wait_s, oldest_s + WINDOW_S - now_s)
-        return wait_s
+
+    def _list_allowances(
+        self, incarnation: exclusions.Incarnation
+    ) -> list[limit_shares.Allowance]:
+        allowances: list[limit_shares.Allowance] = []
+        limit = self.limits.get(incarnation)
+        if limit is not None and limit.limit_rps is not None:
+            allowances.append(limit)
+        cold = self.cold.allowances.get(incarnation)
+        if cold is not None:
+            allowances.append(cold)
+        return allowances
 
     def measure_room(
         self, incarnation: exclusions.Incarnation, now_s: float
     ) -> float:
         """Return the seconds until some gateway is likely to have room."""
         wait_s = self.measure_wait(incarnation, now_s)
-        limit = self.limits.get(incarnation)
-        if limit is None or limit.limit_rps is None or limit.sends:
+        allowances = self._list_allowances(incarnation)
+        if not allowances or all(a.sends for a in allowances):
             return wait_s
-        return min(wait_s, 1 / (USED_SHARE * limit.limit_rps))
+        gaps_s = (
+            1 / (USED_SHARE * a.limit_rps) for a in allowances if a.limit_rps
+        )
+        return min(wait_s, max(gaps_s))
+
+    def measure_cold_rates(self, now_s: float) -> tuple[float, float]:
+        """Return what this gateway may send to cold endpoints, and sends.
+
+        Both are requests per second over all cold endpoints.
+        """
+        return self.cold.measure_rates(self._sent, now_s)
 
     def plan_return(
         self,
@@ -325,17 +380,24 @@
 
         :param room_s: seconds until there is room
         """
-        sum_rps = sum(
-            self.limits[i].limit_rps or 0.0
-            for i in incarnations
-            if self.is_limited(i)
-        )
+        sum_rps = 0.0
+        most_s = MAX_RETURN_S
+        for incarnation in incarnations:
+            named = self.limits.get(incarnation)
+            named_rps = named.limit_rps if named else None
+            cold = self.cold.starts.read(incarnation, now_s)
+            if cold is not None:
+                sum_rps += min(cold.limit_rps, named_rps or cold.limit_rps)
+                if named_rps is None:
+                    most_s = min(most_s, self.cold.plan_return(cold, room_s))
+            else:
+                sum_rps += named_rps or 0.0
         if not sum_rps:
             return room_s
         due_s = max(now_s + room_s, self._returns_s.get(service, 0.0))
-        gap_s = len(self._members) / (USED_SHARE * sum_rps)
-        if due_s + gap_s - now_s > MAX_RETURN_S:
-            return random.uniform(min(room_s, MAX_RETURN_S / 2), MAX_RETURN_S)
+        gap_s = len(self._view.members) / (USED_SHARE * sum_rps)
+        if due_s + gap_s - now_s > most_s:
+            return random.uniform(min(room_s, most_s / 2), most_s)
         self._returns_s[service] = due_s + gap_s
         return due_s - now_s
 
@@ -351,22 +413,12 @@
             ended = limit.limit_rps is None
             if ended and now_s - limit.heard_s > ENDED_TTL_S:
                 del self.limits[incarnation]
+        self.cold.trim(now_s)
         for incarnation in list(self._sent):
             if not self._count_sent(incarnation, now_s):
                 del self._sent[incarnation]
         exclusions.trim_records(self.limits, registered, MAX_KEPT)
 
-    def _rank(self, incarnation: exclusions.Incarnation) -> int:
-        name = incarnation.name
-        rank = self._ranks.get(name)
-        if rank is None:
-            if len(self._ranks) >= MAX_KEPT:
-                self._ranks.clear()
-            score = rendezvous.score_member(name, self._host)
-            place = _count_better(name, self._members, score)
-            rank = self._ranks[name] = Rank(score, place)
-        return rank.place
-
     def _count_sent(
         self, incarnation: exclusions.Incarnation, now_s: float
     ) -> int:
@@ -379,14 +431,13 @@
 
 
 def count_senders(limit_rps: float, members: int) -> int:
-    """Return how many gateways may use an endpoint."""
-    return min(members, int(MIN_SENDERS + SENDERS_PER_RPS * limit_rps))
+    """Return how many gateways may use an endpoint that named a limit."""
+    return NAMED_POLICY.count_senders(limit_rps, members)
 
 
-def compute_share(limit_rps: float, members: int) -> Share:
-    """Return what each sender may send."""
-    rate_rps = USED_SHARE * limit_rps / count_senders(limit_rps, members)
-    return Share(rate_rps, int(WINDOW_S * rate_rps + BURST_REQUESTS))
+def compute_share(limit_rps: float, members: int) -> limit_shares.Share:
+    """Return what each sender may send under a limit that was named."""
+    return NAMED_POLICY.compute_share(limit_rps, members)
 
 
 def _is_valid(notice: LimitNotice) -> bool:
@@ -394,11 +445,6 @@
     return limit_rps is None or MIN_LIMIT_RPS <= limit_rps <= MAX_LIMIT_RPS
 
 
-def _count_better(name: str, hosts: Iterable[str], score: int) -> int:
-    """Return how many hosts rank before a score for an endpoint."""
-    return sum(rendezvous.score_member(name, host) < score for host in hosts)
-
-
 def _measure_probe(
     limit: EndpointLimit, place: int, members: int, now_s: float
 ) -> float:
