--- a/src/cyclamenwing/gateway/cold_notices.py
+++ b/src/cyclamenwing/gateway/cold_notices.py
@@ -112,12 +112,18 @@
 
 def apply_configuration(board: blackboard.Blackboard) -> None:
     """Read which services have cold endpoints."""
-    if board.configuration is not None:
-        board.directory.limits.cold.starts.set_terms({
-            name: service.cold
-            for name, service in board.configuration.services.items()
-            if service.cold is not None
-        })
+    if board.configuration is None:
+        return
+    starts = board.directory.limits.cold.starts
+    if starts.set_terms({
+        name: service.cold
+        for name, service in board.configuration.services.items()
+        if service.cold is not None
+    }):
+        # Their entries may have been read before.
+        now_s = clock.read_time()
+        for incarnation in list(starts.marks):
+            log_cold(board, incarnation, now_s)
 
 
 def record_failed(
--- a/src/cyclamenwing/routing/cold_starts.py
+++ b/src/cyclamenwing/routing/cold_starts.py
@@ -46,13 +46,15 @@
         self._urgent = False
         self.marks: dict[exclusions.Incarnation, cold_marks.ColdMark] = {}
 
-    def set_terms(self, terms: Mapping[str, cold_marks.ColdTerms]) -> None:
-        """Replace what services state of their cold endpoints."""
+    def set_terms(self, terms: Mapping[str, cold_marks.ColdTerms]) -> bool:
+        """Replace what services state; return whether this is the first."""
+        first = self._terms is None
         self._terms = dict(terms)
         for incarnation in list(self.marks):
             service = self._services.get(incarnation.name)
             if service is not None and service not in terms:
                 del self.marks[incarnation]
+        return first
 
     def find_terms(
         self, incarnation: exclusions.Incarnation
--- a/src/cyclamenwing/standin/platform_endpoint.py
+++ b/src/cyclamenwing/standin/platform_endpoint.py
@@ -32,6 +32,8 @@
         when it sheds a request, as text; empty for none
     :ivar limit: requests per second that it names in all answers, as text;
         empty for none
+    :ivar cold_left_ms: remaining cold time in its entry
+    :ivar cold_ms: the same in all answers, as text; empty for none
     :ivar poison_part: part of a prompt at which the endpoint crashes as it
         begins to answer; empty for none
     :ivar software: version of its software in its entry
@@ -50,6 +52,8 @@
         self.leaving = False
         self.refuse_time = b""
         self.limit = b""
+        self.cold_left_ms = 0
+        self.cold_ms = b""
         self.poison_part = b""
         self.software = "v1"
         self.started_ms = int(time.time() * MS_PER_S)
@@ -74,7 +78,7 @@
             "version": self.software,
             "slots": 6,
             "state": state,
-            "cold_left_ms": 0,
+            "cold_left_ms": self.cold_left_ms,
             "seq": 1,
             "born": self.started_ms,
         })
@@ -89,6 +93,11 @@
         for connection in list(self._server.connections):
             connection.close()
 
+    def restart(self) -> None:
+        """Listen at the same address again, as a restarted process does."""
+        self._server = h1_server.Server(self._handle, h1.Limits)
+        self._server.bind_address(self.address)
+
     async def _handle(
         self, connection: h1.ServerConnection, request: h1.Request
     ) -> None:
@@ -125,7 +134,8 @@
     def _make_extra_headers(self) -> h1.Headers:
         leaving = ((b"Server-Leaving", b"1"),) if self.leaving else NO_HEADERS
         limit = ((b"Server-Limit", self.limit),) if self.limit else NO_HEADERS
-        return (*leaving, *limit)
+        cold = ((b"Cold-Ms", self.cold_ms),) if self.cold_ms else NO_HEADERS
+        return (*leaving, *limit, *cold)
 
 
 def make_headers(
