--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -10,6 +10,7 @@
 from cyclamenwing.gateway import configuration as types
 from cyclamenwing.platform import configuration
 from cyclamenwing.platform import errors
+from cyclamenwing.routing import cold_marks
 
 ROUTE = {
     "name": "r1",
@@ -151,3 +152,22 @@
 def test_malformed_configuration_is_refused(data: bytes) -> None:
     with pytest.raises(errors.ConfigurationUnreadableError):
         configuration.read_configuration(data)
+
+
+# Guards against a limit where the configuration has only half of it.
+@pytest.mark.parametrize(
+    ("cold", "terms"),
+    [
+        ({"cold_s": 3.0, "cold_per_s": 5.6}, cold_marks.ColdTerms(3.0, 5.6)),
+        ({"cold_s": 3.0}, None),
+        ({"cold_per_s": 5.6}, None),
+        ({"cold_s": 0, "cold_per_s": 5.6}, None),
+        ({"cold_s": 3.0, "cold_per_s": -1}, None),
+        ({}, None),
+    ],
+)
+def test_cold_endpoints_need_a_time_and_a_rate(
+    cold: dict[str, float], terms: cold_marks.ColdTerms | None
+) -> None:
+    decoded = read(services=[{"name": "llm"} | cold])
+    assert decoded.services["llm"].cold == terms
--- a/tests/platform/test_endpoints.py
+++ b/tests/platform/test_endpoints.py
@@ -79,3 +79,13 @@
 def test_malformed_bytes_are_refused(value: bytes) -> None:
     with pytest.raises(errors.EndpointUnreadableError):
         endpoints.read_endpoint("servers/i-1", value)
+
+
+@pytest.mark.parametrize(
+    ("cold_left_ms", "remaining_s"), [(2500, 2.5), (0, 0.0), (-5, 0.0)]
+)
+def test_remaining_cold_time_is_translated(
+    cold_left_ms: float, remaining_s: float
+) -> None:
+    entry = read(ENTRY | {"cold_left_ms": cold_left_ms})
+    assert entry.cold_remaining_s == remaining_s
--- a/tests/platform/test_messages.py
+++ b/tests/platform/test_messages.py
@@ -232,3 +232,27 @@
 def test_answer_without_a_limit_names_none() -> None:
     metadata = messages.read_answer(h1.ResponseHead(200, b"OK", ()))
     assert (metadata.limit_rps, metadata.limit_unreadable) == (None, False)
+
+
+@pytest.mark.parametrize(
+    ("value", "remaining_s"),
+    [
+        (b"2500", 2.5),
+        (b"0", 0.0),
+        (b"0.5", 0.0005),
+        (b"-1", None),
+        (b"soon", None),
+        (b"", None),
+        (b"9" * 400, None),
+    ],
+)
+def test_cold_time_of_an_endpoint_is_a_finite_number(
+    value: bytes, remaining_s: float | None
+) -> None:
+    head = h1.ResponseHead(200, b"OK", ((b"cold-ms", value),))
+    assert messages.read_answer(head).cold_remaining_s == remaining_s
+
+
+def test_answer_without_a_cold_time_states_none() -> None:
+    head = h1.ResponseHead(200, b"OK", ())
+    assert messages.read_answer(head).cold_remaining_s is None
