--- a/src/cyclamenwing/routing/cold_marks.py
+++ b/src/cyclamenwing/routing/cold_marks.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import dataclasses
+from collections.abc import Container
+from collections.abc import Mapping
 from typing import NamedTuple
 
 from cyclamenwing.routing import exclusions
@@ -20,6 +22,10 @@
 MAX_COLD_S = 60.0
 # Cold times that are stated are cut to this.
 MAX_LEFT_S = 3600.0
+# Ended marks are kept against notices that arrive late.
+KEPT_S = 30.0
+MAX_KEPT = 1024
+MAX_ORIGINS_KEPT = 64
 # Sources of marks.
 ENTRY = "entry"
 START = "start"
@@ -111,9 +117,224 @@
         return self.heard_s + DOWN_S
 
 
+class ColdMarks:
+    """Hold which incarnations are cold, and exchange that with gateways.
+
+    Times are seconds of the gateway's clock.
+
+    :param origin: process of this gateway
+    """
+
+    def __init__(self, origin: str = "") -> None:
+        self._origin = origin
+        self._number = 0
+        # None until the configuration is known.
+        self._terms: Mapping[str, ColdTerms] | None = None
+        self._services: dict[str, str] = {}
+        self._urgent = False
+        self.marks: dict[exclusions.Incarnation, ColdMark] = {}
+
+    def set_terms(self, terms: Mapping[str, ColdTerms]) -> bool:
+        """Replace what services state; return whether this is the first."""
+        first = self._terms is None
+        self._terms = dict(terms)
+        for incarnation in list(self.marks):
+            service = self._services.get(incarnation.name)
+            if service is not None and service not in terms:
+                del self.marks[incarnation]
+        return first
+
+    def find_terms(
+        self, incarnation: exclusions.Incarnation
+    ) -> ColdTerms | None:
+        """Return the terms of an endpoint's service, None without any."""
+        service = self._services.get(incarnation.name)
+        if service is None or self._terms is None:
+            return None
+        return self._terms.get(service)
+
+    def read(
+        self, incarnation: exclusions.Incarnation, now_s: float
+    ) -> ColdLimit | None:
+        """Return the limit of an endpoint, None if it is not cold."""
+        mark = self.marks.get(incarnation)
+        terms = self.find_terms(incarnation)
+        if mark is None or terms is None:
+            return None
+        end_s = mark.find_end(terms.duration_s)
+        warm_s = end_s + RAMP_STEPS * RAMP_STEP_S
+        if now_s >= warm_s:
+            return None
+        if now_s < end_s:
+            return ColdLimit(terms.limit_rps, warm_s - now_s, False)
+        doublings = 1 + int((now_s - end_s) / RAMP_STEP_S)
+        return ColdLimit(terms.limit_rps * 2**doublings, warm_s - now_s, True)
+
+    def measure_cold(
+        self, incarnation: exclusions.Incarnation, now_s: float
+    ) -> float:
+        """Return the remaining cold time in seconds, 0 if it is over."""
+        limit = self.read(incarnation, now_s)
+        if limit is None:
+            return 0.0
+        return max(limit.left_s - RAMP_STEPS * RAMP_STEP_S, 0.0)
+
+    def take_urgent(self) -> bool:
+        """Return whether peers are to be told at once, and reset that."""
+        urgent, self._urgent = self._urgent, False
+        return urgent
+
+    def merge_notice(
+        self,
+        notice: ColdNotice,
+        now_s: float,
+        peer: str = "",
+        from_delegate: bool = False,
+    ) -> bool:
+        """Record what another gateway found; return whether it is cold anew.
+
+        A notice that is passed back changes nothing, so that delays on the
+        way don't prolong the cold time again and again.
+        """
+        incarnation = notice.incarnation
+        if (
+            notice.origin == self._origin
+            or self._is_unlimited(incarnation)
+            or not 0 <= (notice.left_s or 0.0) <= MAX_LEFT_S
+        ):
+            return False
+        mark = self.marks.get(incarnation)
+        heard_s = now_s - max(notice.age_s, 0.0)
+        until_s = None if notice.left_s is None else now_s + notice.left_s
+        if mark is not None:
+            if notice.number <= mark.seen.get(notice.origin, 0):
+                return False
+            mark.seen[notice.origin] = notice.number
+            if not self._supersedes(mark, notice, heard_s, until_s):
+                return False
+        cold = self.measure_cold(incarnation, now_s) > 0
+        new = ColdMark(heard_s, notice.source, until_s=until_s, peer=peer)
+        new.from_delegate = from_delegate
+        self._store(incarnation, new, notice.origin, notice.number)
+        for origin, number in notice.settled.items():
+            new.seen[origin] = max(number, new.seen.get(origin, 0))
+        return not cold
+
+    def _supersedes(
+        self,
+        mark: ColdMark,
+        notice: ColdNotice,
+        heard_s: float,
+        until_s: float | None,
+    ) -> bool:
+        """Return whether a notice replaces what is known.
+
+        The time for which an endpoint is down ends with an answer at a
+        gateway that knew of it: ages don't tell, as notices take up to two
+        seconds, and a peer's entry may be that of the process before.
+        """
+        if until_s is None:
+            return heard_s >= mark.heard_s
+        if mark.down:
+            return notice.settled.get(mark.origin, 0) >= mark.number
+        if notice.source == HEADER:
+            return heard_s >= mark.heard_s
+        end_s = self._find_end(notice.incarnation, mark)
+        return until_s > end_s + SAME_END_S
+
+    def list_notices(self, now_s: float) -> list[tuple[ColdNotice, ColdMark]]:
+        """Return a notice for each cold endpoint, the oldest ones first."""
+        notices = []
+        for incarnation, mark in self.marks.items():
+            terms = self.find_terms(incarnation)
+            if terms is None:
+                continue
+            left_s = mark.find_end(terms.duration_s) - now_s
+            if left_s <= 0 and mark.source != HEADER:
+                continue
+            notice = ColdNotice(
+                incarnation,
+                None if mark.down else max(left_s, 0.0),
+                mark.source,
+                mark.origin,
+                mark.number,
+                max(now_s - mark.heard_s, 0.0),
+                dict(mark.seen) if mark.source in (ANSWERED, HEADER) else {},
+            )
+            notices.append((notice, mark))
+        return notices
+
+    def trim(
+        self, registered: Container[str], now_s: float
+    ) -> list[exclusions.Incarnation]:
+        """Forget marks that ended long ago; return those that just ended.
+
+        An endpoint is returned once.
+        """
+        ended = []
+        for incarnation, mark in list(self.marks.items()):
+            warm_s = self._find_end(incarnation, mark) + (
+                RAMP_STEPS * RAMP_STEP_S
+            )
+            if now_s < warm_s:
+                mark.reported_warm = False
+                continue
+            if not mark.reported_warm:
+                mark.reported_warm = True
+                ended.append(incarnation)
+            if now_s > warm_s + KEPT_S:
+                del self.marks[incarnation]
+        exclusions.trim_records(self.marks, registered, MAX_KEPT)
+        return ended
+
+    def _is_unlimited(self, incarnation: exclusions.Incarnation) -> bool:
+        """Return whether the endpoint's service is known to have no terms."""
+        service = self._services.get(incarnation.name)
+        return (
+            self._terms is not None
+            and service is not None
+            and service not in self._terms
+        )
+
+    def _find_end(
+        self, incarnation: exclusions.Incarnation, mark: ColdMark
+    ) -> float:
+        terms = self.find_terms(incarnation)
+        return mark.find_end(terms.duration_s if terms else MAX_COLD_S)
+
+    def _put(
+        self, incarnation: exclusions.Incarnation, mark: ColdMark
+    ) -> None:
+        self._number += 1
+        self._store(incarnation, mark, self._origin, self._number)
+
+    def _store(
+        self,
+        incarnation: exclusions.Incarnation,
+        mark: ColdMark,
+        origin: str,
+        number: int,
+    ) -> None:
+        known = self.marks.pop(incarnation, None)
+        if known is not None:
+            mark.seen = known.seen
+        mark.origin = origin
+        mark.number = number
+        mark.announced_s = mark.heard_s
+        mark.seen.pop(origin, None)
+        mark.seen[origin] = number
+        while len(mark.seen) > MAX_ORIGINS_KEPT:
+            del mark.seen[next(iter(mark.seen))]
+        if mark.down and not (known and known.down):
+            self._urgent = True
+        # The last ones are the latest.
+        self.marks[incarnation] = mark
+
+
 __all__ = (
     "ColdLimit",
     "ColdMark",
+    "ColdMarks",
     "ColdNotice",
     "ColdTerms",
 )
--- a/src/cyclamenwing/routing/rate_limits.py
+++ b/src/cyclamenwing/routing/rate_limits.py
@@ -15,19 +15,15 @@
 from __future__ import annotations
 
 import collections
-import dataclasses
 import random
 from collections.abc import Container
 from collections.abc import Iterable
-from typing import NamedTuple
 
 from cyclamenwing.routing import cold_limits
 from cyclamenwing.routing import exclusions
 from cyclamenwing.routing import limit_shares
+from cyclamenwing.routing import named_limits
 
-# Limits are kept within these bounds.
-MIN_LIMIT_RPS = 1e-6
-MAX_LIMIT_RPS = 1e6
 # Endpoints count the requests of any span of this length.
 WINDOW_S = 4.0
 # Part of a limit that the senders use together.
@@ -40,9 +36,6 @@
 # A gateway that becomes a sender waits until the requests of the one before it
 # have left the window, and until the views of the members agree.
 HOLD_OFF_S = WINDOW_S + 2.0
-# An unconfirmed limit is probed by one gateway after the other, as the senders
-# may have no requests for the endpoint.
-CONFIRM_S = 10.0
 # A limit that is named again is announced to other gateways this often.
 ANNOUNCE_INTERVAL_S = 2.0
 # The end of a limit is announced for this long.
@@ -59,43 +52,12 @@
     BURST_REQUESTS,
     HOLD_OFF_S,
 )
+MIN_LIMIT_RPS = named_limits.MIN_LIMIT_RPS
+MAX_LIMIT_RPS = named_limits.MAX_LIMIT_RPS
+CONFIRM_S = named_limits.CONFIRM_S
 Share = limit_shares.Share
-
-
-class LimitNotice(NamedTuple):
-    """Tell another gateway what an endpoint said in an answer.
-
-    :param limit_rps: None if the limit has ended
-    :param origin: process of the gateway that got the answer
-    :param number: sequence number among the notices of that process
-    :param age_s: time since the answer
-    """
-
-    incarnation: exclusions.Incarnation
-    limit_rps: float | None
-    origin: str
-    number: int
-    age_s: float
-
-
-@dataclasses.dataclass(slots=True)
-class EndpointLimit(limit_shares.Allowance):
-    """Hold the limit of one incarnation of an endpoint.
-
-    :param heard_s: time of the latest answer that is known to say so
-    :param origin: process that got this answer
-    :param number: its sequence number among the notices of that process
-    :param source: host that passed the notice on, empty for an own one
-    :param from_delegate: that host tells all other delegates itself
-    :param seen: newest number of each process
-    """
-
-    heard_s: float
-    origin: str
-    number: int
-    source: str = ""
-    from_delegate: bool = False
-    seen: dict[str, int] = dataclasses.field(default_factory=dict)
+LimitNotice = named_limits.LimitNotice
+EndpointLimit = named_limits.EndpointLimit
 
 
 class RateLimits:
@@ -180,7 +142,7 @@
         way don't make it younger again and again.
         """
         known = self.limits.get(notice.incarnation)
-        if notice.origin == self._origin or not _is_valid(notice):
+        if notice.origin == self._origin or not notice.is_valid:
             return False
         if known is not None:
             if notice.number <= known.seen.get(notice.origin, 0):
@@ -325,7 +287,12 @@
         senders = count_senders(limit.limit_rps, members)
         limit.choose_role(rank < senders, HOLD_OFF_S, now_s)
         if not limit.sends:
-            return _measure_probe(limit, rank - senders, members, now_s)
+            return limit.measure_probe(
+                rank - senders,
+                members,
+                1 / (USED_SHARE * limit.limit_rps),
+                now_s,
+            )
         self._count_sent(incarnation, now_s)
         return limit.measure_wait(
             compute_share(limit.limit_rps, members),
@@ -440,26 +407,6 @@
     return NAMED_POLICY.compute_share(limit_rps, members)
 
 
-def _is_valid(notice: LimitNotice) -> bool:
-    limit_rps = notice.limit_rps
-    return limit_rps is None or MIN_LIMIT_RPS <= limit_rps <= MAX_LIMIT_RPS
-
-
-def _measure_probe(
-    limit: EndpointLimit, place: int, members: int, now_s: float
-) -> float:
-    """Return the seconds until a gateway that is no sender may probe.
-
-    :param place: its place among these gateways, 0 for the first
-    """
-    assert limit.limit_rps is not None
-    gap_s = 1 / (USED_SHARE * limit.limit_rps)
-    due_s = limit.heard_s + CONFIRM_S + place * gap_s
-    if limit.probed_s:
-        due_s = max(due_s, limit.probed_s + CONFIRM_S + members * gap_s)
-    return max(due_s - now_s, 0.0)
-
-
 __all__ = (
     "EndpointLimit",
     "MAX_KEPT",
--- a/tests/routing/test_cold_starts.py
+++ b/tests/routing/test_cold_starts.py
@@ -308,7 +308,7 @@
 
 def test_memory_of_marks_is_bounded() -> None:
     starts = make_starts()
-    for number in range(3 * cold_starts.MAX_KEPT):
+    for number in range(3 * cold_marks.MAX_KEPT):
         incarnation = OLD._replace(name=f"x{number}")
         read_entry(starts, incarnation, 5.0, 0.0)
     for number in range(200):
@@ -319,8 +319,8 @@
             0.0,
         )
     starts.trim({"e1"}, 0.0)
-    assert len(starts.marks) == cold_starts.MAX_KEPT
-    assert len(starts._entries) == cold_starts.MAX_KEPT
-    assert len(starts.marks[OLD].seen) == cold_starts.MAX_ORIGINS_KEPT
+    assert len(starts.marks) == cold_marks.MAX_KEPT
+    assert len(starts._entries) == cold_marks.MAX_KEPT
+    assert len(starts.marks[OLD].seen) == cold_marks.MAX_ORIGINS_KEPT
     assert starts.trim({"e1"}, 300.0)
     assert not starts.marks
