Merge cold endpoints, and take endpoints of restored zones as cold

A reset connection as evidence that an endpoint has ended: endpoints reset connections when they are full, and lose answers by resets, so they would be limited without need.

--- a/src/cyclamenwing/gateway/evacuation_notices.py
+++ b/src/cyclamenwing/gateway/evacuation_notices.py
@@ -13,7 +13,9 @@
 
 from cyclamenwing.gateway import blackboard
 from cyclamenwing.gateway import clock
+from cyclamenwing.gateway import cold_notices
 from cyclamenwing.metrics import types as metric_types
+from cyclamenwing.routing import cold_marks
 from cyclamenwing.routing import evacuations
 
 # Bound on the orders in one message. Deployments have fewer than ten zones.
@@ -50,6 +52,26 @@
                 source=source,
                 age_s=round(known.measure_age(order.zone, now_s), 3),
             )
+        self._mark_restored(now_s)
+
+    def _mark_restored(self, now_s: float) -> None:
+        """Take the endpoints of restored zones as cold.
+
+        They may have become cold during the evacuation.
+        """
+        directory = self._board.directory
+        restored = directory.evacuations.take_ended()
+        if not restored:
+            return
+        incarnations = [
+            endpoint.incarnation
+            for endpoint in directory.registered.values()
+            if endpoint.zone in restored
+        ]
+        for incarnation in directory.mark_cold(
+            incarnations, None, cold_marks.EVACUATION, now_s
+        ):
+            cold_notices.log_cold(self._board, incarnation, now_s)
 
 
 class OrderNoticeExchange:
--- a/src/cyclamenwing/gateway/gossip_messages.py
+++ b/src/cyclamenwing/gateway/gossip_messages.py
@@ -8,6 +8,7 @@
 from cyclamenwing.gateway import load_notices
 from cyclamenwing.gateway import poison_notices
 from cyclamenwing.membership import delegates
+from cyclamenwing.routing import cold_marks
 from cyclamenwing.routing import evacuations
 from cyclamenwing.routing import placement
 from cyclamenwing.routing import quarantine
@@ -46,6 +47,7 @@
     :param marks: marks of those `pools` that were restored in this era
     :param limits: limits of endpoints that the peer has not been told of yet
     :param parts: suspect parts of prompts
+    :param cold: cold endpoints that the peer has not been told of yet
     :param software: software versions of the endpoints that it saw lately
     :param software_span_s: time for which it has missed none
     :param evacuations: all orders to evacuate zones that it knows
@@ -80,6 +82,7 @@
     software: list[versions.SeenVersion] = []
     software_span_s: float = 0.0
     evacuations: list[evacuations.OrderNotice] = []
+    cold: list[cold_marks.ColdNotice] = []
 
 
 class RecordAgeRequest(msgspec.Struct):
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -10,6 +10,7 @@
 from cyclamenwing.gateway import configuration as types
 from cyclamenwing.platform import configuration
 from cyclamenwing.platform import errors
+from cyclamenwing.routing import cold_marks
 
 ROUTE = {
     "name": "r1",
@@ -170,3 +171,22 @@
     assert found.homes == {"north", "south"}
     assert config.workspaces["t"].homes == {"north"}
     assert config.workspaces["u"].homes == frozenset()
+
+
+# Guards against a limit where the configuration has only half of it.
+@pytest.mark.parametrize(
+    ("cold", "terms"),
+    [
+        ({"cold_s": 3.0, "cold_per_s": 5.6}, cold_marks.ColdTerms(3.0, 5.6)),
+        ({"cold_s": 3.0}, None),
+        ({"cold_per_s": 5.6}, None),
+        ({"cold_s": 0, "cold_per_s": 5.6}, None),
+        ({"cold_s": 3.0, "cold_per_s": -1}, None),
+        ({}, None),
+    ],
+)
+def test_cold_endpoints_need_a_time_and_a_rate(
+    cold: dict[str, float], terms: cold_marks.ColdTerms | None
+) -> None:
+    decoded = read(services=[{"name": "llm"} | cold])
+    assert decoded.services["llm"].cold == terms
