Record what was compared for cold endpoints

Tests: a process that starts or was frozen holds off; an entry does not end the time for which an endpoint is down. Both were found missing by breaking the lines.

--- a/tests/routing/test_cold_limits.py
+++ b/tests/routing/test_cold_limits.py
@@ -488,3 +488,23 @@
         )
         names[False] += 1
     assert names[True] == cold_limits.SENDERS
+
+
+# Guards against a new process that takes itself for the only sender, and
+# against one that was frozen and does not know of its successors.
+@pytest.mark.parametrize("frozen_s", [0.0, 5.0])
+def test_process_that_starts_or_was_frozen_holds_off(frozen_s: float) -> None:
+    gateway = Gateway("g0", {"g0"})
+    endpoint = make_endpoint()
+    incarnation = endpoint.incarnation
+    gateway.directory.record_cold_entry(endpoint, 0.0, WALL_S, False)
+    gateway.refresh(0.0)
+    gateway.directory.mark_cold([incarnation], 60.0, "test", 0.0)
+    assert gateway.limits.measure_wait(incarnation, 1.0) > 0
+    for step in range(1, 21):
+        gateway.refresh(step / 10)
+    assert gateway.limits.try_acquire(incarnation, 2.1)
+    since_s = 2.1 + frozen_s
+    gateway.refresh(since_s)
+    wait_s = gateway.limits.measure_wait(incarnation, since_s + 1.0)
+    assert (wait_s > 0) == (frozen_s > cold_limits.MAX_REFRESH_GAP_S)
--- a/tests/routing/test_cold_starts.py
+++ b/tests/routing/test_cold_starts.py
@@ -138,6 +138,13 @@
     assert starts.measure_cold(OLD, 14.0) == pytest.approx(1.5)
 
 
+def test_entry_does_not_end_the_time_for_which_an_endpoint_is_down() -> None:
+    starts = make_starts()
+    starts.record_refused(OLD, 10.0)
+    read_entry(starts, OLD, 30.0, 11.0)
+    assert starts.marks[OLD].down
+
+
 def test_endpoint_that_nobody_tries_is_not_down_for_ever() -> None:
     starts = make_starts()
     starts.record_refused(OLD, 10.0)
