Scale the number of senders of cold endpoints with cold_over

A test of the sum of shares and bursts over settings showed that with cold_over below 1 and rates of 33 a second or more the senders' bursts passed the bound (20.2 where 19.5 are allowed). The number of senders now follows the part of the rate that is not used; with the default settings it is the same.

--- a/src/cyclamenwing/routing/cold_limits.py
+++ b/src/cyclamenwing/routing/cold_limits.py
@@ -24,8 +24,9 @@
 # in any window: 0.95 x 5.6 and 3 x 1.5 are 9.8, and each sender has at most 3.
 USED_SHARE = 0.95
 SENDERS = 3
-SENDERS_PER_RPS = 1 / 30
 BURST_REQUESTS = 1.5
+# The part that is not used holds the bursts of more senders.
+SENDERS_PER_RPS = (1 - USED_SHARE) / BURST_REQUESTS
 # The window and the time in which views of the members agree.
 HOLD_OFF_S = WINDOW_S + 1.0
 DEFAULT_OVER = 1.5
@@ -219,7 +220,7 @@
         WINDOW_S,
         USED_SHARE * min(over, 1.0),
         min(max(int(slack / BURST_REQUESTS), 1), SENDERS),
-        SENDERS_PER_RPS,
+        SENDERS_PER_RPS * min(over, 1.0),
         min(max(slack, 1.0), BURST_REQUESTS),
         HOLD_OFF_S,
     )
--- a/tests/routing/test_cold_limits.py
+++ b/tests/routing/test_cold_limits.py
@@ -500,6 +500,7 @@
     gateway.directory.record_cold_entry(endpoint, 0.0, WALL_S, False)
     gateway.refresh(0.0)
     gateway.directory.mark_cold([incarnation], 60.0, "test", 0.0)
+    gateway.limits.measure_wait(incarnation, 0.0)
     assert gateway.limits.measure_wait(incarnation, 1.0) > 0
     for step in range(1, 21):
         gateway.refresh(step / 10)
@@ -508,3 +509,23 @@
     gateway.refresh(since_s)
     wait_s = gateway.limits.measure_wait(incarnation, since_s + 1.0)
     assert (wait_s > 0) == (frozen_s > cold_limits.MAX_REFRESH_GAP_S)
+
+
+# Guards against senders whose saved requests together pass the bound.
+@pytest.mark.parametrize("slack", [1.5, 3.0, 5.0, 9.0])
+@pytest.mark.parametrize("over", [0.5, 1.0, 1.5])
+@pytest.mark.parametrize("limit_rps", [0.1, 1.0, 5.6, 33.0, 68.0, 500.0])
+@pytest.mark.parametrize("gateways", FLEETS)
+def test_shares_and_bursts_sum_to_less_than_the_bound(
+    gateways: int, limit_rps: float, over: float, slack: float
+) -> None:
+    policy = cold_limits.make_policy(over, slack)
+    senders = policy.count_senders(limit_rps, gateways)
+    share = policy.compute_share(limit_rps, gateways)
+    together = senders * (share.rate_rps + policy.burst_requests)
+    settled = min(over, 1.0) * limit_rps + slack
+    assert together <= settled + 1e-9
+    assert senders * share.quota <= settled + 1e-9
+    # A gateway that is cut off adds its part of the share.
+    reduced = policy.reduce(cold_limits.MINORITY_RATE_SHARE)
+    assert reduced.compute_share(limit_rps, gateways).quota <= share.quota
