Tell peers at once of endpoints that crash or say that they are cold

Cause: delegates of large fleets exchange gossip once a second, so that other gateways send to an endpoint that comes back in the meantime. Such news now starts a round of gossip with all peers, at most each 0.5 s.

The simulated fleets also read the entry that ends the cold time, and processes that start read the latest entry.

--- a/src/cyclamenwing/gateway/peers.py
+++ b/src/cyclamenwing/gateway/peers.py
@@ -198,7 +198,7 @@
         roster.refresh(now_s)
         limits = self._board.directory.limits
         limits.set_members(roster.alive, roster.members, now_s)
-        urgent = limits.cold.starts.take_urgent()
+        urgent = limits.cold.starts.take_urgent(now_s)
         targets = self._list_targets(now_s, urgent)
         interval_s = 0.0 if urgent else compute_interval(len(targets))
         known = set(self._list_addresses())
--- a/src/cyclamenwing/routing/cold_marks.py
+++ b/src/cyclamenwing/routing/cold_marks.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 from collections.abc import Container
 from collections.abc import Mapping
 from typing import NamedTuple
@@ -22,6 +23,8 @@
 MAX_COLD_S = 60.0
 # Cold times that are stated are cut to this.
 MAX_LEFT_S = 3600.0
+# Least time between two rounds of gossip that don't wait for their interval.
+URGENT_INTERVAL_S = 0.5
 # Ended marks are kept against notices that arrive late.
 KEPT_S = 30.0
 MAX_KEPT = 1024
@@ -132,6 +135,7 @@
         self._terms: Mapping[str, ColdTerms] | None = None
         self._services: dict[str, str] = {}
         self._urgent = False
+        self._urgent_s = -math.inf
         self.marks: dict[exclusions.Incarnation, ColdMark] = {}
 
     def set_terms(self, terms: Mapping[str, ColdTerms]) -> bool:
@@ -179,10 +183,13 @@
             return 0.0
         return max(limit.left_s - RAMP_STEPS * RAMP_STEP_S, 0.0)
 
-    def take_urgent(self) -> bool:
+    def take_urgent(self, now_s: float) -> bool:
         """Return whether peers are to be told at once, and reset that."""
-        urgent, self._urgent = self._urgent, False
-        return urgent
+        if not self._urgent or now_s - self._urgent_s < URGENT_INTERVAL_S:
+            return False
+        self._urgent = False
+        self._urgent_s = now_s
+        return True
 
     def merge_notice(
         self,
@@ -308,6 +315,10 @@
         self._number += 1
         self._store(incarnation, mark, self._origin, self._number)
 
+    def _is_cold(self, mark: ColdMark | None) -> bool:
+        """Return whether a mark stood for a cold time until now."""
+        return mark is not None and (mark.down or not mark.reported_warm)
+
     def _store(
         self,
         incarnation: exclusions.Incarnation,
@@ -325,7 +336,8 @@
         mark.seen[origin] = number
         while len(mark.seen) > MAX_ORIGINS_KEPT:
             del mark.seen[next(iter(mark.seen))]
-        if mark.down and not (known and known.down):
+        news = mark.source == HEADER and not self._is_cold(known)
+        if news or (mark.down and not (known and known.down)):
             self._urgent = True
         # The last ones are the latest.
         self.marks[incarnation] = mark
--- a/tests/routing/test_cold_limits.py
+++ b/tests/routing/test_cold_limits.py
@@ -100,6 +100,8 @@
 
     def __init__(self, endpoint: endpoints.Endpoint) -> None:
         self.endpoint = endpoint
+        # Its latest entry in the store.
+        self.entry = endpoint
         self.up = True
         self.cold_from_s = float("inf")
         self.cold_until_s = float("-inf")
@@ -245,6 +247,7 @@
     ) -> None:
         """Let each gateway read an entry after a delay of its own."""
         entry = process.endpoint._replace(cold_remaining_s=remaining_s)
+        process.entry = entry
 
         def read(gateway: Gateway) -> None:
             if gateway.running and not gateway.cut_off:
@@ -266,6 +269,13 @@
         process.changed_s = process.cold_from_s = self.now_s
         process.cold_until_s = self.now_s + TERMS.duration_s
         self.show_entry(process, TERMS.duration_s, entry_delay_s)
+        started_ms = process.endpoint.started_ms
+
+        def end() -> None:
+            if process.up and process.endpoint.started_ms == started_ms:
+                self.show_entry(process, 0.0, entry_delay_s)
+
+        self.schedule(TERMS.duration_s, end)
 
     def crash(self, process: Process, down_s: float) -> None:
         """Let an endpoint crash and come back; its entry follows in 2 s."""
@@ -306,12 +316,12 @@
         for process in self.processes:
             if process.endpoint.name in names:
                 gateway.directory.record_cold_entry(
-                    process.endpoint,
+                    process.entry,
                     self.now_s,
                     WALL_S + self.now_s,
                     live=False,
                 )
-                gateway.directory.put(process.endpoint, 1)
+                gateway.directory.put(process.entry, 1)
         peer = self.random.choice(self.gateways)
         if peer is not gateway and not (gateway.cut_off or peer.cut_off):
             for notice, _ in peer.cold.list_notices(self.now_s):
--- a/tests/routing/test_cold_starts.py
+++ b/tests/routing/test_cold_starts.py
@@ -183,6 +183,28 @@
     assert not starts.marks[OLD].down
 
 
+# Guards against the wait for the next round of gossip, a second in large
+# fleets, and against a round for each refusal.
+def test_peers_are_told_at_once_of_what_only_this_gateway_knows() -> None:
+    starts = make_starts()
+    read_entry(starts, start_at(9.0), 3.0, 10.0)
+    assert not starts.take_urgent(10.0)
+    starts.record_refused(OLD, 10.0)
+    assert starts.take_urgent(10.0)
+    starts.record_refused(OLD, 10.1)
+    assert not starts.take_urgent(11.0)
+    other = OLD._replace(name="e2")
+    read_entry(starts, other, 0.0, 11.0)
+    starts.record_answer(other, 3.0, 11.0, 11.1)
+    assert starts.take_urgent(11.1)
+    starts.record_answer(other, 5.0, 11.2, 11.3)
+    assert not starts.take_urgent(12.0)
+    peer = make_starts("g1-1")
+    for notice, _ in starts.list_notices(12.0):
+        peer.merge_notice(notice, 12.2)
+    assert peer.take_urgent(12.2)
+
+
 def test_notice_that_comes_back_changes_nothing() -> None:
     starts = make_starts()
     starts.mark_cold([OLD], 3.0, "test", 10.0)
