--- a/tests/gateway/test_cold_endpoints.py
+++ b/tests/gateway/test_cold_endpoints.py
@@ -172,12 +172,17 @@
 
 
 # Guards against retries of all gateways at the moment when a crashed endpoint
-# listens again, with the entry of its former process.
-def test_endpoint_that_comes_back_under_its_name_gets_no_burst() -> None:
+# listens again, with the entry of its former process. If the store is away,
+# that entry stays.
+@pytest.mark.parametrize("store_status", [0, 503])
+def test_endpoint_that_comes_back_under_its_name_gets_no_burst(
+    store_status: int,
+) -> None:
     async def check() -> None:
         async with deploy() as deployment, load(deployment, 5.0):
             first, _ = deployment.get_endpoints("api")
             await asyncio.sleep(0.5)
+            deployment.store.error_status = store_status
             first.stop()
             await asyncio.sleep(HEARD_S)
             for gateway in deployment.gateways:
@@ -360,6 +365,22 @@
     asyncio.run(check())
 
 
+# Guards against a gateway that is killed while it is a sender, and whose
+# successors send beside it or not at all.
+def test_gateway_that_is_killed_leaves_the_limit_to_the_others() -> None:
+    async def check() -> None:
+        async with deploy(cold_s=8.0) as deployment:
+            new = await start_new(deployment, "a3", 8000)
+            started_s = time.monotonic()
+            async with load(deployment, 7.0):
+                await asyncio.sleep(1.0)
+                deployment.gateways[0].stop()
+            assert count_most(new, started_s, started_s + 8.0) <= BOUND
+            assert any(t > started_s + 5.0 for t in new.arrival_times)
+
+    asyncio.run(check())
+
+
 def test_start_and_end_of_the_cold_time_are_logged() -> None:
     log: list[dict[str, Any]] = []
 
