Return endpoints that were cold to all gateways sooner

Change: the limit doubles each half second, and a sender of the ramp starts with one token. The cold time itself is as before.

--- a/src/cyclamenwing/routing/cold_marks.py
+++ b/src/cyclamenwing/routing/cold_marks.py
@@ -12,7 +12,7 @@
 
 # After the cold time the limit doubles each step, this many times. An empty
 # cache makes an endpoint the cheapest at all gateways at the same moment.
-RAMP_STEP_S = 1.0
+RAMP_STEP_S = 0.5
 RAMP_STEPS = 3
 # An endpoint that refused a connection counts as down for this long if
 # nothing is heard of it; gateways that still try it renew that.
--- a/src/cyclamenwing/routing/limit_shares.py
+++ b/src/cyclamenwing/routing/limit_shares.py
@@ -89,7 +89,8 @@
         """Record whether this gateway is a sender; a new one holds off."""
         if sends and self.sends is False:
             self.sends_from_s = now_s + hold_off_s
-            self.tokens = 0.0
+            # Without a hold-off no bound depends on who sent before.
+            self.tokens = 0.0 if hold_off_s else 1.0
             self.refilled_s = now_s
         self.sends = sends
 
