Read endpoints on while their clients do not read

Cause: the gateway stopped reading from the endpoint while its client did not read. Endpoints cut such answers off after some seconds, and hold their memory meanwhile.

What the client's socket takes at once is written without waiting, as before. The rest is held in gateway/delivery.py within the bounds of gateway/read_ahead.py, so that the endpoint's connection is free once the answer's end has arrived. When too much is held, the answer whose client has read nothing for longest is dropped, and among these the largest. Bodies of whole answers count too. Only events that were passed to the client's socket are charged.

Ruled out: Tornado's own write buffer as the place to hold answers, as it doesn't tell which events were written, and keeps a future for each event.

--- a/src/cyclamenwing/gateway/app.py
+++ b/src/cyclamenwing/gateway/app.py
@@ -18,6 +18,7 @@
 from cyclamenwing.gateway import calls
 from cyclamenwing.gateway import clock
 from cyclamenwing.gateway import connections
+from cyclamenwing.gateway import delivery
 from cyclamenwing.gateway import eras
 from cyclamenwing.gateway import follower
 from cyclamenwing.gateway import grants
@@ -26,6 +27,7 @@
 from cyclamenwing.gateway import poison_records
 from cyclamenwing.gateway import poison_requests
 from cyclamenwing.gateway import pools
+from cyclamenwing.gateway import read_ahead
 from cyclamenwing.gateway import record_age
 from cyclamenwing.gateway import registration
 from cyclamenwing.gateway import relay
@@ -172,6 +174,10 @@
                 board, dialect, self._peers, self._connections, poison_tracker
             ),
             self._streams,
+            delivery.HeldAnswers(
+                read_ahead.ReadAhead.from_config(settings.limits.memory_mb),
+                metrics,
+            ),
         )
         self._client_server = h1_server.Server(
             self._handler.handle, self._get_limits
--- a/src/cyclamenwing/gateway/attempts.py
+++ b/src/cyclamenwing/gateway/attempts.py
@@ -133,7 +133,10 @@
         target: Target,
         may_retry: bool,
     ) -> None:
-        """Send a request to one endpoint and forward its answer.
+        """Send a request to one endpoint and read its answer.
+
+        Returns once all of the answer is here and its connection is free,
+        though the client may have to read the rest.
 
         :param may_retry: another attempt is allowed if this one is slow
 
@@ -335,10 +338,12 @@
                 f"resumed stream answered with status {head.status}"
             )
         remaining_s = context.deadline_s - clock.read_time()
-        body = await connection.read_body(
-            max(remaining_s, DEADLINE_MARGIN_S), MAX_ANSWER_BYTES
+        await forwarder.forward_whole(
+            head,
+            connection,
+            max(remaining_s, DEADLINE_MARGIN_S),
+            MAX_ANSWER_BYTES,
         )
-        await forwarder.forward_whole(head, body)
 
 
 __all__ = (
--- a/src/cyclamenwing/gateway/forwarding.py
+++ b/src/cyclamenwing/gateway/forwarding.py
@@ -2,64 +2,91 @@
 
 from __future__ import annotations
 
-import asyncio
-from collections.abc import Awaitable
 from collections.abc import Callable
 
-import h11
-
 from cyclamenwing.gateway import clock
+from cyclamenwing.gateway import delivery
 from cyclamenwing.gateway import events
 from cyclamenwing.gateway import request_context
 from cyclamenwing.transport import errors as transport_errors
 from cyclamenwing.transport import h1
 from cyclamenwing.transport import h1_client
 
-# A client that reads no more of its answer is left this long after its
-# deadline.
-WRITE_MARGIN_S = 1.0
 SUCCESS_STATUSES = range(200, 300)
 
 
 class AnswerForwarder:
     """Forward the answer of one request to the client.
 
-    A stream that breaks may be resumed at another endpoint; its events then
-    go on in the same answer.
+    The endpoint is read on while the client does not read. A stream that
+    breaks may be resumed at another endpoint; its events then go on in the
+    same answer.
 
+    :param answer_delivery: writes the answer to the client
     :param record_answer: called once an answer of success has begun
     """
 
     def __init__(
         self,
-        connection: h1.ServerConnection,
+        answer_delivery: delivery.Delivery,
         context: request_context.RequestContext,
         record_answer: Callable[[request_context.RequestContext], None],
     ) -> None:
-        self._connection = connection
+        self._delivery = answer_delivery
         self._context = context
         self._record_answer = record_answer
         self.reader = events.EventReader()
         self.started = False
         # The whole answer of the endpoint is here and only has to be written.
         self.complete = False
-        self.client_lost = False
 
-    async def forward_whole(self, head: h1.ResponseHead, body: bytes) -> None:
-        """Send a complete answer to the client."""
+    @property
+    def client_lost(self) -> bool:
+        """Return whether the client gets no more of the answer."""
+        return self._delivery.lost
+
+    async def forward_whole(
+        self,
+        head: h1.ResponseHead,
+        connection: h1_client.ClientConnection,
+        timeout_s: float,
+        max_bytes: int,
+    ) -> None:
+        """Read a complete answer, then begin to send it to the client.
+
+        :param timeout_s: longest time for reading it
+
+        :raises ConnectionSilentError: if it is not complete in time
+        :raises ResponseTooLargeError: if it exceeds `max_bytes`
+        """
+        until_s = clock.read_time() + timeout_s
+        size = 0
+        try:
+            while (
+                data := await connection.read_data(
+                    max(until_s - clock.read_time(), 0.0)
+                )
+            ) is not None:
+                size += len(data)
+                if size > max_bytes:
+                    raise transport_errors.ResponseTooLargeError(
+                        connection.address
+                    )
+                self._delivery.hold(data)
+        except transport_errors.TransportError:
+            self._delivery.forget()
+            raise
         self._record_first_byte(head)
         if head.status in SUCCESS_STATUSES:
             self._record_answer(self._context)
         self.started = True
         self.complete = True
-        await self._write_to_client(
-            self._connection.respond(head.status, head.headers, body)
-        )
+        self._delivery.start(head, size)
 
     async def forward_stream(
         self, head: h1.ResponseHead, connection: h1_client.ClientConnection
     ) -> None:
-        """Forward the events of a stream as they arrive.
+        """Forward the events of a stream until the endpoint has sent all.
 
         Until the stream ends only whole events are sent, so that a resumed
         stream can go on at an event boundary.
@@ -67,6 +94,7 @@
         context = self._context
         self.reader.restart()
         while True:
+            await self._delivery.wait_room()
             remaining_s = context.deadline_s - clock.read_time()
             data = await connection.read_data(max(remaining_s, 0.0))
             if data is None:
@@ -76,41 +104,43 @@
                 self._record_answer(context)
             context.events = self.reader.count
             if events_data:
-                await self._forward_data(head, events_data)
+                self._start(head)
+                self._delivery.write(events_data, self.reader.count)
         if self.reader.partial:
             raise transport_errors.ConnectionLostError(
                 "the stream ended inside an event", "unknown"
             )
-        if not self.started:
-            if not _is_framed(head):
-                raise transport_errors.ConnectionLostError(
-                    "the connection ended before the first event", "unknown"
-                )
-            await self._forward_data(head, b"")
-        await self._write_to_client(self._connection.finish())
+        if not self.started and not _is_framed(head):
+            raise transport_errors.ConnectionLostError(
+                "the connection ended before the first event", "unknown"
+            )
+        self._start(head)
+        self.complete = True
 
-    async def _forward_data(self, head: h1.ResponseHead, data: bytes) -> None:
+    async def finish(self) -> None:
+        """Write the rest of a complete answer as the client reads it.
+
+        :raises ConnectionLostError: if the client does not
+        """
+        await self._delivery.finish()
+
+    async def write_rest(self) -> None:
+        """Write the events of an incomplete answer until the deadline.
+
+        :raises ConnectionLostError: if the client does not read them
+        """
+        if self.started:
+            await self._delivery.write_rest()
+
+    def discard(self) -> None:
+        """Write nothing more."""
+        self._delivery.discard()
+
+    def _start(self, head: h1.ResponseHead) -> None:
         if not self.started:
             self._record_first_byte(head)
             self.started = True
-            await self._write_to_client(self._connection.start(head, None))
-        if data:
-            await self._write_to_client(self._connection.write(data))
-
-    async def _write_to_client(self, write: Awaitable[None]) -> None:
-        remaining_s = self._context.deadline_s - clock.read_time()
-        try:
-            async with asyncio.timeout(max(remaining_s, 0.0) + WRITE_MARGIN_S):
-                await write
-        except TimeoutError as err:
-            self.client_lost = True
-            self._connection.close()
-            raise transport_errors.ConnectionLostError(
-                "the client reads no more"
-            ) from err
-        except (transport_errors.TransportError, h11.LocalProtocolError):
-            self.client_lost = True
-            raise
+            self._delivery.start(head, None)
 
     def _record_first_byte(self, head: h1.ResponseHead) -> None:
         if self._context.first_byte_s is None:
--- a/src/cyclamenwing/gateway/handler.py
+++ b/src/cyclamenwing/gateway/handler.py
@@ -12,6 +12,7 @@
 from cyclamenwing.gateway import calls
 from cyclamenwing.gateway import clock
 from cyclamenwing.gateway import configuration
+from cyclamenwing.gateway import delivery
 from cyclamenwing.gateway import errors
 from cyclamenwing.gateway import exclusions
 from cyclamenwing.gateway import forwarding
@@ -47,6 +48,7 @@
         poison_tracker: poison_requests.PoisonRequestTracker,
         endpoint_attempts: attempts.Attempts,
         origins: stream_origins.StreamOrigins,
+        held_answers: delivery.HeldAnswers,
     ) -> None:
         self._board = board
         self._dialect = dialect
@@ -54,6 +56,7 @@
         self._poison_requests = poison_tracker
         self._attempts = endpoint_attempts
         self._origins = origins
+        self._held_answers = held_answers
         self._interruptible: dict[
             asyncio.Timeout, forwarding.AnswerForwarder
         ] = {}
@@ -94,7 +97,9 @@
             await self._refuse(connection, request, None, err)
             return
         forwarder = forwarding.AnswerForwarder(
-            connection, context, self._record_answer
+            delivery.Delivery(connection, context, self._held_answers),
+            context,
+            self._record_answer,
         )
         code = "cancelled"
         try:
@@ -150,7 +155,13 @@
         context.reserved_s = clock.read_time()
         try:
             await self._try_endpoints(context, forwarder)
+            await forwarder.finish()
+        except errors.GatewayError:
+            await forwarder.write_rest()
+            raise
         finally:
+            # Nothing may be written that has not been charged.
+            forwarder.discard()
             self._settle(context)
 
     def _record_answer(self, context: request_context.RequestContext) -> None:
--- a/src/cyclamenwing/gateway/request_context.py
+++ b/src/cyclamenwing/gateway/request_context.py
@@ -23,6 +23,10 @@
     :param software: software version of the endpoint chosen last
     :param origin: version at which its stream began and has to go on, None
         until the client has an event
+    :param events: events of the stream that were read from endpoints
+    :param passed_events: those of them that were passed to the socket of the
+        client, which may not have received the last 4 KB and what the socket
+        holds
     :param excluded: names of endpoints that are not tried again
     """
 
@@ -43,6 +47,7 @@
     reserved_s: float | None = None
     first_byte_s: float | None = None
     events: int = 0
+    passed_events: int = 0
     excluded: set[str] = dataclasses.field(default_factory=set)
 
     @property
@@ -62,12 +67,13 @@
         """Return the tokens that are charged to the workspace.
 
         The whole prompt counts once the request may have run, the output
-        by the events that were forwarded.
+        by the events that were passed to the client's connection. Events
+        that were read from the endpoint but only held are not charged.
         """
         if self.call.size is None or not self.may_have_run:
             return 0
         output = min(
-            self.events * tokens_per_event, self.call.size.output_tokens
+            self.passed_events * tokens_per_event, self.call.size.output_tokens
         )
         return self.call.size.prompt_tokens + output
 
--- a/src/cyclamenwing/transport/h1.py
+++ b/src/cyclamenwing/transport/h1.py
@@ -272,6 +272,12 @@
         :param content_length: size of the body; None selects the chunked
             transfer encoding
         """
+        await self._wait(self.pass_head(head, content_length))
+
+    def pass_head(
+        self, head: ResponseHead, content_length: int | None
+    ) -> asyncio.Future[None]:
+        """Pass the head of a response to the socket, as `pass_data` does."""
         headers = [h for h in head.headers if h[0] not in HOP_BY_HOP]
         if content_length is not None:
             headers.append((b"Content-Length", b"%d" % content_length))
@@ -282,7 +288,17 @@
         response = h11.Response(
             status_code=head.status, headers=headers, reason=head.reason
         )
-        await self._write(self._h11.send(response))
+        return self._pass(self._h11.send(response))
+
+    def pass_data(self, data: bytes) -> asyncio.Future[None]:
+        """Pass a part of a response body to the socket without waiting.
+
+        The future is done once the socket has taken all of it, which it has
+        at once if the client reads. What it has not taken is held meanwhile.
+
+        :raises ConnectionLostError: if the connection is closed
+        """
+        return self._pass(self._h11.send(h11.Data(data=data)))
 
     async def write(self, data: bytes) -> None:
         """Write a part of a response body.
@@ -322,17 +338,29 @@
         return True
 
     async def _write(self, data: bytes | None) -> None:
-        if not data:
-            return
+        if data:
+            await self._wait(self._pass(data))
+
+    def _pass(self, data: bytes | None) -> asyncio.Future[None]:
         try:
-            await self.stream.write(data)
+            return self.stream.write(data or b"")
         except (
             iostream.StreamClosedError,
             iostream.StreamBufferFullError,
         ) as err:
-            raise errors.ConnectionLostError(
-                "the client closed the connection or reads too slowly"
-            ) from err
+            raise _make_lost_error() from err
+
+    async def _wait(self, future: asyncio.Future[None]) -> None:
+        try:
+            await future
+        except iostream.StreamClosedError as err:
+            raise _make_lost_error() from err
+
+
+def _make_lost_error() -> errors.ConnectionLostError:
+    return errors.ConnectionLostError(
+        "the client closed the connection or reads too slowly"
+    )
 
 
 def _check_limits(request: h11.Request, limits: Limits) -> None:
--- a/tests/soak/launcher.py
+++ b/tests/soak/launcher.py
@@ -18,9 +18,9 @@
 from cyclamenwing.gateway import app
 from cyclamenwing.gateway import attempts
 from cyclamenwing.gateway import clock
+from cyclamenwing.gateway import delivery
 from cyclamenwing.gateway import errors
 from cyclamenwing.gateway import follower
-from cyclamenwing.gateway import forwarding
 from cyclamenwing.gateway import handler
 from cyclamenwing.gateway import reservations
 from cyclamenwing.gateway import stream_origins
@@ -81,26 +81,27 @@
 
 def plant_other_body() -> None:
     """Add a byte to each whole answer."""
-    forward = forwarding.AnswerForwarder.forward_whole
+    start = delivery.Delivery.start
 
-    async def forward_other(
-        self: forwarding.AnswerForwarder, head: Any, body: bytes
+    def start_other(
+        self: delivery.Delivery, head: Any, length: int | None
     ) -> None:
-        await forward(self, head, body + b"!")
+        if length is not None:
+            self.hold(b"!")
+            length += 1
+        start(self, head, length)
 
-    _replace(forwarding.AnswerForwarder, "forward_whole", forward_other)
+    _replace(delivery.Delivery, "start", start_other)
 
 
 def plant_disorder() -> None:
     """Repeat the first event of each stream."""
-    forward = forwarding.AnswerForwarder._forward_data
+    write = delivery.Delivery.write
 
-    async def forward_twice(
-        self: forwarding.AnswerForwarder, head: Any, data: bytes
-    ) -> None:
-        await forward(self, head, data + data)
+    def write_twice(self: delivery.Delivery, data: bytes, events: int) -> None:
+        write(self, data + data, events)
 
-    _replace(forwarding.AnswerForwarder, "_forward_data", forward_twice)
+    _replace(delivery.Delivery, "write", write_twice)
 
 
 def plant_ignored_drain() -> None:
