--- a/tests/gateway/test_clients_that_do_not_read.py
+++ b/tests/gateway/test_clients_that_do_not_read.py
@@ -334,6 +334,36 @@
     asyncio.run(check())
 
 
+# Guards against memory that stays counted for answers that never began.
+def test_body_read_for_a_client_that_leaves_is_forgotten(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def answer_by_and_by(
+        connection: h1.ServerConnection, request: h1.Request, _: h1.Headers
+    ) -> None:
+        headers = platform_endpoint.make_headers(request)
+        await connection.start(h1.ResponseHead(200, b"", headers), 1_000_000)
+        while True:
+            await connection.write(b"x" * 1000)
+            await asyncio.sleep(0.02)
+
+    monkeypatch.setitem(
+        platform_endpoint.BEHAVIOURS, "serve", answer_by_and_by
+    )
+
+    async def check() -> None:
+        async with deployments.deploy() as deployment:
+            held = deployment.gateways[0]._handler._held_answers
+            connection = await deployment.open("write", b"POST")
+            await asyncio.sleep(0.3)
+            assert held.bounds.held_bytes > 1000
+            connection.close()
+            await asyncio.sleep(CANCEL_S)
+            assert held.bounds.held_bytes == 0
+
+    asyncio.run(check())
+
+
 # Guards against losing the events that arrived before an endpoint was lost.
 def test_events_held_of_a_stream_that_breaks_are_delivered_first(
     monkeypatch: pytest.MonkeyPatch, runs: Runs
@@ -359,8 +389,13 @@
 
 # Guards against an answer that is here, but cut as the process stops.
 def test_held_answer_is_delivered_while_the_process_stops(
-    runs: Runs,
+    monkeypatch: pytest.MonkeyPatch, runs: Runs
 ) -> None:
+    # The grace ends before the client reads. The bound of the last answers is
+    # long, so that a busy machine does not decide the outcome.
+    monkeypatch.setattr(app, "SHUTDOWN_MARGIN_S", 3.4)
+    monkeypatch.setattr(app, "FINAL_ANSWERS_TIMEOUT_S", 4.0)
+
     async def check() -> None:
         async with deployments.deploy() as deployment:
             await set_timeout(deployment)
