Spread the times at which refused clients return

Cause: clients that were refused together were told the same constant (0.3, 0.5 or 1.0 s), returned together and were refused again; they have one further attempt. Some were told a time that left none to be served.

Predicted times are kept, with a spread after them.

Ruled out: a random time in a window that grows with the clients told in the last second, as the first ones of a burst then return above the rate.

--- a/src/cyclamenwing/gateway/errors.py
+++ b/src/cyclamenwing/gateway/errors.py
@@ -7,7 +7,11 @@
 
 
 class GatewayError(errors.CodedError):
-    """Report a request that the gateway refuses or can't complete."""
+    """Report a request that the gateway refuses or can't complete.
+
+    `retry_after_s` of a class is the usual time to return; `refusals` spreads
+    it. That of an instance was predicted.
+    """
 
     code = "gateway_error"
     status = 503
--- a/src/cyclamenwing/gateway/handler.py
+++ b/src/cyclamenwing/gateway/handler.py
@@ -17,6 +17,7 @@
 from cyclamenwing.gateway import exclusions
 from cyclamenwing.gateway import forwarding
 from cyclamenwing.gateway import poison_requests
+from cyclamenwing.gateway import refusals
 from cyclamenwing.gateway import request_context
 from cyclamenwing.gateway import reservations
 from cyclamenwing.gateway import stream_origins
@@ -57,6 +58,7 @@
         self._attempts = endpoint_attempts
         self._origins = origins
         self._held_answers = held_answers
+        self._refusals = refusals.RefusalWriter(board, dialect)
         self._interruptible: dict[
             asyncio.Timeout, forwarding.AnswerForwarder
         ] = {}
@@ -166,6 +168,7 @@
 
     def _record_answer(self, context: request_context.RequestContext) -> None:
         self._poison_requests.record_answer(context)
+        self._refusals.record_answer(context)
         if context.route.kind is configuration.RouteKind.STREAM:
             self._origins.record(context)
 
@@ -316,25 +319,9 @@
         context: request_context.RequestContext | None,
         err: errors.GatewayError,
     ) -> None:
-        request_id = h1.find_header(request.headers, b"request-id")
-        refusal = err.make_refusal()
-        eliot.log_message(
-            "request:refused",
-            request=calls.format_request_id(request_id),
-            code=err.code,
-            status=refusal.status,
-            reason=err.message,
-            run=refusal.run,
-            route=context.route.name if context else None,
-        )
         if context is None:
             self._board.metrics.count(REQUESTS, "none", err.code)
-        else:
-            context.status = refusal.status
-        status, headers, body = self._dialect.write_refusal(
-            refusal, request_id
-        )
-        await connection.respond(status, headers, body)
+        await self._refusals.refuse(connection, request, context, err)
 
     def _record_outcome(
         self, context: request_context.RequestContext, code: str
