Keep the outcome of a broken stream, and spread limited services once

A client that did not read the rest of a broken stream changed the outcome to cancelled. Times that the limits of endpoints spread already were spread again by the rate of answers, which is about half of what the limits allow.

--- a/src/cyclamenwing/gateway/handler.py
+++ b/src/cyclamenwing/gateway/handler.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 
 import eliot
 
@@ -22,6 +23,7 @@
 from cyclamenwing.gateway import reservations
 from cyclamenwing.gateway import stream_origins
 from cyclamenwing.metrics import types as metric_types
+from cyclamenwing.transport import errors as transport_errors
 from cyclamenwing.transport import h1
 
 # Bound on the endpoints tried for one request, counting those that refuse it
@@ -159,7 +161,9 @@
             await self._try_endpoints(context, forwarder)
             await forwarder.finish()
         except errors.GatewayError:
-            await forwarder.write_rest()
+            # A client that does not read it changes nothing about the outcome.
+            with contextlib.suppress(transport_errors.TransportError):
+                await forwarder.write_rest()
             raise
         finally:
             # Nothing may be written that has not been charged.
--- a/src/cyclamenwing/gateway/refusals.py
+++ b/src/cyclamenwing/gateway/refusals.py
@@ -62,7 +62,7 @@
         # A time other than the usual one of its kind was predicted.
         room_s = 0.0
         if refusal.retry_after_s != type(err).retry_after_s:
-            kind, room_s = return_times.Kind.PLANNED, refusal.retry_after_s
+            kind, room_s = self._choose_predicted(err), refusal.retry_after_s
         return refusal._replace(
             retry_after_s=self._returns.plan(
                 kind,
@@ -102,6 +102,15 @@
         )
         await connection.respond(status, headers, body)
 
+    def _choose_predicted(self, err: errors.GatewayError) -> return_times.Kind:
+        if (
+            isinstance(err, errors.EndpointsWaitingError)
+            and self._board.directory.limits.count_limited()
+        ):
+            # `RateLimits.plan_return` has spread the times already.
+            return return_times.Kind.IN_TURN
+        return return_times.Kind.PLANNED
+
     def _describe_client(
         self,
         request: h1.Request,
--- a/src/cyclamenwing/routing/return_times.py
+++ b/src/cyclamenwing/routing/return_times.py
@@ -45,6 +45,7 @@
     VERSION_KNOWN = "version_known"
     VERSION_BACK = "version_back"
     PLANNED = "planned"
+    IN_TURN = "in_turn"
 
 
 class Spread(NamedTuple):
@@ -69,7 +70,10 @@
     Kind.VERSION_BACK: Spread(0.6, 0.8),
     # After the time that was predicted.
     Kind.PLANNED: Spread(0.0, 0.08, by_rate=True),
+    # Here the prediction is a later one for each client.
+    Kind.IN_TURN: Spread(0.0, 0.08),
 }
+PREDICTED = frozenset((Kind.PLANNED, Kind.IN_TURN))
 
 
 class Client(NamedTuple):
@@ -140,18 +144,18 @@
         """
         spread = SPREADS[kind]
         latest_s = compute_latest(client)
-        if kind is not Kind.PLANNED and latest_s < MIN_RETURN_S:
+        if kind not in PREDICTED and latest_s < MIN_RETURN_S:
             return None
         state = self._open(service, now_s)
         ahead = self._count_ahead(state, client.priority, now_s, room_s)
         rate_rps = self.measure_rate(service, now_s)
         width_s, offset_s = spread.width_s, spread.width_s * draw
         # Where no answers came lately, a predicted time is more reliable.
-        if spread.by_rate and (rate_rps or kind is not Kind.PLANNED):
+        if spread.by_rate and (rate_rps or kind not in PREDICTED):
             full_rps = rate_rps + PRIOR_RPS
             used_rps = full_rps * RETURN_SHARE
             reached_s = spread.first_s + (ahead + draw) / full_rps
-            if kind is not Kind.PLANNED and rate_rps and reached_s > latest_s:
+            if kind not in PREDICTED and rate_rps and reached_s > latest_s:
                 # Even all of the rate would not reach this client in time.
                 return None
             offset_s = max(offset_s, (ahead + draw) / used_rps)
@@ -205,6 +209,8 @@
 
 __all__ = (
     "Client",
+    "PREDICTED",
+    "SPREADS",
     "Kind",
     "ReturnTimes",
     "Spread",
--- a/tests/routing/test_return_times.py
+++ b/tests/routing/test_return_times.py
@@ -18,9 +18,7 @@
 # Measured over whole spans, as those of a gateway that runs.
 NOW_S = 1000.0
 GOAL_S = 0.5
-SOFT_KINDS = [
-    k for k in return_times.Kind if k is not return_times.Kind.PLANNED
-]
+SOFT_KINDS = [k for k in return_times.Kind if k not in return_times.PREDICTED]
 
 
 def make_returns(rate_rps: float) -> return_times.ReturnTimes:
@@ -216,6 +214,17 @@
         assert max(times_s) <= 4.0
 
 
+# Guards against spreading twice what the limits of endpoints spread already.
+def test_times_in_turn_are_kept_apart_by_their_predictions() -> None:
+    rng = random.Random(9)
+    returns = make_returns(4.0)
+    for number in range(30):
+        room_s = 0.1 * number
+        time_s = refuse(returns, rng, return_times.Kind.IN_TURN, room_s=room_s)
+        assert time_s is not None
+        assert room_s <= time_s <= room_s + 0.1
+
+
 @pytest.mark.parametrize("seed", range(3))
 def test_steady_overload_keeps_memory_bounded(seed: int) -> None:
     rng = random.Random(seed)
