--- a/tests/gateway/test_clients_that_do_not_read.py
+++ b/tests/gateway/test_clients_that_do_not_read.py
@@ -15,6 +15,7 @@
 
 from cyclamenwing.gateway import app
 from cyclamenwing.gateway import delivery
+from cyclamenwing.gateway import handler
 from cyclamenwing.standin import platform_endpoint
 from cyclamenwing.transport import errors
 from cyclamenwing.transport import h1
@@ -387,6 +388,32 @@
     asyncio.run(check())
 
 
+# Guards against an outcome that hides the lost endpoint.
+def test_broken_stream_that_is_never_read_keeps_its_outcome(
+    runs: Runs,
+) -> None:
+    runs.cut_after = EVENTS // 2
+
+    async def check() -> None:
+        async with deployments.deploy() as deployment:
+            await set_timeout(deployment)
+            board = deployment.gateways[0].board
+            connection = await open_unread(
+                deployment, SIZE | {"Deadline-Ms": b"1000"}
+            )
+            started_s = time.monotonic()
+            await asyncio.sleep(0.1)
+            while board.active_requests:
+                await asyncio.sleep(0.01)
+            assert 0.9 < time.monotonic() - started_s < 1.5
+            counts = board.metrics.counts[handler.REQUESTS]
+            assert counts["stream", "answer_lost"] == 1
+            assert len(await read_cut(connection)) < len(STREAM)
+            connection.close()
+
+    asyncio.run(check())
+
+
 # Guards against an answer that is here, but cut as the process stops.
 def test_held_answer_is_delivered_while_the_process_stops(
     monkeypatch: pytest.MonkeyPatch, runs: Runs
--- a/tests/gateway/test_return_times.py
+++ b/tests/gateway/test_return_times.py
@@ -11,6 +11,7 @@
 import pytest
 from tests.gateway import deployments
 
+from cyclamenwing.gateway import clock
 from cyclamenwing.gateway import errors
 from cyclamenwing.gateway import refusals
 from cyclamenwing.routing import return_times
@@ -129,6 +130,35 @@
     asyncio.run(check())
 
 
+# Guards against spreading again what the limits of endpoints spread already.
+def test_limited_endpoints_keep_the_order_of_their_times() -> None:
+    async def check() -> None:
+        async with deployments.deploy() as deployment:
+            gateway = deployment.gateways[0]
+            writer = gateway._handler._refusals
+            directory = gateway.board.directory
+            now_s = clock.read_time()
+            for _ in range(40):
+                writer._returns.record_answer("", now_s)
+            for endpoint in directory.registered.values():
+                directory.limits.record_answer(
+                    endpoint.incarnation, 2.0, now_s, now_s
+                )
+            request = h1.Request(b"POST", b"/", ((b"host", b"x"),), b"")
+            spread = return_times.SPREADS[return_times.Kind.IN_TURN]
+            for number in range(40):
+                error = errors.EndpointsWaitingError("")
+                error.retry_after_s = 0.2 + number * 0.001
+                after_s = writer.make_refusal(
+                    request, None, error
+                ).retry_after_s
+                assert after_s is not None
+                added_s = after_s - error.retry_after_s
+                assert 0 <= added_s <= spread.width_s + 1e-9
+
+    asyncio.run(check())
+
+
 def test_errors_with_a_constant_time_are_all_planned() -> None:
     kept = {"leaving", "quarantined"}
     constant = {
--- a/tests/process/test_unread_answers.py
+++ b/tests/process/test_unread_answers.py
@@ -144,8 +144,8 @@
             client.close()
 
 
-# Guards against overheads that the bound does not count: those of events, of
-# blocks and of buffers.
+# Guards against memory without a bound, and against overheads of small events
+# that the bound does not count.
 @pytest.mark.parametrize(
     ("event_bytes", "answer_bytes"),
     # The buffers of the sockets take up to 4 MB in large pieces.
