--- a/tests/gateway/test_clients_that_do_not_read.py
+++ b/tests/gateway/test_clients_that_do_not_read.py
@@ -9,7 +9,9 @@
 import asyncio
 import socket
 import time
+from typing import Any
 
+import eliot
 import pytest
 from tests.gateway import deployments
 
@@ -144,6 +146,19 @@
     return body
 
 
+def record_drops(monkeypatch: pytest.MonkeyPatch) -> list[dict[str, Any]]:
+    lines: list[dict[str, Any]] = []
+    log_message = eliot.log_message
+
+    def record(kind: str, **fields: Any) -> None:
+        if kind == "answer:reader_dropped":
+            lines.append(fields)
+        log_message(kind, **fields)
+
+    monkeypatch.setattr(eliot, "log_message", record)
+    return lines
+
+
 def record_spent(
     monkeypatch: pytest.MonkeyPatch, gateway: app.Gateway
 ) -> list[int]:
@@ -287,8 +302,10 @@
 # Guards against memory without a bound, and against dropping the answers of
 # clients that read, or that stopped reading last.
 def test_those_unread_for_longest_are_dropped_at_the_bound(
-    runs: Runs,
+    monkeypatch: pytest.MonkeyPatch, runs: Runs
 ) -> None:
+    lines = record_drops(monkeypatch)
+
     async def check() -> None:
         async with deployments.deploy() as deployment:
             await set_timeout(deployment)
@@ -329,6 +346,11 @@
             dropped = counts[delivery.DROPPED][()]
             assert (dropped, runs.cancelled, runs.done) == (2, 2, 3)
             assert BOUND_BYTES / 2 < largest <= BOUND_BYTES
+            assert len(lines) == 2
+            for line in lines:
+                assert line["request"] == "r1"
+                assert 0 < line["bytes"] < BOUND_BYTES < line["total"]
+                assert line["unread_s"] > 0
             for connection in [*early, *late]:
                 connection.close()
 
