Merge answers held for slow clients, and return times that spread

Clients that do not read no longer stop the reading of their endpoint; refused clients are told times that follow the room and differ from each other.

--- a/src/cyclamenwing/gateway/handler.py
+++ b/src/cyclamenwing/gateway/handler.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 
 import eliot
 
@@ -12,14 +13,17 @@
 from cyclamenwing.gateway import calls
 from cyclamenwing.gateway import clock
 from cyclamenwing.gateway import configuration
+from cyclamenwing.gateway import delivery
 from cyclamenwing.gateway import errors
 from cyclamenwing.gateway import forwarding
 from cyclamenwing.gateway import poison_requests
+from cyclamenwing.gateway import refusals
 from cyclamenwing.gateway import request_context
 from cyclamenwing.gateway import reservations
 from cyclamenwing.gateway import stream_origins
 from cyclamenwing.gateway import unavailability
 from cyclamenwing.metrics import types as metric_types
+from cyclamenwing.transport import errors as transport_errors
 from cyclamenwing.transport import h1
 
 # Bound on the endpoints tried for one request, counting those that refuse it
@@ -47,6 +51,7 @@
         poison_tracker: poison_requests.PoisonRequestTracker,
         endpoint_attempts: attempts.Attempts,
         origins: stream_origins.StreamOrigins,
+        held_answers: delivery.HeldAnswers,
     ) -> None:
         self._board = board
         self._dialect = dialect
@@ -54,6 +59,8 @@
         self._poison_requests = poison_tracker
         self._attempts = endpoint_attempts
         self._origins = origins
+        self._held_answers = held_answers
+        self._refusals = refusals.RefusalWriter(board, dialect)
         self._interruptible: dict[
             asyncio.Timeout, forwarding.AnswerForwarder
         ] = {}
@@ -94,7 +101,9 @@
             await self._refuse(connection, request, None, err)
             return
         forwarder = forwarding.AnswerForwarder(
-            connection, context, self._record_answer
+            delivery.Delivery(connection, context, self._held_answers),
+            context,
+            self._record_answer,
         )
         code = "cancelled"
         try:
@@ -148,11 +157,20 @@
         context.reserved_s = clock.read_time()
         try:
             await self._try_endpoints(context, forwarder)
+            await forwarder.finish()
+        except errors.GatewayError:
+            # A client that does not read it changes nothing about the outcome.
+            with contextlib.suppress(transport_errors.TransportError):
+                await forwarder.write_rest()
+            raise
         finally:
+            # Nothing may be written that has not been charged.
+            forwarder.discard()
             self._settle(context)
 
     def _record_answer(self, context: request_context.RequestContext) -> None:
         self._poison_requests.record_answer(context)
+        self._refusals.record_answer(context)
         if context.route.kind is configuration.RouteKind.STREAM:
             self._origins.record(context)
 
@@ -301,25 +319,9 @@
         context: request_context.RequestContext | None,
         err: errors.GatewayError,
     ) -> None:
-        request_id = h1.find_header(request.headers, b"request-id")
-        refusal = err.make_refusal()
-        eliot.log_message(
-            "request:refused",
-            request=calls.format_request_id(request_id),
-            code=err.code,
-            status=refusal.status,
-            reason=err.message,
-            run=refusal.run,
-            route=context.route.name if context else None,
-        )
         if context is None:
             self._board.metrics.count(REQUESTS, "none", err.code)
-        else:
-            context.status = refusal.status
-        status, headers, body = self._dialect.write_refusal(
-            refusal, request_id
-        )
-        await connection.respond(status, headers, body)
+        await self._refusals.refuse(connection, request, context, err)
 
     def _record_outcome(
         self, context: request_context.RequestContext, code: str
