Add `where`: explain where a gateway would send a request now

Cause: operators could see where a request went, by its log lines, but not where it would go and why before it is sent. Ruled out: a dry run through the handler, which reserves tokens and takes a turn under limits; a call without a key, which tells others' loads and budgets. Change: gateway/explanation.py lists the endpoints of the service with their predicted costs, the ages of what is known, the budget and what keeps each endpoint from getting requests (routing/obstacles.py). The control address answers it to holders of the operators' key; the command prints it.

--- a/src/cyclamenwing/cli/epilogs.py
+++ b/src/cyclamenwing/cli/epilogs.py
@@ -29,6 +29,15 @@
 """
 
 COMMANDS: dict[str, str] = {
+    "where": """\
+examples:
+  cyclamenwing where /chat/ --gateway 10.1.0.40:8229 --host api.example \\
+      --workspace t1 --tokens 1460,80 --part 5c1e:800 --part 91bd:410
+
+Nothing is sent to an endpoint and no tokens are reserved. The gateway's
+setting operator_key_sha256 holds the digest of the key that the command reads
+from CYCLAMENWING_FLEET_KEY. Exit code 1: no endpoint may get the request.
+""",
     "entry": _SETTINGS.format(role="entry"),
     "sidecar": _SETTINGS.format(role="sidecar"),
     "gateway": """\
--- a/src/cyclamenwing/cli/main.py
+++ b/src/cyclamenwing/cli/main.py
@@ -28,6 +28,7 @@
 from cyclamenwing.cli import standin
 from cyclamenwing.cli import status
 from cyclamenwing.cli import top_up
+from cyclamenwing.cli import where
 from cyclamenwing.settings import errors as settings_errors
 from cyclamenwing.store import errors as store_errors
 from cyclamenwing.transport import errors as transport_errors
@@ -45,6 +46,7 @@
     bills.BillsCommand(),
     settle.SettleCommand(),
     explain.ExplainCommand(),
+    where.WhereCommand(),
     quarantine.QuarantineCommand(),
     standin.StandinCommand(),
     demo.DemoCommand(),
--- a/src/cyclamenwing/gateway/app.py
+++ b/src/cyclamenwing/gateway/app.py
@@ -19,9 +19,11 @@
 from cyclamenwing.gateway import clock
 from cyclamenwing.gateway import connections
 from cyclamenwing.gateway import eras
+from cyclamenwing.gateway import explanation
 from cyclamenwing.gateway import follower
 from cyclamenwing.gateway import grants
 from cyclamenwing.gateway import handler
+from cyclamenwing.gateway import operator_calls
 from cyclamenwing.gateway import peers
 from cyclamenwing.gateway import poison_records
 from cyclamenwing.gateway import poison_requests
@@ -166,6 +168,14 @@
             grants.GRANT_PATH: self._reservations.answer_grant,
             grants.RETURN_PATH: self._reservations.answer_return,
         })
+        self._operator_calls = operator_calls.OperatorCalls(
+            settings.operator_key_sha256,
+            {
+                explanation.EXPLAIN_PATH: explanation.PlacementExplainer(
+                    board
+                ).answer
+            },
+        )
         self._connections = connections.ConnectionPool()
         self._handler = handler.RequestHandler(
             board,
@@ -181,7 +191,9 @@
             self._handler.handle, self._get_limits
         )
         self._ready_server = h1_server.Server(self._answer_ready, h1.Limits)
-        self._control_server = h1_server.Server(self._peers.handle, h1.Limits)
+        self._control_server = h1_server.Server(
+            self._answer_control, h1.Limits
+        )
         self._metrics_server = h1_server.Server(
             self._answer_metrics, h1.Limits
         )
@@ -389,6 +401,14 @@
             directory = self.board.directory
             directory.limits.trim(directory.registered, clock.read_time())
 
+    async def _answer_control(
+        self, connection: h1.ServerConnection, request: h1.Request
+    ) -> None:
+        if request.target.decode("latin-1") in self._operator_calls.handlers:
+            await self._operator_calls.handle(connection, request)
+        else:
+            await self._peers.handle(connection, request)
+
     async def _answer_ready(
         self, connection: h1.ServerConnection, request: h1.Request
     ) -> None:
--- a/src/cyclamenwing/gateway/errors.py
+++ b/src/cyclamenwing/gateway/errors.py
@@ -54,6 +54,27 @@
     status = 401
 
 
+class UnknownWorkspaceError(GatewayError):
+    """Report a workspace that the configuration does not have."""
+
+    code = "unknown_workspace"
+    status = 404
+
+
+class UnknownServiceError(GatewayError):
+    """Report a service that does not share a route."""
+
+    code = "unknown_service"
+    status = 404
+
+
+class OperatorKeyError(GatewayError):
+    """Report an operator's call without the operators' key."""
+
+    code = "operator_key_invalid"
+    status = 403
+
+
 class BudgetSpentError(GatewayError):
     """Report a request that costs more than the budget has left."""
 
@@ -169,12 +190,15 @@
     "NoEndpointError",
     "NoHomeEndpointError",
     "OverloadedError",
+    "OperatorKeyError",
     "PeerDataError",
     "QuarantinedError",
     "StreamVersionGoneError",
     "StreamVersionUnknownError",
     "UnknownKeyError",
     "UnknownRouteError",
+    "UnknownServiceError",
+    "UnknownWorkspaceError",
     "UnreadableRequestError",
     "ZonesEvacuatedError",
 )
--- a/src/cyclamenwing/gateway/settings.py
+++ b/src/cyclamenwing/gateway/settings.py
@@ -67,6 +67,8 @@
     :param control: address for calls of other gateways
     :param metrics: address for metrics scrapes, empty for none
     :param seeds: control addresses of gateways to contact first
+    :param operator_key_sha256: SHA-256 digest of the key of operators' calls,
+        in hexadecimal; empty to refuse these calls
     :param bootstrap: the whole fleet starts for the first time
     """
 
@@ -80,6 +82,7 @@
     regions: dict[str, str] = {}
     metrics: str = ""
     seeds: list[str] = []
+    operator_key_sha256: str = ""
     bootstrap: bool = False
     limits: Limits = msgspec.field(default_factory=Limits)
     bounds: Bounds = msgspec.field(default_factory=Bounds)
--- a/tests/gateway/deployments.py
+++ b/tests/gateway/deployments.py
@@ -96,6 +96,7 @@
         self.gateways: list[app.Gateway] = []
         # Region of each zone, in the settings of gateways.
         self.regions: dict[str, str] = {}
+        self.operator_key_sha256 = ""
 
     async def start(self, gateways: int = 1) -> None:
         for endpoint in self.endpoints:
@@ -127,6 +128,7 @@
                 store=self.store_address,
                 seeds=seeds,
                 regions=self.regions,
+                operator_key_sha256=self.operator_key_sha256,
                 bounds=settings.Bounds(grace_s=4.0),
             ),
             store.KeyValueStore,
