--- a/src/cyclamenwing/gateway/explanation.py
+++ b/src/cyclamenwing/gateway/explanation.py
@@ -162,8 +162,8 @@
         board = self._board
         scope = endpoints.Scope(
             board.homes.find_zones(
-                route.home_regions,
-                workspace.home_regions if workspace else frozenset(),
+                route.homes,
+                workspace.homes if workspace else frozenset(),
             ),
             evacuations.find_moving_part(query.parts),
         )
