Split reservations and escrow by decision, transfer and bound

Behaviour is unchanged.

- gateway/token_waits.py: times of waits and returns, no network
- gateway/budget_rest.py: what the whole budget has left, and refusals
- gateway/token_transfers.py: draws and transfers between peers
- gateway/grant_messages.py: calls for the tokens of one request
- budget/usage_bounds.py: usage bounds and their size

Existing tests change only in the module that they name a constant, function or class by.

--- a/src/cyclamenwing/budget/escrow.py
+++ b/src/cyclamenwing/budget/escrow.py
@@ -24,7 +24,13 @@
 import dataclasses
 import math
 from collections.abc import Mapping
-from typing import NamedTuple
+
+from cyclamenwing.budget import usage_bounds
+
+EARLY_RATE_FACTOR = usage_bounds.EARLY_RATE_FACTOR
+GROWTH_DELAY_S = usage_bounds.GROWTH_DELAY_S
+OUTAGE_AGE_S = usage_bounds.OUTAGE_AGE_S
+UsageBound = usage_bounds.UsageBound
 
 # Holdings cover a store outage of this length at the recent rate of use.
 OUTAGE_COVERAGE_S = 14.0
@@ -47,24 +53,6 @@
 # of gateways, so that the others get tokens from a pool that runs low. It
 # takes more only if a waiting request needs more.
 MAX_DRAW_SHARE = 0.5
-# A new usage bound exceeds the present use by the tokens used in this time at
-# the recent rate, and by at least this share of the holdings.
-HEADROOM_S = 0.7
-HEADROOM_SHARE = 0.02
-# A usage bound does not grow during this time. It covers the age of a killed
-# process's record when its successor starts: one renewal interval and a
-# restart.
-GROWTH_DELAY_S = 1.2
-# Then the bound grows at this multiple of the recent rate, and at least by
-# this share of the holdings per second. The growth is slow because tokens up
-# to the bound are lost when a host loses power while the store is reachable.
-EARLY_RATE_FACTOR = 1.0
-EARLY_RATE_SHARE = 0.02
-# While the store is reachable, records are renewed at least twice in this
-# time, so an older record indicates a store outage. From this age on the bound
-# may grow fast enough to use all holdings within `SPEND_ALL_S`.
-OUTAGE_AGE_S = 3.0
-SPEND_ALL_S = 4.0
 # Longest time that a request waits for a usage bound to grow.
 MAX_GROWTH_WAIT_S = 5.0
 GROWTH_WAIT_STEP_S = 0.1
@@ -72,36 +60,6 @@
 CLOSED = "closed"
 
 
-class UsageBound(NamedTuple):
-    """Limit the tokens that an account may use, depending on its age.
-
-    :param ceiling: the limit in tokens until `GROWTH_DELAY_S`
-    :param early: growth from `GROWTH_DELAY_S` to `OUTAGE_AGE_S`, in tokens
-        per second
-    :param late: growth after `OUTAGE_AGE_S`, in tokens per second; counts
-        only once a peer has noticed that the record is old
-    :param since_s: time when the bound was computed, in seconds
-    """
-
-    ceiling: int
-    early: float
-    late: float
-    since_s: float
-
-    def compute_limit(self, now_s: float, late: bool) -> int:
-        """Return the most tokens that may be in use at `now_s`.
-
-        :param late: whether growth after `OUTAGE_AGE_S` counts
-        """
-        age_s = max(now_s - self.since_s, 0.0)
-        growth = self.early * max(
-            min(age_s, OUTAGE_AGE_S) - GROWTH_DELAY_S, 0.0
-        )
-        if late:
-            growth += self.late * max(age_s - OUTAGE_AGE_S, 0.0)
-        return self.ceiling + int(growth)
-
-
 @dataclasses.dataclass(slots=True)
 class WorkspaceAccount:
     """Count what this gateway holds and uses of one workspace's tokens.
@@ -259,12 +217,13 @@
 
         :param change: tokens drawn, or returned if negative, by the commit
         """
-        rate = self.measure_rate(now_s)
-        held = max(self.held + change, 0)
-        headroom = max(rate * HEADROOM_S, held * HEADROOM_SHARE) + self.wanted
-        early = max(rate * EARLY_RATE_FACTOR, held * EARLY_RATE_SHARE)
-        late = max(early, held / SPEND_ALL_S)
-        return UsageBound(self.used + int(headroom), early, late, now_s)
+        return usage_bounds.plan_bound(
+            self.used,
+            max(self.held + change, 0),
+            self.measure_rate(now_s),
+            self.wanted,
+            now_s,
+        )
 
 
 @dataclasses.dataclass(slots=True)
@@ -418,6 +377,10 @@
 
 __all__ = (
     "CLOSED",
+    "EARLY_RATE_FACTOR",
+    "GROWTH_DELAY_S",
+    "MIN_HELD_SHARE",
+    "OUTAGE_AGE_S",
     "Escrow",
     "Pool",
     "UsageBound",
--- a/src/cyclamenwing/gateway/blackboard.py
+++ b/src/cyclamenwing/gateway/blackboard.py
@@ -11,6 +11,7 @@
 from cyclamenwing.gateway import clock
 from cyclamenwing.gateway import configuration
 from cyclamenwing.gateway import eras
+from cyclamenwing.gateway import errors
 from cyclamenwing.gateway import record_age
 from cyclamenwing.gateway import settings as gateway_settings
 from cyclamenwing.membership import delegates
@@ -28,6 +29,8 @@
 # A restarted process waits this long for a peer that confirms that the store
 # has not returned an older configuration.
 CONFIRMATION_WAIT_S = 1.0
+# The store counts as reachable if it has answered within this time.
+STORE_REACHABLE_S = 3.0
 
 
 class Peer(NamedTuple):
@@ -171,6 +174,20 @@
             )
         return self.configuration_confirmed
 
+    def is_store_reachable(self, now_s: float) -> bool:
+        """Return whether the store has answered lately."""
+        return now_s - self.store_contact_s < STORE_REACHABLE_S
+
+    def check_leaving(self) -> None:
+        """Refuse calls that bring or take tokens while the process stops.
+
+        They would be lost with it once it has returned its holdings.
+
+        :raises LeavingError: if the process stops
+        """
+        if self.admission_closed:
+            raise errors.LeavingError("the process stops")
+
     def list_live_peers(self, now_s: float) -> list[Peer]:
         """Return the peers whose gossip was received recently."""
         return [
--- a/src/cyclamenwing/gateway/grants.py
+++ b/src/cyclamenwing/gateway/grants.py
@@ -8,7 +8,7 @@
 from cyclamenwing import errors
 from cyclamenwing.gateway import blackboard
 from cyclamenwing.gateway import clock
-from cyclamenwing.gateway import reservations
+from cyclamenwing.gateway import grant_messages
 from cyclamenwing.transport import errors as transport_errors
 from cyclamenwing.transport import pooled_client
 
@@ -30,8 +30,8 @@
         self._caller = http
 
     async def request_grant(
-        self, request: reservations.GrantRequest
-    ) -> reservations.GrantReply | None:
+        self, request: grant_messages.GrantRequest
+    ) -> grant_messages.GrantReply | None:
         """Return the reply of the first delegate that answers, if any."""
         roster = self._board.roster
         body = msgspec.json.encode(request)
@@ -48,7 +48,7 @@
                 if status != 200:
                     continue
                 reply = msgspec.json.decode(
-                    answer, type=reservations.GrantReply
+                    answer, type=grant_messages.GrantReply
                 )
             except (errors.CodedError, msgspec.DecodeError) as err:
                 roster.record_failure(member.host, clock.read_time())
--- a/tests/gateway/test_delegates.py
+++ b/tests/gateway/test_delegates.py
@@ -18,7 +18,7 @@
 from cyclamenwing.gateway import app
 from cyclamenwing.gateway import blackboard
 from cyclamenwing.gateway import clock
-from cyclamenwing.gateway import reservations
+from cyclamenwing.gateway import token_waits
 from cyclamenwing.membership import delegates
 from cyclamenwing.routing import placement
 
@@ -191,7 +191,7 @@
     async def check(deployment: deployments.Deployment) -> None:
         leaf = list_attached(deployment)[0]
         for gateway in deployment.gateways:
-            gateway.board.started_s -= reservations.STARTUP_WAIT_S
+            gateway.board.started_s -= token_waits.STARTUP_WAIT_S
         statuses: list[int] = []
         while 402 not in statuses and len(statuses) < 20:
             head, _ = await deployment.send(
--- a/tests/gateway/test_reservations.py
+++ b/tests/gateway/test_reservations.py
@@ -13,9 +13,10 @@
 
 from cyclamenwing.budget import escrow
 from cyclamenwing.gateway import app
+from cyclamenwing.gateway import budget_rest
 from cyclamenwing.gateway import clock
 from cyclamenwing.gateway import record_age
-from cyclamenwing.gateway import reservations
+from cyclamenwing.gateway import token_waits
 from cyclamenwing.transport import h1
 
 
@@ -25,15 +26,15 @@
         # Holdings become usable at a record age of 3.4 s.
         (0.4, 3.0),
         (2.4, 1.0),
-        (3.3, reservations.MIN_RETRY_AFTER_S),
+        (3.3, token_waits.MIN_RETRY_AFTER_S),
         # They are usable already and still too few.
-        (5.0, reservations.RETRY_AFTER_S),
+        (5.0, token_waits.RETRY_AFTER_S),
     ],
 )
 def test_outage_retry_after_ends_when_holdings_become_usable(
     age_s: float, retry_after_s: float
 ) -> None:
-    assert reservations.compute_retry_after(age_s) == pytest.approx(
+    assert token_waits.compute_retry_after(age_s) == pytest.approx(
         retry_after_s
     )
 
@@ -51,7 +52,7 @@
             board = deployment.gateways[0].board
             board.predecessors.append(dead)
             await asyncio.sleep(1.5)
-            board.started_s -= reservations.STARTUP_WAIT_S
+            board.started_s -= token_waits.STARTUP_WAIT_S
             # The rest of the pool belongs to the process that died.
             pool = board.escrow.open_pool("t1")
             pool.holders[dead.holder] = deployments.PREPAID - pool.drawn
@@ -70,9 +71,7 @@
 ) -> None:
     # More than the whole budget, so that the request is always refused.
     size = {"Token-Counts": b"%d,0" % (deployments.PREPAID + 1)}
-    monkeypatch.setattr(
-        reservations.Reservations, "_exceeds_budget", lambda *_: False
-    )
+    monkeypatch.setattr(budget_rest.BudgetRest, "exceeds", lambda *_: False)
 
     async def check() -> None:
         async with deployments.deploy() as deployment:
@@ -84,10 +83,10 @@
             assert (head.status, b"budget_unreachable" in body) == (503, True)
             age_s = clock.read_time() - board.record_written_s
             after = h1.find_header(head.headers, b"retry-after")
-            expected_s = reservations.RETRY_AFTER_S
+            expected_s = token_waits.RETRY_AFTER_S
             if outage:
                 expected_s = (
-                    escrow.OUTAGE_AGE_S + reservations.OUTAGE_GOSSIP_S - age_s
+                    escrow.OUTAGE_AGE_S + token_waits.OUTAGE_GOSSIP_S - age_s
                 )
             assert float(after or 0) == pytest.approx(expected_s, abs=0.1)
 
--- a/tests/gateway/test_serving.py
+++ b/tests/gateway/test_serving.py
@@ -23,7 +23,7 @@
 from cyclamenwing.gateway import peers
 from cyclamenwing.gateway import poison_requests
 from cyclamenwing.gateway import pools
-from cyclamenwing.gateway import reservations
+from cyclamenwing.gateway import token_waits
 from cyclamenwing.platform import store
 from cyclamenwing.standin import platform_endpoint
 from cyclamenwing.store import protocol
@@ -356,7 +356,7 @@
 
 def test_spent_budget_refuses_requests_until_a_top_up() -> None:
     async def check(deployment: deployments.Deployment) -> None:
-        deployment.gateways[0].board.started_s -= reservations.STARTUP_WAIT_S
+        deployment.gateways[0].board.started_s -= token_waits.STARTUP_WAIT_S
         statuses = []
         for _ in range(5):
             head, _ = await deployment.send(
--- a/tests/gateway/test_shutdown_tokens.py
+++ b/tests/gateway/test_shutdown_tokens.py
@@ -17,10 +17,10 @@
 from cyclamenwing.budget import escrow
 from cyclamenwing.gateway import app
 from cyclamenwing.gateway import gossip_messages
+from cyclamenwing.gateway import grant_messages
 from cyclamenwing.gateway import grants
 from cyclamenwing.gateway import peers
 from cyclamenwing.gateway import pools
-from cyclamenwing.gateway import reservations
 from cyclamenwing.membership import delegates
 from cyclamenwing.transport import errors as transport_errors
 from cyclamenwing.transport import pooled_client
@@ -29,7 +29,7 @@
 TXN_PAUSE_S = 0.1
 CALLS = {
     grants.GRANT_PATH: msgspec.json.encode(
-        reservations.GrantRequest("g9", "t1", 500, 0.2, 0.05)
+        grant_messages.GrantRequest("g9", "t1", 500, 0.2, 0.05)
     ),
     grants.RETURN_PATH: msgspec.json.encode({"t1": 500}),
     peers.TRANSFER_PATH: msgspec.json.encode(
@@ -186,8 +186,8 @@
             granted = asyncio.Event()
 
             async def receive_late(
-                request: reservations.GrantRequest,
-            ) -> reservations.GrantReply | None:
+                request: grant_messages.GrantRequest,
+            ) -> grant_messages.GrantReply | None:
                 reply = await request_grant(request)
                 granted.set()
                 await asyncio.sleep(0.1)
--- a/tests/gateway/test_token_waits.py
+++ b/tests/gateway/test_token_waits.py
@@ -9,12 +9,12 @@
 
 import pytest
 
-from cyclamenwing.gateway import reservations
+from cyclamenwing.gateway import token_waits
 
 GOAL_S = 1.0
 # Such a client leaves after this time without an event.
 PATIENCE_S = 4.0
-BASE_S = GOAL_S * reservations.WAIT_GOAL_FRACTION
+BASE_S = GOAL_S * token_waits.WAIT_GOAL_FRACTION
 
 
 @pytest.mark.parametrize(
@@ -34,7 +34,7 @@
 def test_request_waits_only_if_its_answer_can_begin_in_time(
     growth_s: float | None, wait_s: float
 ) -> None:
-    assert reservations.plan_wait(
+    assert token_waits.plan_wait(
         GOAL_S, PATIENCE_S, 0.0, growth_s, store_reachable=False
     ) == pytest.approx(wait_s)
 
@@ -49,26 +49,26 @@
     startup_s: float,
     store_reachable: bool,
 ) -> None:
-    wait_s = reservations.plan_wait(
+    wait_s = token_waits.plan_wait(
         GOAL_S, remaining_s, startup_s, growth_s, store_reachable
     )
     assert wait_s <= max(
-        remaining_s * reservations.GROWTH_WAIT_FRACTION,
-        reservations.MIN_WAIT_S,
+        remaining_s * token_waits.GROWTH_WAIT_FRACTION,
+        token_waits.MIN_WAIT_S,
     )
 
 
 def test_request_waits_for_a_slow_store_to_renew_the_usage_bound() -> None:
-    wait_s = reservations.plan_wait(
+    wait_s = token_waits.plan_wait(
         GOAL_S, PATIENCE_S, 0.0, 4.9, store_reachable=True
     )
     assert wait_s == pytest.approx(
-        PATIENCE_S * reservations.GROWTH_WAIT_FRACTION
+        PATIENCE_S * token_waits.GROWTH_WAIT_FRACTION
     )
 
 
 def test_start_of_the_process_lengthens_the_wait() -> None:
-    wait_s = reservations.plan_wait(
+    wait_s = token_waits.plan_wait(
         GOAL_S, 60.0, 1.5, None, store_reachable=True
     )
     assert wait_s == pytest.approx(1.5)
