Keep gossip of holdings to delegates that ask others for tokens

Cause: a gateway that answers a grant took the asking gateway for attached until its next gossip. Gossip to attached gateways has no holdings and no pools. A grant request now says whether the asking gateway is attached; one without this counts as before.

--- a/src/cyclamenwing/gateway/grant_messages.py
+++ b/src/cyclamenwing/gateway/grant_messages.py
@@ -10,6 +10,7 @@
 
     :param goal_s: latency goal of the request's route
     :param wait_s: longest time to wait for tokens
+    :param attached: the asking gateway is no delegate, as far as it knows
     """
 
     host: str
@@ -17,6 +18,7 @@
     tokens: int
     goal_s: float
     wait_s: float
+    attached: bool = True
 
 
 class GrantReply(msgspec.Struct):
--- a/src/cyclamenwing/gateway/reservations.py
+++ b/src/cyclamenwing/gateway/reservations.py
@@ -126,7 +126,10 @@
         self._board.check_leaving()
         request = msgspec.json.decode(body, type=grant_messages.GrantRequest)
         board = self._board
-        board.roster.record_attached(request.host, clock.read_time())
+        # Gossip to attached gateways has no holdings and pools, which another
+        # delegate needs to tell whether a budget is spent.
+        if request.attached:
+            board.roster.record_attached(request.host, clock.read_time())
         config = board.configuration
         workspace = config and config.workspaces.get(request.workspace)
         if not workspace or workspace.prepaid_tokens is None:
@@ -227,7 +230,12 @@
             goal_s * token_waits.WAIT_GOAL_FRACTION, token_waits.MIN_WAIT_S
         )
         request = grant_messages.GrantRequest(
-            self._board.settings.host, workspace, tokens, goal_s, wait_s
+            self._board.settings.host,
+            workspace,
+            tokens,
+            goal_s,
+            wait_s,
+            not self._board.roster.acts_as_delegate,
         )
         while True:
             # Tokens must be received even if the request is cancelled.
