Share holdings between the holders of a workspace by demand

Cause: nearly all requests for a workspace's tokens reach the first of its two holders.

The giver transfers what its usage bound allows, and lets its next bound, which it writes anyway, cover the rest: the call waits for it, 1.6 s at most.

Safe as before: a share is a transfer of tokens within the giver's bound.

--- a/src/cyclamenwing/gateway/peers.py
+++ b/src/cyclamenwing/gateway/peers.py
@@ -43,6 +43,9 @@
 SILENT_INTERVALS = 4
 GOSSIP_TIMEOUT_S = 0.5
 TRANSFER_TIMEOUT_S = 0.1
+# A share of the holdings may wait for the giver's next usage bound, 1.6 s at
+# most.
+SHARE_TIMEOUT_S = 2.0
 CONFIGURATION_TIMEOUT_S = 3.0
 RECORD_AGE_TIMEOUT_S = 0.3
 # A new configuration usually arrives by the watch within this time.
@@ -50,7 +53,7 @@
 # Delay before calling a gateway again that did not answer.
 RETRY_DELAY_S = 1.0
 
-TransferTokens = Callable[[str, int], Awaitable[int]]
+TransferTokens = Callable[[gossip_messages.TransferRequest], Awaitable[int]]
 Answer = Callable[[bytes], Awaitable[bytes]]
 
 
@@ -112,17 +115,17 @@
         await connection.respond(200, pooled_client.JSON_HEADERS, body)
 
     async def request_tokens(
-        self, peer: blackboard.Peer, workspace: str, tokens: int
+        self, peer: blackboard.Peer, request: gossip_messages.TransferRequest
     ) -> int:
         """Ask a peer for tokens; return how many it transferred."""
-        body = msgspec.json.encode(
-            gossip_messages.TransferRequest(
-                workspace, tokens, self._board.escrow.holder
-            )
-        )
+        body = msgspec.json.encode(request)
         try:
             status, answer = await self._caller.call(
-                peer.address, "POST", TRANSFER_PATH, body, TRANSFER_TIMEOUT_S
+                peer.address,
+                "POST",
+                TRANSFER_PATH,
+                body,
+                SHARE_TIMEOUT_S if request.rate > 0 else TRANSFER_TIMEOUT_S,
             )
             if status != 200:
                 return 0
@@ -137,8 +140,8 @@
         eliot.log_message(
             "peers:tokens_received",
             peer=peer.host,
-            workspace=workspace,
-            asked=tokens,
+            workspace=request.workspace,
+            asked=request.tokens,
             tokens=reply.tokens,
         )
         return max(reply.tokens, 0)
@@ -329,9 +332,7 @@
         )
         tokens = 0
         if self.transfer_tokens is not None:
-            tokens = await self.transfer_tokens(
-                request.workspace, request.tokens
-            )
+            tokens = await self.transfer_tokens(request)
         eliot.log_message(
             "peers:tokens_given",
             holder=request.holder,
--- a/tests/gateway/virtual_fleet.py
+++ b/tests/gateway/virtual_fleet.py
@@ -278,6 +278,12 @@
         await asyncio.sleep(to_s - from_s)
         self.store_away = False
 
+    def lose(self, host: str) -> None:
+        """End a gateway at once; calls to it are refused from then on."""
+        gateway = self.gateways[host]
+        self.by_address.pop(gateway._settings.control)
+        gateway.stop()
+
     def count_exposed(self, restart_s: float) -> int:
         """Return the tokens that a loss of all hosts now would leave unused.
 
--- a/tools/replay_budgets.py
+++ b/tools/replay_budgets.py
@@ -32,6 +32,8 @@
 # a loss of all hosts would cost.
 RESTART_S = 1.0
 EXPOSED_INTERVAL_S = 0.25
+# Time after a cut in which all records are renewed.
+RENEWAL_S = 1.5
 
 
 def read_demand(lines: list[refusals.Line]) -> list[virtual_fleet.Demand]:
@@ -90,6 +92,31 @@
     }
 
 
+def list_top_ups(
+    budgets: dict[str, refusals.Budget],
+) -> list[tuple[float, str, int]]:
+    """Return the times at which budgets changed, and their new tokens."""
+    return sorted(
+        (at_s, name, tokens)
+        for name, budget in budgets.items()
+        for at_s, tokens in budget.paid[1:]
+    )
+
+
+async def sample_exposed(
+    fleet: virtual_fleet.Fleet, exposed: list[int]
+) -> None:
+    """Add what a loss of all hosts would cost now, until cancelled."""
+    renewed_s = 0.0
+    while True:
+        await asyncio.sleep(EXPOSED_INTERVAL_S)
+        now_s = asyncio.get_running_loop().time()
+        if fleet.store_away:
+            renewed_s = now_s + RENEWAL_S
+        elif now_s >= renewed_s:
+            exposed.append(fleet.count_exposed(RESTART_S))
+
+
 def play(
     lines: list[refusals.Line], cuts: list[tuple[float, float]], seed: int
 ) -> tuple[virtual_fleet.Fleet, float]:
@@ -112,26 +139,17 @@
         for demand in demands
     }
 
+    changes = list_top_ups(budgets)
+
     async def top_up(fleet: virtual_fleet.Fleet) -> None:
-        changes = sorted(
-            (at_s, name, tokens)
-            for name, budget in budgets.items()
-            for at_s, tokens in budget.paid[1:]
-        )
         for version, (at_s, name, tokens) in enumerate(changes, 2):
             now_s = asyncio.get_running_loop().time() - fleet.traffic_s
             await asyncio.sleep(at_s - now_s)
             fleet.prepaid[name] = tokens
             await fleet.configure(version)
 
-    async def sample(fleet: virtual_fleet.Fleet) -> None:
-        while True:
-            await asyncio.sleep(EXPOSED_INTERVAL_S)
-            if not fleet.store_away:
-                exposed.append(fleet.count_exposed(RESTART_S))
-
     async def check(fleet: virtual_fleet.Fleet) -> None:
-        sampler = asyncio.create_task(sample(fleet))
+        sampler = asyncio.create_task(sample_exposed(fleet, exposed))
         async with asyncio.TaskGroup() as group:
             group.create_task(top_up(fleet))
             for from_s, to_s in cuts:
