Let requests wait at the holder that will have their tokens

Cause: an attached gateway let a holder keep its request for 0.3 of the goal and then gave up, unless the holder named a time for all that wait there together. In a cut from the store most of these requests would have been allowed within the client's patience.

The first call stays short, as a holder may be silent. One that has answered is asked again to keep the request for the time left. If that too fails, it is asked again after half of the rest at most. A holder lets a request wait as long for tokens that other gateways hold.

--- a/src/cyclamenwing/gateway/reservations.py
+++ b/src/cyclamenwing/gateway/reservations.py
@@ -99,6 +99,7 @@
                 self._board.started_s + token_waits.STARTUP_WAIT_S - now_s,
                 account.predict_wait(tokens, now_s),
                 self._board.is_store_reachable(now_s),
+                self._rest.is_held(workspace, tokens),
             )
             if max_wait_s is not None:
                 wait_s = min(wait_s, max_wait_s)
@@ -226,8 +227,9 @@
     ) -> None:
         """Reserve tokens that a delegate hands over.
 
-        A delegate that can name a time at which it may have the tokens, as in
-        an outage of the store, is asked again then.
+        A delegate that has answered is asked to let the request wait there: it
+        sees when its usage bound allows it, and what others hold. The first
+        wait is short, as a delegate may be silent.
         """
         account = self._board.escrow.open_account(workspace)
         until_s = (
@@ -236,15 +238,16 @@
         wait_s = max(
             goal_s * token_waits.WAIT_GOAL_FRACTION, token_waits.MIN_WAIT_S
         )
-        request = grant_messages.GrantRequest(
-            self._board.settings.host,
-            workspace,
-            tokens,
-            goal_s,
-            wait_s,
-            not self._board.roster.acts_as_delegate,
-        )
+        pause_fraction = 0.0
         while True:
+            request = grant_messages.GrantRequest(
+                self._board.settings.host,
+                workspace,
+                tokens,
+                goal_s,
+                wait_s,
+                not self._board.roster.acts_as_delegate,
+            )
             # Tokens must be received even if the request is cancelled.
             reply = await asyncio.shield(
                 self._transfers.start_incoming(self._receive_grant(request))
@@ -259,13 +262,17 @@
             retry_after_s = (
                 reply.retry_after_s if reply else token_waits.RETRY_AFTER_S
             )
-            if reply is None or now_s + retry_after_s >= until_s:
+            left_s = until_s - now_s
+            pause_s = min(retry_after_s, left_s * pause_fraction)
+            wait_s = left_s - pause_s
+            if reply is None or wait_s < token_waits.MIN_WAIT_S:
                 refusal = errors.BudgetUnreachableError(
                     f"{tokens} tokens can't be obtained in time"
                 )
                 refusal.retry_after_s = retry_after_s
                 raise refusal
-            await asyncio.sleep(retry_after_s)
+            await asyncio.sleep(pause_s)
+            pause_fraction = token_waits.PAUSE_FRACTION
 
     async def _receive_grant(
         self, request: grant_messages.GrantRequest
--- a/src/cyclamenwing/gateway/token_waits.py
+++ b/src/cyclamenwing/gateway/token_waits.py
@@ -10,8 +10,12 @@
 MIN_WAIT_S = 0.05
 # Where the holdings suffice but the usage bound does not allow them yet, a
 # request waits for the bound to grow, up to this fraction of the time left
-# until its answer has to begin.
-GROWTH_WAIT_FRACTION = 0.5
+# until its answer has to begin. On the recorded days 86 to 94 in 100 answers
+# began within the rest of this time.
+GROWTH_WAIT_FRACTION = 0.65
+# A delegate that does not expect the tokens in time is asked again after this
+# fraction of the time left at the latest, as others may give up before.
+PAUSE_FRACTION = 0.5
 # For this long after the start of the process, requests that lack tokens wait
 # and are not refused for good: the process first releases the holdings of its
 # predecessor, and so do its peers if all gateways were lost at once.
@@ -32,6 +36,7 @@
     startup_s: float,
     growth_s: float | None,
     store_reachable: bool,
+    held_elsewhere: bool = False,
 ) -> float:
     """Return the seconds that a request should wait for tokens.
 
@@ -41,11 +46,15 @@
     :param growth_s: time until the usage bound allows the request, None if
         that is not foreseen
     :param store_reachable: the bound may be renewed before it grows
+    :param held_elsewhere: the request needs what other gateways hold, and they
+        hold enough, but their usage bounds may not allow it yet
     """
     longest_s = remaining_s * GROWTH_WAIT_FRACTION
     wait_s = max(goal_s * WAIT_GOAL_FRACTION, startup_s)
     if growth_s is not None and (store_reachable or growth_s <= longest_s):
         wait_s += growth_s
+    elif growth_s is None and held_elsewhere:
+        wait_s = longest_s
     return max(min(wait_s, longest_s), MIN_WAIT_S)
 
 
@@ -71,6 +80,7 @@
     "MIN_RETRY_AFTER_S",
     "MIN_WAIT_S",
     "OUTAGE_GOSSIP_S",
+    "PAUSE_FRACTION",
     "RETRY_AFTER_S",
     "STARTUP_WAIT_S",
     "WAIT_GOAL_FRACTION",
--- a/tests/gateway/test_budget_load.py
+++ b/tests/gateway/test_budget_load.py
@@ -106,3 +106,23 @@
     fleet = virtual_fleet.run(HOSTS, {"w1": 400_000}, check)
     assert count_used(fleet) <= 400_000
     assert count_fitting(fleet) <= 8
+
+
+def test_large_request_waits_at_the_holder_for_its_usage_bound() -> None:
+    # The bound allows it within the client's patience. It was refused after
+    # 0.3 of its goal, and its return as well if others came first.
+    async def check(fleet: virtual_fleet.Fleet) -> None:
+        large = virtual_fleet.Demand(8.5, "w1", 60_000, 60_000, 0.3)
+        async with asyncio.TaskGroup() as group:
+            group.create_task(
+                fleet.play([*make_demand(8_000, 0.0, 10.0), large])
+            )
+            group.create_task(fleet.cut_store(6.0, 14.0))
+
+    fleet = virtual_fleet.run(HOSTS, {"w1": 500_000}, check)
+    refused = [
+        message
+        for _, _, message in fleet.lines
+        if message["message_type"] == "request:refused"
+    ]
+    assert not any("60000" in message["reason"] for message in refused)
