Draw the last tokens of a budget at the holder with demand

Cause: near the end of a budget a fair share of the free tokens (a quarter, with two holders) is below the 4,000 tokens that justify a draw, so up to 16,000 tokens stayed in the pool until a request waited for them. The holder whose demand uses up all that is left within an outage (14 s) now draws them at once. One draw takes the place of several.

--- a/src/cyclamenwing/budget/escrow.py
+++ b/src/cyclamenwing/budget/escrow.py
@@ -25,34 +25,17 @@
 import math
 from collections.abc import Mapping
 
+from cyclamenwing.budget import draws
 from cyclamenwing.budget import usage_bounds
 
 EARLY_RATE_FACTOR = usage_bounds.EARLY_RATE_FACTOR
 GROWTH_DELAY_S = usage_bounds.GROWTH_DELAY_S
+MIN_HELD_SHARE = draws.MIN_HELD_SHARE
 OUTAGE_AGE_S = usage_bounds.OUTAGE_AGE_S
 UsageBound = usage_bounds.UsageBound
 
-# Holdings cover a store outage of this length at the recent rate of use.
-OUTAGE_COVERAGE_S = 14.0
-# A gateway draws tokens once its holdings fall below this share of the target.
-REFILL_SHARE = 0.8
-# A gateway returns tokens once it holds more than this multiple of the target.
-RETURN_FACTOR = 1.5
 # Time constant of the rate of use; long enough to cover a large batch twice.
 RATE_WINDOW_S = 8.0
-# Share of the unused tokens that all gateways together hold even when they
-# are idle, because a store outage can begin at any time.
-MIN_HELD_SHARE = 0.65
-# Limit on the share of the unused tokens that all gateways together hold; the
-# rest stays in the pool and survives the loss of every gateway. Tokens that
-# requests wait for are held in addition.
-MAX_HELD_SHARE = 0.85
-# Smaller changes do not justify a call to the store, unless a request waits.
-MIN_CHANGE_TOKENS = 4000
-# One draw takes at most this share of the free tokens, divided by the number
-# of gateways, so that the others get tokens from a pool that runs low. It
-# takes more only if a waiting request needs more.
-MAX_DRAW_SHARE = 0.5
 # Longest time that a request waits for a usage bound to grow.
 MAX_GROWTH_WAIT_S = 5.0
 GROWTH_WAIT_STEP_S = 0.1
@@ -204,23 +187,17 @@
         :param keeps: this gateway is one of them; others draw only what a
             request waits for
         """
-        rate = self.measure_rate(now_s)
-        per_gateway = (free + max(self.held, 0) * gateways) / gateways
-        target = max(rate * OUTAGE_COVERAGE_S, per_gateway * MIN_HELD_SHARE)
-        target = min(target, per_gateway * MAX_HELD_SHARE) if keeps else 0.0
-        target += self.wanted
-        if self.held > target * RETURN_FACTOR and self.min_drawn is None:
-            surplus = self.held - int(target)
-            return -surplus if surplus >= MIN_CHANGE_TOKENS else 0
-        if free <= 0 or self.held >= target * REFILL_SHARE:
-            return 0
-        fair_share = free * MAX_DRAW_SHARE / gateways
-        shortfall = self.wanted - self.held
-        draw = min(target - self.held, max(fair_share, shortfall))
-        change = max(min(int(draw), free), 0)
-        if change < MIN_CHANGE_TOKENS and shortfall <= 0:
-            return 0
-        return change
+        return draws.plan_draw(
+            draws.Holdings(
+                self.held,
+                self.wanted,
+                self.measure_rate(now_s),
+                self.min_drawn is not None,
+            ),
+            free,
+            gateways,
+            keeps,
+        )
 
     def plan_usage_bound(self, change: int, now_s: float) -> UsageBound:
         """Return the usage bound to commit together with a change.
