--- a/src/cyclamenwing/gateway/token_transfers.py
+++ b/src/cyclamenwing/gateway/token_transfers.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import contextlib
-import math
 from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Coroutine
@@ -26,8 +25,8 @@
 # A peer that gave less than it was asked for is not asked again for this time,
 # about half a round of gossip: its usage bound has to grow or be renewed.
 DENIED_PAUSE_S = 0.1
-# A holder that got no share asks again after this time, in which the other's
-# usage bound is renewed.
+# A holder that got no share asks the same peer again after this time, in which
+# the other's usage bound is renewed.
 SHARE_PAUSE_S = 1.0
 # Bound on the shares that a holder asks for at once, the largest first.
 MAX_SHARE_REQUESTS = 8
@@ -60,8 +59,10 @@
         self._transfer_locks: dict[str, asyncio.Lock] = {}
         # Times until which peers are not asked, by host and workspace.
         self._denied_until_s: dict[tuple[str, str], float] = {}
-        # Times from which shares are asked for, by workspace.
-        self._next_share_s: dict[str, float] = {}
+        # Workspaces of which a share is asked for now, one call at a time.
+        self._asked_shares: set[str] = set()
+        # Times from which peers are asked for shares, by host and workspace.
+        self._next_share_s: dict[tuple[str, str], float] = {}
         # Calls that may bring tokens, whether their request still waits.
         self._incoming: set[asyncio.Task[Any]] = set()
 
@@ -106,7 +107,7 @@
             share
             for name, account in self._board.escrow.accounts.items()
             if account.rate > 0
-            and now_s >= self._next_share_s.get(name, 0.0)
+            and name not in self._asked_shares
             and (share := self._plan_share(name, account, now_s)) is not None
         ]
         shares.sort(key=lambda share: -share[1].tokens)
@@ -116,8 +117,13 @@
     def _plan_share(
         self, workspace: str, account: escrow.WorkspaceAccount, now_s: float
     ) -> tuple[blackboard.Peer, gossip_messages.TransferRequest] | None:
+        # A peer with demand of its own gives nothing, however much it holds.
         peer = max(
-            self._board.list_live_peers(now_s),
+            (
+                p
+                for p in self._board.list_live_peers(now_s)
+                if now_s >= self._next_share_s.get((p.host, workspace), 0.0)
+            ),
             key=lambda p: p.held.get(workspace, 0),
             default=None,
         )
@@ -137,14 +143,16 @@
         self, peer: blackboard.Peer, request: gossip_messages.TransferRequest
     ) -> None:
         workspace = request.workspace
-        # One call at a time.
-        self._next_share_s[workspace] = math.inf
+        self._asked_shares.add(workspace)
         received = 0
         try:
             received = await self._transfer(peer, request)
         finally:
+            self._asked_shares.discard(workspace)
             pause_s = 0.0 if received else SHARE_PAUSE_S
-            self._next_share_s[workspace] = clock.read_time() + pause_s
+            self._next_share_s[peer.host, workspace] = (
+                clock.read_time() + pause_s
+            )
 
     async def _give_share(
         self, request: gossip_messages.TransferRequest
--- a/tests/budget/test_sharing.py
+++ b/tests/budget/test_sharing.py
@@ -96,3 +96,43 @@
     # No more than is held.
     assert account.plan_usage_bound(0, 1.0).ceiling == resting + 50_000
     assert account.plan_usage_bound(0, 2.0).ceiling == resting
+
+
+@pytest.mark.parametrize(
+    "gateways",
+    # Up to 5 gateways all hold a workspace's tokens, of 20, 68 and 340 two do.
+    [2, 4, 5],
+)
+@pytest.mark.parametrize("seed", range(20))
+def test_shares_move_tokens_to_the_demand(gateways: int, seed: int) -> None:
+    rng = random.Random(seed)
+    held = [rng.randrange(0, 200_000) for _ in range(gateways)]
+    rates = [0.0] * gateways
+    denied: list[set[int]] = [set() for _ in held]
+    total = sum(held)
+    busy = rng.sample(range(gateways), 2)
+    for holder in busy:
+        rates[holder] = rng.uniform(0.4, 0.6) * total / 5
+    calls = 0
+    for _ in range(10 * gateways):
+        for holder in busy:
+            if len(denied[holder]) == gateways - 1:
+                denied[holder].clear()
+            peer = max(
+                set(range(gateways)) - denied[holder] - {holder},
+                key=lambda other: held[other],
+            )
+            tokens = sharing.plan_share(
+                held[holder], held[peer], rates[holder], rates[peer]
+            )
+            held[peer] -= tokens
+            held[holder] += tokens
+            calls += tokens > 0
+            if not tokens:
+                # It is left out for a while, others are asked instead.
+                denied[holder].add(peer)
+            assert sum(held) == total
+            assert min(held) >= 0
+    assert sum(held[holder] for holder in busy) >= 0.6 * total
+    # No tokens go round in circles.
+    assert calls <= 2 * gateways
