--- a/tests/budget/test_sharing.py
+++ b/tests/budget/test_sharing.py
@@ -11,6 +11,7 @@
 import pytest
 from tests.budget import test_escrow
 
+from cyclamenwing.budget import escrow
 from cyclamenwing.budget import sharing
 
 WORKSPACE = test_escrow.WORKSPACE
@@ -136,3 +137,21 @@
     assert sum(held[holder] for holder in busy) >= 0.6 * total
     # No tokens go round in circles.
     assert calls <= 2 * gateways
+
+
+def test_share_of_a_giver_that_dies_at_once_is_not_spent_twice() -> None:
+    # The next process on its host releases all that its usage bound did not
+    # allow. The random walks do not find a share beyond the bound.
+    giver = escrow.Escrow("giver")
+    written, bounds = giver.begin_commit({WORKSPACE: 50_000}, 0.0)
+    giver.finish_commit(1, written, bounds)
+    account = giver.open_account(WORKSPACE)
+    tokens = sharing.plan_share(0, account.held, 5_000.0, 0.0)
+    given = account.deduct_transfer(tokens, 0.0)
+    left = escrow.release_holder(
+        written[WORKSPACE],
+        "giver",
+        bounds[WORKSPACE].compute_limit(0.0, late=True),
+    )
+    assert 0 < given < tokens
+    assert given <= sum(left.values())
