--- a/src/cyclamenwing/budget/escrow.py
+++ b/src/cyclamenwing/budget/escrow.py
@@ -24,47 +24,21 @@
 import dataclasses
 import math
 from collections.abc import Mapping
-from typing import NamedTuple
-
-# Holdings cover a store outage of this length at the recent rate of use.
-OUTAGE_COVERAGE_S = 14.0
-# A gateway draws tokens once its holdings fall below this share of the target.
-REFILL_SHARE = 0.8
-# A gateway returns tokens once it holds more than this multiple of the target.
-RETURN_FACTOR = 1.5
+
+from cyclamenwing.budget import draws
+from cyclamenwing.budget import usage_bounds
+
+EARLY_RATE_FACTOR = usage_bounds.EARLY_RATE_FACTOR
+GROWTH_DELAY_S = usage_bounds.GROWTH_DELAY_S
+MIN_HELD_SHARE = draws.MIN_HELD_SHARE
+OUTAGE_AGE_S = usage_bounds.OUTAGE_AGE_S
+UsageBound = usage_bounds.UsageBound
+
 # Time constant of the rate of use; long enough to cover a large batch twice.
 RATE_WINDOW_S = 8.0
-# Share of the unused tokens that all gateways together hold even when they
-# are idle, because a store outage can begin at any time.
-MIN_HELD_SHARE = 0.65
-# Limit on the share of the unused tokens that all gateways together hold; the
-# rest stays in the pool and survives the loss of every gateway. Tokens that
-# requests wait for are held in addition.
-MAX_HELD_SHARE = 0.85
-# Smaller changes do not justify a call to the store, unless a request waits.
-MIN_CHANGE_TOKENS = 4000
-# One draw takes at most this share of the free tokens, divided by the number
-# of gateways, so that the others get tokens from a pool that runs low. It
-# takes more only if a waiting request needs more.
-MAX_DRAW_SHARE = 0.5
-# A new usage bound exceeds the present use by the tokens used in this time at
-# the recent rate, and by at least this share of the holdings.
-HEADROOM_S = 0.7
-HEADROOM_SHARE = 0.02
-# A usage bound does not grow during this time. It covers the age of a killed
-# process's record when its successor starts: one renewal interval and a
-# restart.
-GROWTH_DELAY_S = 1.2
-# Then the bound grows at this multiple of the recent rate, and at least by
-# this share of the holdings per second. The growth is slow because tokens up
-# to the bound are lost when a host loses power while the store is reachable.
-EARLY_RATE_FACTOR = 1.0
-EARLY_RATE_SHARE = 0.02
-# While the store is reachable, records are renewed at least twice in this
-# time, so an older record indicates a store outage. From this age on the bound
-# may grow fast enough to use all holdings within `SPEND_ALL_S`.
-OUTAGE_AGE_S = 3.0
-SPEND_ALL_S = 4.0
+# Time constant of the tokens that requests may still give back: half of them
+# run for 1 s, and attached gateways return what is left 0.5 to 1 s later.
+RECENT_S = 2.0
 # Longest time that a request waits for a usage bound to grow.
 MAX_GROWTH_WAIT_S = 5.0
 GROWTH_WAIT_STEP_S = 0.1
@@ -72,36 +46,6 @@
 CLOSED = "closed"
 
 
-class UsageBound(NamedTuple):
-    """Limit the tokens that an account may use, depending on its age.
-
-    :param ceiling: the limit in tokens until `GROWTH_DELAY_S`
-    :param early: growth from `GROWTH_DELAY_S` to `OUTAGE_AGE_S`, in tokens
-        per second
-    :param late: growth after `OUTAGE_AGE_S`, in tokens per second; counts
-        only once a peer has noticed that the record is old
-    :param since_s: time when the bound was computed, in seconds
-    """
-
-    ceiling: int
-    early: float
-    late: float
-    since_s: float
-
-    def compute_limit(self, now_s: float, late: bool) -> int:
-        """Return the most tokens that may be in use at `now_s`.
-
-        :param late: whether growth after `OUTAGE_AGE_S` counts
-        """
-        age_s = max(now_s - self.since_s, 0.0)
-        growth = self.early * max(
-            min(age_s, OUTAGE_AGE_S) - GROWTH_DELAY_S, 0.0
-        )
-        if late:
-            growth += self.late * max(age_s - OUTAGE_AGE_S, 0.0)
-        return self.ceiling + int(growth)
-
-
 @dataclasses.dataclass(slots=True)
 class WorkspaceAccount:
     """Count what this gateway holds and uses of one workspace's tokens.
@@ -116,7 +60,10 @@
     :param spent: tokens that requests have used
     :param reserved: tokens reserved for requests in progress
     :param wanted: tokens that waiting requests need
+    :param promised: tokens that another holder asked for beyond the usage
+        bound, until `promised_until_s`
     :param rate: rate of use at `rate_at_s`, in tokens per second
+    :param recent: tokens reserved lately at `rate_at_s`
     :param usage_bounds: the usage bounds that the store may hold
     :param outage_noticed: whether a peer has noticed that the record is old
     """
@@ -129,8 +76,11 @@
     spent: int = 0
     reserved: int = 0
     wanted: int = 0
+    promised: int = 0
+    promised_until_s: float = 0.0
     rate: float = 0.0
     rate_at_s: float = 0.0
+    recent: float = 0.0
     usage_bounds: list[UsageBound] = dataclasses.field(default_factory=list)
     outage_noticed: bool = False
 
@@ -148,8 +98,8 @@
     def count_available(self, now_s: float) -> int:
         """Return the tokens that may be reserved now.
 
-        Without a usage bound only tokens received from peers are available.
-        No other process can release these, so they need no bound.
+        Tokens received from peers need no usage bound, as no other process
+        can release them.
         """
         if not self.usage_bounds:
             return self.held - max(self.drawn, 0)
@@ -160,10 +110,7 @@
         return min(self.held, limit - self.used)
 
     def measure_headroom(self, used: int) -> int:
-        """Return the initial headroom of the newest usage bound.
-
-        :param used: tokens in use when the bound was computed
-        """
+        """Return the newest usage bound's headroom above `used` tokens."""
         return self.usage_bounds[-1].ceiling - used if self.usage_bounds else 0
 
     def predict_wait(self, tokens: int, now_s: float) -> float | None:
@@ -195,6 +142,7 @@
         if tokens > self.count_available(now_s):
             return False
         self.reserved += tokens
+        self.recent = self.measure_recent(now_s) + tokens
         self.rate = self.measure_rate(now_s) + tokens / RATE_WINDOW_S
         self.rate_at_s = now_s
         return True
@@ -210,6 +158,15 @@
         self.given += deducted
         return deducted
 
+    def promise(self, tokens: int, until_s: float) -> None:
+        """Let the next usage bound cover tokens for another holder."""
+        self.promised, self.promised_until_s = tokens, until_s
+
+    def count_promised(self, now_s: float) -> int:
+        """Return the tokens that the next usage bound covers for others."""
+        valid = now_s < self.promised_until_s
+        return max(min(self.promised, self.held), 0) if valid else 0
+
     def hand_over(self, tokens: int) -> None:
         """Turn a reservation into a transfer to another gateway."""
         self.reserved -= tokens
@@ -224,6 +181,11 @@
         idle_s = max(now_s - self.rate_at_s, 0.0)
         return self.rate * math.exp(-idle_s / RATE_WINDOW_S)
 
+    def measure_recent(self, now_s: float) -> float:
+        """Return the tokens reserved in about the last `RECENT_S`."""
+        idle_s = max(now_s - self.rate_at_s, 0.0)
+        return self.recent * math.exp(-idle_s / RECENT_S)
+
     def plan_change(
         self, free: int, gateways: int, now_s: float, keeps: bool = True
     ) -> int:
@@ -236,35 +198,30 @@
         :param keeps: this gateway is one of them; others draw only what a
             request waits for
         """
-        rate = self.measure_rate(now_s)
-        per_gateway = (free + max(self.held, 0) * gateways) / gateways
-        target = max(rate * OUTAGE_COVERAGE_S, per_gateway * MIN_HELD_SHARE)
-        target = min(target, per_gateway * MAX_HELD_SHARE) if keeps else 0.0
-        target += self.wanted
-        if self.held > target * RETURN_FACTOR and self.min_drawn is None:
-            surplus = self.held - int(target)
-            return -surplus if surplus >= MIN_CHANGE_TOKENS else 0
-        if free <= 0 or self.held >= target * REFILL_SHARE:
-            return 0
-        fair_share = free * MAX_DRAW_SHARE / gateways
-        shortfall = self.wanted - self.held
-        draw = min(target - self.held, max(fair_share, shortfall))
-        change = max(min(int(draw), free), 0)
-        if change < MIN_CHANGE_TOKENS and shortfall <= 0:
-            return 0
-        return change
+        return draws.plan_draw(
+            draws.Holdings(
+                self.held,
+                self.wanted,
+                self.measure_rate(now_s),
+                self.min_drawn is not None,
+            ),
+            free,
+            gateways,
+            keeps,
+        )
 
     def plan_usage_bound(self, change: int, now_s: float) -> UsageBound:
         """Return the usage bound to commit together with a change.
 
         :param change: tokens drawn, or returned if negative, by the commit
         """
-        rate = self.measure_rate(now_s)
-        held = max(self.held + change, 0)
-        headroom = max(rate * HEADROOM_S, held * HEADROOM_SHARE) + self.wanted
-        early = max(rate * EARLY_RATE_FACTOR, held * EARLY_RATE_SHARE)
-        late = max(early, held / SPEND_ALL_S)
-        return UsageBound(self.used + int(headroom), early, late, now_s)
+        return usage_bounds.plan_bound(
+            self.used,
+            max(self.held + change, 0),
+            self.measure_rate(now_s),
+            self.wanted + self.count_promised(now_s),
+            now_s,
+        )
 
 
 @dataclasses.dataclass(slots=True)
@@ -418,6 +375,10 @@
 
 __all__ = (
     "CLOSED",
+    "EARLY_RATE_FACTOR",
+    "GROWTH_DELAY_S",
+    "MIN_HELD_SHARE",
+    "OUTAGE_AGE_S",
     "Escrow",
     "Pool",
     "UsageBound",
