Learn the slowness of endpoints relative to the typical one

Cause: endpoints of one service differ up to threefold in speed, and every endpoint had the same predicted costs.

What changed: the time from sending a request to its first event (to the answer at services without an engine) is compared with a prediction. The ratio is taken relative to like requests at all endpoints of the service and to the median endpoint, so only differences between endpoints count. The slowness multiplies the costs of an endpoint, and the rendezvous preference for prompt parts is weighted by it, in steps, so that slow endpoints get fewer parts. Observations travel in gossip once to each delegate; a delegate sends to its attached gateways only the endpoints that are not typical.

Alike endpoints keep a slowness of exactly 1.0: a deviation counts only from 15 % on, and from 4 standard errors (2 where the endpoints of the service differ by more than chance).

--- a/src/cyclamenwing/gateway/attempts.py
+++ b/src/cyclamenwing/gateway/attempts.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 import http
 from typing import NamedTuple
 
@@ -242,6 +243,13 @@
         connection.send(
             self._dialect.write_call(context.request, context.call, options)
         )
+        streams = context.route.kind is configuration.RouteKind.STREAM
+        # The whole answer of an engine takes as long as it is long.
+        forwarder.observe_begin = (
+            functools.partial(self._observe_begin, target, clock.read_time())
+            if streams or context.service.engine is None
+            else None
+        )
         context.sent_count += 1
         ran_earlier = context.may_have_run
         context.may_have_run = True
@@ -270,6 +278,18 @@
         await self._forward(context, forwarder, head, connection)
         return metadata
 
+    def _observe_begin(self, target: Target, sent_s: float) -> None:
+        """Record the time from sending a request to its first event."""
+        observation = self._board.placement.compare_first_event(
+            target.endpoint,
+            target.request_number,
+            clock.read_time() - sent_s,
+        )
+        if observation is not None:
+            self._peers.gossip.rate_notices.record(
+                target.endpoint, observation
+            )
+
     async def _read_matching_head(
         self,
         context: request_context.RequestContext,
--- a/src/cyclamenwing/gateway/forwarding.py
+++ b/src/cyclamenwing/gateway/forwarding.py
@@ -39,6 +39,8 @@
         self._connection = connection
         self._context = context
         self._record_answer = record_answer
+        # Called with the first event or the whole answer of success.
+        self.observe_begin: Callable[[], None] | None = None
         self.reader = events.EventReader()
         self.started = False
         # The whole answer of the endpoint is here and only has to be written.
@@ -49,7 +51,7 @@
         """Send a complete answer to the client."""
         self._record_first_byte(head)
         if head.status in SUCCESS_STATUSES:
-            self._record_answer(self._context)
+            self._begin_answer()
         self.started = True
         self.complete = True
         await self._write_to_client(
@@ -73,7 +75,7 @@
                 break
             events_data = self.reader.feed(data)
             if self.reader.count and not context.events:
-                self._record_answer(context)
+                self._begin_answer()
             context.events = self.reader.count
             if events_data:
                 await self._forward_data(head, events_data)
@@ -89,6 +91,11 @@
             await self._forward_data(head, b"")
         await self._write_to_client(self._connection.finish())
 
+    def _begin_answer(self) -> None:
+        if self.observe_begin is not None:
+            self.observe_begin()
+        self._record_answer(self._context)
+
     async def _forward_data(self, head: h1.ResponseHead, data: bytes) -> None:
         if not self.started:
             self._record_first_byte(head)
--- a/src/cyclamenwing/gateway/gossip.py
+++ b/src/cyclamenwing/gateway/gossip.py
@@ -21,6 +21,7 @@
 from cyclamenwing.gateway import poison_notices
 from cyclamenwing.gateway import poison_requests
 from cyclamenwing.gateway import pool_notices
+from cyclamenwing.gateway import rate_notices
 
 # Records are renewed more often than this while the store is reachable. Peers
 # learn of an older record early enough for its usage bounds to enter their
@@ -43,6 +44,7 @@
         self._poison_requests = poison_tracker
         self._part_notices = poison_notices.PartNoticeExchange(board)
         self._load_notices = load_notices.LoadNoticeExchange(board)
+        self.rate_notices = rate_notices.RateNoticeExchange(board)
         self._limit_notices = limit_notices.LimitNoticeExchange(board)
         self._pool_notices = pool_notices.PoolNoticeExchange(board)
         self.record_sent_parts = self._load_notices.record_sent_parts
@@ -116,6 +118,7 @@
             marks=self._pool_notices.list_marks(pools),
             limits=self._limit_notices.build(address, serves, host, now_s),
             parts=self._part_notices.build(address, host),
+            rates=self.rate_notices.build(address, serves, host, now_s),
             software=board.versions.list_seen(now_s),
             software_span_s=board.versions.measure_span(now_s),
         )
@@ -130,6 +133,9 @@
     ) -> None:
         """Record that a message has reached a peer."""
         self._load_notices.record_delivered(address, message.sent)
+        self.rate_notices.record_delivered(
+            address, message.rates, clock.read_time()
+        )
         self._pool_notices.record_delivered(
             address, message.era, message.pools
         )
@@ -169,6 +175,9 @@
         self._load_notices.merge_parts(
             message.host, message.sent, from_delegate
         )
+        self.rate_notices.merge(
+            message.rates, message.host, from_delegate, now_s
+        )
         self._pool_notices.merge(
             message.era, message.pools, message.marks, message.host, now_s
         )
@@ -209,6 +218,7 @@
         )
         if previous is not None:
             self._load_notices.forget(message.host, message.address)
+            self.rate_notices.forget(message.host, message.address)
             self._pool_notices.forget(message.address)
             self._limit_notices.forget(message.address)
             self._delivered_members.pop(message.address, None)
--- a/src/cyclamenwing/gateway/gossip_messages.py
+++ b/src/cyclamenwing/gateway/gossip_messages.py
@@ -7,6 +7,7 @@
 from cyclamenwing.budget import restoration
 from cyclamenwing.gateway import load_notices
 from cyclamenwing.gateway import poison_notices
+from cyclamenwing.gateway import rate_notices
 from cyclamenwing.membership import delegates
 from cyclamenwing.routing import placement
 from cyclamenwing.routing import quarantine
@@ -47,6 +48,7 @@
     :param parts: suspect parts of prompts
     :param software: software versions of the endpoints that it saw lately
     :param software_span_s: time for which it has missed none
+    :param rates: observed or learned speeds of endpoints
     """
 
     host: str
@@ -77,6 +79,7 @@
     parts: poison_notices.PartNotices | None = None
     software: list[versions.SeenVersion] = []
     software_span_s: float = 0.0
+    rates: rate_notices.RateNotices | None = None
 
 
 class RecordAgeRequest(msgspec.Struct):
--- a/src/cyclamenwing/routing/placement.py
+++ b/src/cyclamenwing/routing/placement.py
@@ -9,11 +9,15 @@
 ones. Endpoints that restart while the store is away keep an outdated
 registration; the first rejection of a request that names the former
 incarnation rules it out.
+
+Endpoints of one service may differ in speed. The learned slowness of an
+endpoint multiplies its costs, and the preferred endpoints of prompt parts are
+weighted by it.
 """
 
 from __future__ import annotations
 
-import dataclasses
+import math
 import random
 from collections.abc import Iterable
 from collections.abc import Sequence
@@ -21,13 +25,10 @@
 
 import xxhash
 
+from cyclamenwing.routing import endpoint_states
 from cyclamenwing.routing import endpoints
+from cyclamenwing.routing import engine_rates
 
-# Prefill rate of the engines according to the deployments' data sheets.
-PREFILL_TOKENS_PER_MS = 61.4
-# Prompt parts are assumed to stay cached up to this share of the cache; the
-# rest is left to the tokens of running requests.
-TRUSTED_CACHE_SHARE = 0.85
 # Each running request lengthens every decoding step of the others. This is
 # its cost over its whole run, from the step times on the data sheets.
 RUNNING_REQUEST_COST_MS = 8.0
@@ -42,53 +43,30 @@
 # Services with more endpoints are compared by sample.
 MAX_COMPARED = 12
 SAMPLED_ENDPOINTS = 3
-# Endpoints compared because all gateways prefer them for a prompt part, and
-# because they have cached the start of the prompt. Between two reports, all
+# Endpoints compared because they have cached the start of the prompt, besides
+# the one that all gateways prefer for a prompt part. Between two reports, all
 # gateways send to the endpoints that they all compare.
-PREFERRED_ENDPOINTS = 1
 CACHING_ENDPOINTS = 1
-# Cost added for each failure; it halves every `FAILURE_HALF_LIFE_S`.
-FAILURE_COST_MS = 400.0
-FAILURE_HALF_LIFE_S = 1.0
-MAX_FAILURE_COST_MS = 8000.0
-MIN_FAILURE_COST_MS = 1.0
-# An incarnation whose address belongs to another one is tried again after this
-# time, in case the rejection that said so was a fault.
-SUPERSEDED_TTL_S = 5.0
 # Typical duration of one request at a service without an engine.
 PLAIN_REQUEST_COST_MS = 30.0
-# The load that a peer reported is ignored after this time without gossip.
-PEER_LOAD_TTL_S = 2.0
-
-
-class Demand(NamedTuple):
-    """Describe the prompt that a request brings to an endpoint.
-
-    :param parts: names and token counts of the prompt's parts, in order
-    """
-
-    parts: Sequence[tuple[str, int]]
-    prompt_tokens: int
-
-
-@dataclasses.dataclass(slots=True)
-class InFlightRequest:
-    """Hold a request that this gateway has sent to an endpoint.
-
-    `answering` is set once the prefill of the prompt is over.
-    """
-
-    prefill_tokens: int
-    sent_s: float
-    answering: bool = False
-
-
-class PeerLoad(NamedTuple):
-    """Hold the load that a peer gateway has put on an endpoint."""
-
-    running: int
-    prefill_tokens: int
-    received_s: float
+# Time to the first event, for comparison with the observed one: a constant
+# part, and a decoding step after each chunk of the prompt. Engines differ in
+# these; only the ratio to other endpoints of the service counts.
+FIRST_EVENT_MS = 55.0
+PREFILL_CHUNK_TOKENS = 1536
+STEP_MS = 5.5
+STEP_MS_PER_REQUEST = 0.14
+# Preferences for prompt parts follow the slowness in steps of this ratio, so
+# that small changes of an estimate don't move parts.
+WEIGHT_STEP = 1.2
+MAX_HASH = 1 << 64
+
+Demand = endpoint_states.Demand
+EndpointState = endpoint_states.EndpointState
+InFlightRequest = endpoint_states.InFlightRequest
+PeerLoad = endpoint_states.PeerLoad
+PEER_LOAD_TTL_S = endpoint_states.PEER_LOAD_TTL_S
+SUPERSEDED_TTL_S = endpoint_states.SUPERSEDED_TTL_S
 
 
 class SupersededEndpoint(NamedTuple):
@@ -102,95 +80,6 @@
     remaining_s: float
 
 
-@dataclasses.dataclass(slots=True)
-class EndpointState:
-    """Hold this gateway's picture of one incarnation of an endpoint."""
-
-    cache_tokens: int = 0
-    in_flight: dict[int, InFlightRequest] = dataclasses.field(
-        default_factory=dict
-    )
-    peer_loads: dict[str, PeerLoad] = dataclasses.field(default_factory=dict)
-    cached_parts: dict[str, int] = dataclasses.field(default_factory=dict)
-    cached_tokens: int = 0
-    failure_cost_ms: float = 0.0
-    failed_s: float = 0.0
-    superseded_until_s: float = 0.0
-
-    def cache_parts(self, parts: Iterable[tuple[str, int]]) -> None:
-        """Record prompt parts as cached and evict the least recently used."""
-        for name, tokens in parts:
-            self.cached_tokens -= self.cached_parts.pop(name, 0)
-            self.cached_parts[name] = tokens
-            self.cached_tokens += tokens
-        while (
-            self.cached_tokens > self.cache_tokens * TRUSTED_CACHE_SHARE
-            and (len(self.cached_parts) > 1)
-        ):
-            oldest = next(iter(self.cached_parts))
-            self.cached_tokens -= self.cached_parts.pop(oldest)
-
-    def count_uncached(self, demand: Demand) -> int:
-        """Return the prompt tokens that need a prefill at the endpoint."""
-        uncached_tokens = demand.prompt_tokens
-        for name, tokens in demand.parts:
-            if name not in self.cached_parts:
-                break
-            uncached_tokens -= tokens
-        return max(uncached_tokens, 0)
-
-    def count_running(self, now_s: float) -> int:
-        """Return the number of running requests of all gateways."""
-        return len(self.in_flight) + sum(
-            load.running
-            for load in self.peer_loads.values()
-            if now_s - load.received_s < PEER_LOAD_TTL_S
-        )
-
-    def count_own_backlog(self, now_s: float) -> float:
-        """Return this gateway's estimated prompt tokens awaiting prefill."""
-        return sum(
-            max(
-                request.prefill_tokens
-                - (now_s - request.sent_s) * 1000 * PREFILL_TOKENS_PER_MS,
-                0,
-            )
-            for request in self.in_flight.values()
-            if not request.answering
-        )
-
-    def count_backlog(self, now_s: float) -> float:
-        """Return all gateways' estimated prompt tokens awaiting prefill."""
-        others = sum(
-            load.prefill_tokens
-            for load in self.peer_loads.values()
-            if now_s - load.received_s < PEER_LOAD_TTL_S
-        )
-        return self.count_own_backlog(now_s) + others
-
-    def record_failure(self, now_s: float) -> None:
-        """Add the cost of a failure, up to a bound."""
-        cost_ms = self.read_failure_cost(now_s) + FAILURE_COST_MS
-        self.failure_cost_ms = min(cost_ms, MAX_FAILURE_COST_MS)
-        self.failed_s = now_s
-
-    def record_success(self) -> None:
-        """Halve the cost of earlier failures."""
-        self.failure_cost_ms /= 2
-
-    def mark_superseded(self, now_s: float) -> None:
-        """Record that another incarnation has the endpoint's address."""
-        self.superseded_until_s = now_s + SUPERSEDED_TTL_S
-
-    def read_failure_cost(self, now_s: float) -> float:
-        """Return the remaining cost of earlier failures, in milliseconds."""
-        if not self.failure_cost_ms:
-            return 0.0
-        age = (now_s - self.failed_s) / FAILURE_HALF_LIFE_S
-        cost_ms = float(self.failure_cost_ms * 0.5 ** max(age, 0.0))
-        return cost_ms if cost_ms >= MIN_FAILURE_COST_MS else 0.0
-
-
 class Placement:
     """Choose endpoints and track the requests sent to each.
 
@@ -200,6 +89,7 @@
     def __init__(self, zone: str) -> None:
         self._zone = zone
         self.sites: dict[tuple[str, int, str], EndpointState] = {}
+        self.rates = engine_rates.EngineRates()
         self._names: dict[str, tuple[str, int, str]] = {}
         self._next_number = 0
 
@@ -278,11 +168,11 @@
         if not candidates:
             return None
         preferred = (
-            rank_preferred(candidates, demand.parts[-2][0])
+            self._find_preferred(candidates, demand.parts[-2][0])
             if len(demand.parts) > 1
-            else []
+            else None
         )
-        best = preferred[0].name if preferred else ""
+        best = preferred.name if preferred else ""
         compared = self._sample(candidates, demand, preferred, cache_tokens)
         return min(
             compared,
@@ -293,17 +183,35 @@
             ),
         )
 
+    def _find_preferred(
+        self, candidates: Sequence[endpoints.Endpoint], part: str
+    ) -> endpoints.Endpoint:
+        """Return the endpoint that all gateways prefer for a prompt part.
+
+        Endpoints get parts in proportion to their speed. The order is that of
+        `rank_preferred` if all are alike.
+        """
+        if not self.rates.estimates:
+            return max(candidates, key=lambda e: _hash_preference(part, e))
+        return max(
+            candidates,
+            key=lambda e: (
+                math.log((_hash_preference(part, e) + 0.5) / MAX_HASH)
+                * _round_slowness(self.sites[e.incarnation].slowness)
+            ),
+        )
+
     def _sample(
         self,
         candidates: Sequence[endpoints.Endpoint],
         demand: Demand,
-        preferred: Sequence[endpoints.Endpoint],
+        preferred: endpoints.Endpoint | None,
         cache_tokens: int,
     ) -> Sequence[endpoints.Endpoint]:
         """Return the endpoints to compare for a request."""
         if len(candidates) <= MAX_COMPARED:
             return candidates
-        chosen = {e.name: e for e in preferred[:PREFERRED_ENDPOINTS]}
+        chosen = {preferred.name: preferred} if preferred else {}
         caching = [
             (uncached, random.random(), e)
             for e in candidates
@@ -334,13 +242,16 @@
         if endpoint.zone != self._zone:
             cost_ms += ZONE_COST_MS
         if not cache_tokens:
-            return cost_ms + running * PLAIN_REQUEST_COST_MS
+            return cost_ms + running * PLAIN_REQUEST_COST_MS * state.slowness
         uncached_tokens = state.count_uncached(demand)
         weighted_tokens = (
             uncached_tokens * PREFILL_WEIGHT + state.count_backlog(now_s)
         )
-        cost_ms += weighted_tokens / PREFILL_TOKENS_PER_MS
-        return cost_ms + running * RUNNING_REQUEST_COST_MS
+        engine_cost_ms = (
+            weighted_tokens / endpoint_states.PREFILL_TOKENS_PER_MS
+            + running * RUNNING_REQUEST_COST_MS
+        )
+        return cost_ms + engine_cost_ms * state.slowness
 
     def start(
         self, endpoint: endpoints.Endpoint, demand: Demand, now_s: float
@@ -348,12 +259,60 @@
         """Record a request as sent; return its number."""
         state = self.ensure_state(endpoint)
         self._next_number += 1
+        prefill_tokens = state.count_uncached(demand)
         state.in_flight[self._next_number] = InFlightRequest(
-            state.count_uncached(demand), now_s
+            prefill_tokens,
+            now_s,
+            self._predict_first_event(endpoint, state, prefill_tokens, now_s),
         )
         state.cache_parts(demand.parts)
         return self._next_number
 
+    def _predict_first_event(
+        self,
+        endpoint: endpoints.Endpoint,
+        state: EndpointState,
+        prefill_tokens: int,
+        now_s: float,
+    ) -> float:
+        """Return the time to the first event at a typical endpoint, in ms.
+
+        It is 0 if the endpoint runs all that it can, as the time then depends
+        on when others end.
+        """
+        running = state.count_running(now_s)
+        if running >= endpoint.slots > 0:
+            return 0.0
+        if not state.cache_tokens:
+            return PLAIN_REQUEST_COST_MS
+        tokens = prefill_tokens + state.count_backlog(now_s)
+        step_ms = STEP_MS + running * STEP_MS_PER_REQUEST
+        return (
+            FIRST_EVENT_MS
+            + tokens / endpoint_states.PREFILL_TOKENS_PER_MS
+            + (1 + tokens / PREFILL_CHUNK_TOKENS) * step_ms
+        )
+
+    def compare_first_event(
+        self, endpoint: endpoints.Endpoint, number: int, elapsed_s: float
+    ) -> engine_rates.Observation | None:
+        """Return how a request's first event compares with the prediction.
+
+        :param elapsed_s: time since the request was sent
+        """
+        state = self.sites.get(endpoint.incarnation)
+        request = state.in_flight.get(number) if state else None
+        if request is None or not request.predicted_ms:
+            return None
+        return engine_rates.compare(request.predicted_ms, elapsed_s)
+
+    def apply_rates(self) -> None:
+        """Set the slowness of all endpoints from the learned rates."""
+        estimates = self.rates.estimates
+        for key, state in self.sites.items():
+            estimate = estimates.get(key)
+            state.slowness = estimate.slowness if estimate else 1.0
+
     def mark_answering(
         self, endpoint: endpoints.Endpoint, number: int
     ) -> None:
@@ -379,12 +338,26 @@
     """
     return sorted(
         candidates,
-        key=lambda e: xxhash.xxh64_intdigest(f"{part} {e.name}".encode()),
+        key=lambda e: _hash_preference(part, e),
         reverse=True,
     )
 
 
+def _hash_preference(part: str, endpoint: endpoints.Endpoint) -> int:
+    return xxhash.xxh64_intdigest(f"{part} {endpoint.name}".encode())
+
+
+def _round_slowness(slowness: float) -> float:
+    if slowness == 1.0:
+        return 1.0
+    return float(
+        WEIGHT_STEP ** round(math.log(slowness) / math.log(WEIGHT_STEP))
+    )
+
+
 __all__ = (
+    "PEER_LOAD_TTL_S",
+    "SUPERSEDED_TTL_S",
     "Demand",
     "EndpointState",
     "InFlightRequest",
