Apply slowness to the time at an endpoint, not to the price of reading

Cause: with the whole cost multiplied by the slowness, prompts were read again at fast endpoints, and running requests counted too much under load.

What changed: half of the cost of reading and of running follows the slowness, and the whole backlog.

--- a/src/cyclamenwing/routing/placement.py
+++ b/src/cyclamenwing/routing/placement.py
@@ -11,13 +11,11 @@
 incarnation rules it out.
 
 Endpoints of one service may differ in speed. The learned slowness of an
-endpoint multiplies its costs, and the preferred endpoints of prompt parts are
-weighted by it.
+endpoint multiplies the costs that are time spent there.
 """
 
 from __future__ import annotations
 
-import math
 import random
 from collections.abc import Iterable
 from collections.abc import Sequence
@@ -56,10 +54,6 @@
 PREFILL_CHUNK_TOKENS = 1536
 STEP_MS = 5.5
 STEP_MS_PER_REQUEST = 0.14
-# Preferences for prompt parts follow the slowness in steps of this ratio, so
-# that small changes of an estimate don't move parts.
-WEIGHT_STEP = 1.2
-MAX_HASH = 1 << 64
 
 Demand = endpoint_states.Demand
 EndpointState = endpoint_states.EndpointState
@@ -168,7 +162,7 @@
         if not candidates:
             return None
         preferred = (
-            self._find_preferred(candidates, demand.parts[-2][0])
+            find_preferred(candidates, demand.parts[-2][0])
             if len(demand.parts) > 1
             else None
         )
@@ -183,24 +177,6 @@
             ),
         )
 
-    def _find_preferred(
-        self, candidates: Sequence[endpoints.Endpoint], part: str
-    ) -> endpoints.Endpoint:
-        """Return the endpoint that all gateways prefer for a prompt part.
-
-        Endpoints get parts in proportion to their speed. The order is that of
-        `rank_preferred` if all are alike.
-        """
-        if not self.rates.estimates:
-            return max(candidates, key=lambda e: _hash_preference(part, e))
-        return max(
-            candidates,
-            key=lambda e: (
-                math.log((_hash_preference(part, e) + 0.5) / MAX_HASH)
-                * _round_slowness(self.sites[e.incarnation].slowness)
-            ),
-        )
-
     def _sample(
         self,
         candidates: Sequence[endpoints.Endpoint],
@@ -243,15 +219,16 @@
             cost_ms += ZONE_COST_MS
         if not cache_tokens:
             return cost_ms + running * PLAIN_REQUEST_COST_MS * state.slowness
-        uncached_tokens = state.count_uncached(demand)
+        # Half of the cost of reading and of running is the request's own time;
+        # the other half, the delay of others and of later prompts, does not
+        # follow the speed, or parts would be read again at fast endpoints.
+        factor = (1.0 + state.slowness) / 2
         weighted_tokens = (
-            uncached_tokens * PREFILL_WEIGHT + state.count_backlog(now_s)
-        )
-        engine_cost_ms = (
-            weighted_tokens / endpoint_states.PREFILL_TOKENS_PER_MS
-            + running * RUNNING_REQUEST_COST_MS
+            state.count_uncached(demand) * PREFILL_WEIGHT * factor
+            + state.count_backlog(now_s) * state.slowness
         )
-        return cost_ms + engine_cost_ms * state.slowness
+        cost_ms += weighted_tokens / endpoint_states.PREFILL_TOKENS_PER_MS
+        return cost_ms + running * RUNNING_REQUEST_COST_MS * factor
 
     def start(
         self, endpoint: endpoints.Endpoint, demand: Demand, now_s: float
@@ -343,16 +320,15 @@
     )
 
 
-def _hash_preference(part: str, endpoint: endpoints.Endpoint) -> int:
-    return xxhash.xxh64_intdigest(f"{part} {endpoint.name}".encode())
+def find_preferred(
+    candidates: Sequence[endpoints.Endpoint], part: str
+) -> endpoints.Endpoint:
+    """Return the endpoint that all gateways prefer for a prompt part."""
+    return max(candidates, key=lambda e: _hash_preference(part, e))
 
 
-def _round_slowness(slowness: float) -> float:
-    if slowness == 1.0:
-        return 1.0
-    return float(
-        WEIGHT_STEP ** round(math.log(slowness) / math.log(WEIGHT_STEP))
-    )
+def _hash_preference(part: str, endpoint: endpoints.Endpoint) -> int:
+    return xxhash.xxh64_intdigest(f"{part} {endpoint.name}".encode())
 
 
 __all__ = (
@@ -364,5 +340,6 @@
     "PeerLoad",
     "Placement",
     "SupersededEndpoint",
+    "find_preferred",
     "rank_preferred",
 )
