Compare fewer endpoints, so that gateways choose the same ones less often

Cause: with three random endpoints besides the preferred one and a caching one, all gateways send to the endpoints that seemed idle in the last report. With older reports this also made prompts be read again.

What changed: one random endpoint is compared besides the preferred one (three where none is preferred, as before), and services with more than 6 endpoints are sampled, not only from 13 on.

--- a/src/cyclamenwing/routing/engine_rates.py
+++ b/src/cyclamenwing/routing/engine_rates.py
@@ -33,8 +33,8 @@
 # Endpoints differ by more than chance if the mean of their squared deviations,
 # in standard errors, exceeds 1.0 by this many of its own standard deviations.
 # Fewer are required once they have been found to differ.
-MIN_SPREAD = 4.0
-MIN_SPREAD_TO_KEEP = 2.0
+MIN_SPREAD = 6.0
+MIN_SPREAD_TO_KEEP = 3.0
 # Observations of an endpoint in this time count as dependent on each other:
 # they share a slow period or a queue.
 GROUP_S = 1.0
@@ -43,7 +43,7 @@
 MAX_SLOWNESS = 2.5
 # A ratio further from the typical one counts as this, as most such times are
 # due to a queue that the gateway did not know of.
-MAX_DEVIATION = 1.0
+MAX_DEVIATION = 0.7
 # Standard deviation assumed until observations show it, and their weight.
 PRIOR_DEVIATION = 0.8
 PRIOR_DEVIATION_COUNT = 100.0
--- a/src/cyclamenwing/routing/placement.py
+++ b/src/cyclamenwing/routing/placement.py
@@ -38,8 +38,12 @@
 # Another endpoint is chosen over a prompt part's preferred one only if its
 # predicted cost is lower by more than this.
 AFFINITY_BONUS_MS = 30.0
-# Services with more endpoints are compared by sample.
-MAX_COMPARED = 12
+# Services with more endpoints are compared by sample: some random ones besides
+# the preferred one, or without one. With each further one, all gateways send
+# more to the same endpoints between two reports; figures are in
+# docs/design/uneven-load.md.
+MAX_COMPARED = 6
+SAMPLED_BESIDES_PREFERRED = 1
 SAMPLED_ENDPOINTS = 3
 # Endpoints compared because they have cached the start of the prompt, besides
 # the one that all gateways prefer for a prompt part. Between two reports, all
@@ -200,7 +204,8 @@
         ]
         caching.sort(key=lambda item: item[:2])
         chosen.update((e.name, e) for _, _, e in caching[:CACHING_ENDPOINTS])
-        for endpoint in random.sample(candidates, SAMPLED_ENDPOINTS):
+        count = SAMPLED_BESIDES_PREFERRED if preferred else SAMPLED_ENDPOINTS
+        for endpoint in random.sample(candidates, count):
             chosen[endpoint.name] = endpoint
         return list(chosen.values())
 
