--- a/src/cyclamenwing/gateway/forwarding.py
+++ b/src/cyclamenwing/gateway/forwarding.py
@@ -35,6 +35,8 @@
         self._delivery = answer_delivery
         self._context = context
         self._record_answer = record_answer
+        # Called with the first event or the whole answer of success.
+        self.observe_begin: Callable[[], None] | None = None
         self.reader = events.EventReader()
         self.started = False
         # The whole answer of the endpoint is here and only has to be written.
@@ -78,7 +80,7 @@
             raise
         self._record_first_byte(head)
         if head.status in SUCCESS_STATUSES:
-            self._record_answer(self._context)
+            self._begin_answer()
         self.started = True
         self.complete = True
         self._delivery.start(head, size)
@@ -101,7 +103,7 @@
                 break
             events_data = self.reader.feed(data)
             if self.reader.count and not context.events:
-                self._record_answer(context)
+                self._begin_answer()
             context.events = self.reader.count
             if events_data:
                 self._start(head)
@@ -136,6 +138,11 @@
         """Write nothing more."""
         self._delivery.discard()
 
+    def _begin_answer(self) -> None:
+        if self.observe_begin is not None:
+            self.observe_begin()
+        self._record_answer(self._context)
+
     def _start(self, head: h1.ResponseHead) -> None:
         if not self.started:
             self._record_first_byte(head)
--- a/src/cyclamenwing/gateway/gossip_messages.py
+++ b/src/cyclamenwing/gateway/gossip_messages.py
@@ -7,6 +7,7 @@
 from cyclamenwing.budget import restoration
 from cyclamenwing.gateway import load_notices
 from cyclamenwing.gateway import poison_notices
+from cyclamenwing.gateway import rate_notices
 from cyclamenwing.membership import delegates
 from cyclamenwing.routing import cold_marks
 from cyclamenwing.routing import evacuations
@@ -51,6 +52,7 @@
     :param software: software versions of the endpoints that it saw lately
     :param software_span_s: time for which it has missed none
     :param evacuations: all orders to evacuate zones that it knows
+    :param rates: observed or learned speeds of endpoints
     """
 
     host: str
@@ -83,6 +85,7 @@
     software_span_s: float = 0.0
     evacuations: list[evacuations.OrderNotice] = []
     cold: list[cold_marks.ColdNotice] = []
+    rates: rate_notices.RateNotices | None = None
 
 
 class RecordAgeRequest(msgspec.Struct):
