--- a/src/cyclamenwing/budget/escrow.py
+++ b/src/cyclamenwing/budget/escrow.py
@@ -60,8 +60,6 @@
     :param spent: tokens that requests have used
     :param reserved: tokens reserved for requests in progress
     :param wanted: tokens that waiting requests need
-    :param promised: tokens that another holder asked for beyond the usage
-        bound, until `promised_until_s`
     :param rate: rate of use at `rate_at_s`, in tokens per second
     :param recent: tokens reserved lately at `rate_at_s`
     :param usage_bounds: the usage bounds that the store may hold
@@ -76,8 +74,6 @@
     spent: int = 0
     reserved: int = 0
     wanted: int = 0
-    promised: int = 0
-    promised_until_s: float = 0.0
     rate: float = 0.0
     rate_at_s: float = 0.0
     recent: float = 0.0
@@ -98,8 +94,8 @@
     def count_available(self, now_s: float) -> int:
         """Return the tokens that may be reserved now.
 
-        Tokens received from peers need no usage bound, as no other process
-        can release them.
+        Without a usage bound only tokens received from peers are available.
+        No other process can release these, so they need no bound.
         """
         if not self.usage_bounds:
             return self.held - max(self.drawn, 0)
@@ -110,7 +106,10 @@
         return min(self.held, limit - self.used)
 
     def measure_headroom(self, used: int) -> int:
-        """Return the newest usage bound's headroom above `used` tokens."""
+        """Return the initial headroom of the newest usage bound.
+
+        :param used: tokens in use when the bound was computed
+        """
         return self.usage_bounds[-1].ceiling - used if self.usage_bounds else 0
 
     def predict_wait(self, tokens: int, now_s: float) -> float | None:
@@ -158,15 +157,6 @@
         self.given += deducted
         return deducted
 
-    def promise(self, tokens: int, until_s: float) -> None:
-        """Let the next usage bound cover tokens for another holder."""
-        self.promised, self.promised_until_s = tokens, until_s
-
-    def count_promised(self, now_s: float) -> int:
-        """Return the tokens that the next usage bound covers for others."""
-        valid = now_s < self.promised_until_s
-        return max(min(self.promised, self.held), 0) if valid else 0
-
     def hand_over(self, tokens: int) -> None:
         """Turn a reservation into a transfer to another gateway."""
         self.reserved -= tokens
@@ -219,7 +209,7 @@
             self.used,
             max(self.held + change, 0),
             self.measure_rate(now_s),
-            self.wanted + self.count_promised(now_s),
+            self.wanted,
             now_s,
         )
 
--- a/src/cyclamenwing/gateway/gossip_messages.py
+++ b/src/cyclamenwing/gateway/gossip_messages.py
@@ -109,18 +109,11 @@
 
 
 class TransferRequest(msgspec.Struct):
-    """Ask a peer to transfer tokens of a workspace.
-
-    :param rate: rate of use of the asking holder in tokens per second, if it
-        asks for its share of the holdings and no request waits; else 0
-    :param held: tokens that it holds then
-    """
+    """Ask a peer to transfer tokens of a workspace."""
 
     workspace: str
     tokens: int
     holder: str
-    rate: float = 0.0
-    held: int = 0
 
 
 class TransferReply(msgspec.Struct):
--- a/src/cyclamenwing/gateway/peers.py
+++ b/src/cyclamenwing/gateway/peers.py
@@ -43,9 +43,6 @@
 SILENT_INTERVALS = 4
 GOSSIP_TIMEOUT_S = 0.5
 TRANSFER_TIMEOUT_S = 0.1
-# A share of the holdings may wait for the giver's next usage bound, 1.6 s at
-# most.
-SHARE_TIMEOUT_S = 2.0
 CONFIGURATION_TIMEOUT_S = 3.0
 RECORD_AGE_TIMEOUT_S = 0.3
 # A new configuration usually arrives by the watch within this time.
@@ -53,7 +50,7 @@
 # Delay before calling a gateway again that did not answer.
 RETRY_DELAY_S = 1.0
 
-TransferTokens = Callable[[gossip_messages.TransferRequest], Awaitable[int]]
+TransferTokens = Callable[[str, int], Awaitable[int]]
 Answer = Callable[[bytes], Awaitable[bytes]]
 
 
@@ -115,17 +112,17 @@
         await connection.respond(200, pooled_client.JSON_HEADERS, body)
 
     async def request_tokens(
-        self, peer: blackboard.Peer, request: gossip_messages.TransferRequest
+        self, peer: blackboard.Peer, workspace: str, tokens: int
     ) -> int:
         """Ask a peer for tokens; return how many it transferred."""
-        body = msgspec.json.encode(request)
+        body = msgspec.json.encode(
+            gossip_messages.TransferRequest(
+                workspace, tokens, self._board.escrow.holder
+            )
+        )
         try:
             status, answer = await self._caller.call(
-                peer.address,
-                "POST",
-                TRANSFER_PATH,
-                body,
-                SHARE_TIMEOUT_S if request.rate > 0 else TRANSFER_TIMEOUT_S,
+                peer.address, "POST", TRANSFER_PATH, body, TRANSFER_TIMEOUT_S
             )
             if status != 200:
                 return 0
@@ -140,8 +137,8 @@
         eliot.log_message(
             "peers:tokens_received",
             peer=peer.host,
-            workspace=request.workspace,
-            asked=request.tokens,
+            workspace=workspace,
+            asked=tokens,
             tokens=reply.tokens,
         )
         return max(reply.tokens, 0)
@@ -338,7 +335,9 @@
         )
         tokens = 0
         if self.transfer_tokens is not None:
-            tokens = await self.transfer_tokens(request)
+            tokens = await self.transfer_tokens(
+                request.workspace, request.tokens
+            )
         eliot.log_message(
             "peers:tokens_given",
             holder=request.holder,
--- a/src/cyclamenwing/gateway/pools.py
+++ b/src/cyclamenwing/gateway/pools.py
@@ -91,14 +91,6 @@
             self._draw_requested.set()
             await self._draw_ended.wait()
 
-    async def wait_for_renewal(self, since_s: float) -> None:
-        """Return when the record was written later than at a time.
-
-        This requests no draw.
-        """
-        async with self._draw_ended:
-            await self._draw_ended.wait_for(lambda: self._renewed_s > since_s)
-
     async def run(self) -> None:
         """Draw tokens and renew the record until cancelled."""
         await self._settled.wait()
@@ -294,12 +286,19 @@
             return False
         if age_s >= IDLE_RENEW_INTERVAL_S:
             return True
-        for name, account in accounts.items():
-            before = self._used_at_renewal.get(name, 0)
-            headroom = account.measure_headroom(before)
-            if account.used - before > headroom * EARLY_RENEWAL_FRACTION:
-                return True
-        return False
+        return any(
+            self._is_usage_bound_nearly_used(name, account)
+            for name, account in accounts.items()
+        )
+
+    def _is_usage_bound_nearly_used(
+        self, name: str, account: escrow.WorkspaceAccount
+    ) -> bool:
+        used_at_renewal = self._used_at_renewal.get(name, 0)
+        headroom = account.measure_headroom(used_at_renewal)
+        return (
+            account.used - used_at_renewal > headroom * EARLY_RENEWAL_FRACTION
+        )
 
     async def _commit(
         self, changes: dict[str, int], retires: bool = False
--- a/src/cyclamenwing/gateway/reservations.py
+++ b/src/cyclamenwing/gateway/reservations.py
@@ -14,7 +14,6 @@
 from cyclamenwing.gateway import budget_rest
 from cyclamenwing.gateway import clock
 from cyclamenwing.gateway import errors
-from cyclamenwing.gateway import gossip_messages
 from cyclamenwing.gateway import grant_messages
 from cyclamenwing.gateway import pools
 from cyclamenwing.gateway import token_transfers
@@ -199,28 +198,22 @@
         if surplus:
             eliot.log_message("funds:returned_idle", tokens=surplus)
 
-    async def transfer_to_peer(
-        self, request: gossip_messages.TransferRequest
-    ) -> int:
+    async def transfer_to_peer(self, workspace: str, tokens: int) -> int:
         """Transfer tokens to a peer; return how many.
 
         :raises LeavingError: if the process stops
         """
-        return await self._transfers.transfer_to_peer(request)
+        return await self._transfers.transfer_to_peer(workspace, tokens)
 
     async def wait_for_incoming(self, timeout_s: float) -> None:
         """Wait until no call that may bring tokens is under way."""
         await self._transfers.wait_for_incoming(timeout_s)
 
     async def run(self) -> None:
-        """Return idle tokens to their holders until cancelled.
-
-        Holders also ask for their share of what other holders have.
-        """
+        """Return idle tokens to their holders until cancelled."""
         while True:
             await asyncio.sleep(IDLE_RETURN_INTERVAL_S)
             await self.return_idle(IDLE_RETURN_INTERVAL_S)
-            self._transfers.request_shares()
 
     async def _reserve_by_grant(
         self, workspace: str, tokens: int, goal_s: float, remaining_s: float
