Move the release of predecessors out of the assembly, and share the log of notices

Ruled out: splitting the start and the stop of a process, which share the order of its parts. Change: gateway/release_loop.py and gateway/delivery_log.py; behaviour as before.

--- a/src/cyclamenwing/gateway/app.py
+++ b/src/cyclamenwing/gateway/app.py
@@ -11,7 +11,6 @@
 import eliot
 
 from cyclamenwing import tasks
-from cyclamenwing.budget import escrow
 from cyclamenwing.budget import restoration
 from cyclamenwing.gateway import attempts
 from cyclamenwing.gateway import blackboard
@@ -31,9 +30,9 @@
 from cyclamenwing.gateway import poison_requests
 from cyclamenwing.gateway import pools
 from cyclamenwing.gateway import read_ahead
-from cyclamenwing.gateway import record_age
 from cyclamenwing.gateway import registration
 from cyclamenwing.gateway import relay
+from cyclamenwing.gateway import release_loop
 from cyclamenwing.gateway import releases
 from cyclamenwing.gateway import reservations
 from cyclamenwing.gateway import settings as gateway_settings
@@ -69,14 +68,6 @@
 INCOMING_TIMEOUT_S = 0.2
 DRAIN_POLL_INTERVAL_S = 0.05
 FINAL_ANSWERS_POLL_INTERVAL_S = 0.005
-# Once a new process has read which predecessors there are, it tries for this
-# long to bound the age of their records, so that it can release their holdings
-# to the pools.
-PREDECESSOR_WINDOW_S = 12.0
-PREDECESSOR_POLL_INTERVAL_S = 0.05
-MAX_PREDECESSOR_POLL_INTERVAL_S = 1.0
-# Bound on the calls to peers for evidence of a record's age.
-MAX_STATEMENTS_PER_S = 80.0
 MS_PER_S = 1000
 
 
@@ -164,6 +155,9 @@
         self._releases = releases.PredecessorRelease(
             board, self._store, self._pools.request_draw
         )
+        self._release_loop = release_loop.ReleaseLoop(
+            board, self._pools, self._peers, self._releases
+        )
         grant_client = grants.GrantClient(board, http)
         self._reservations = reservations.Reservations(
             board,
@@ -272,7 +266,7 @@
             self._reservations.run,
             self._poison_records.run,
             self._streams.run,
-            self._release_predecessors,
+            self._release_loop.run,
             self._close_idle_connections,
         ):
             self._tasks.append(tasks.start_loop(run))
@@ -344,52 +338,6 @@
             for connection in list(server.connections):
                 connection.close()
 
-    async def _release_predecessors(self) -> None:
-        """Release the holdings of predecessors with a bounded record age."""
-        until_s = clock.read_time() + PREDECESSOR_WINDOW_S
-        delay_s = PREDECESSOR_POLL_INTERVAL_S
-        while clock.read_time() < until_s:
-            if not self._pools.predecessors_read:
-                # The store may be away when the process starts.
-                until_s = clock.read_time() + PREDECESSOR_WINDOW_S
-            members = len(self.board.roster.members)
-            await asyncio.sleep(max(delay_s, members / MAX_STATEMENTS_PER_S))
-            if self.board.predecessors:
-                delay_s = min(delay_s * 1.5, MAX_PREDECESSOR_POLL_INTERVAL_S)
-            for predecessor in list(self.board.predecessors):
-                await self._release_predecessor(predecessor)
-            self.board.release_pending = bool(self.board.predecessors)
-        self.board.release_pending = False
-        for predecessor in self.board.predecessors:
-            eliot.log_message(
-                "funds:predecessor_kept", holder=predecessor.holder
-            )
-
-    async def _release_predecessor(
-        self, predecessor: record_age.Predecessor
-    ) -> None:
-        roster = self.board.roster
-        evidence = []
-        if (
-            predecessor.boot_elapsed_s is None
-            or predecessor.boot_elapsed_s > escrow.OUTAGE_AGE_S
-        ):
-            evidence = await self._peers.request_record_ages(
-                predecessor.holder
-            )
-        age = record_age.bound_age(
-            predecessor,
-            len(roster.members),
-            min(len(roster.members), roster.count_delegates() - 1),
-            evidence,
-        )
-        if age is None:
-            return
-        try:
-            await self._releases.release(predecessor, age)
-        except store_errors.StoreError as err:
-            eliot.log_message("funds:close_failed", code=err.code)
-
     async def _return_holdings(self) -> None:
         try:
             async with asyncio.timeout(RETURN_TIMEOUT_S):
--- a/src/cyclamenwing/gateway/cold_notices.py
+++ b/src/cyclamenwing/gateway/cold_notices.py
@@ -8,6 +8,7 @@
 
 from cyclamenwing.gateway import blackboard
 from cyclamenwing.gateway import clock
+from cyclamenwing.gateway import delivery_log
 from cyclamenwing.metrics import types as metric_types
 from cyclamenwing.routing import cold_marks
 from cyclamenwing.routing import endpoints
@@ -36,11 +37,9 @@
 
     def __init__(self, board: blackboard.Blackboard) -> None:
         self._board = board
-        # Origins and numbers of the marks that a peer has received, by its
-        # address.
-        self._delivered: dict[
-            str, dict[exclusions.Incarnation, tuple[str, int]]
-        ] = {}
+        self._log = delivery_log.DeliveryLog()
+        self.record_delivered = self._log.record
+        self.forget = self._log.forget
 
     def build(
         self, address: str, serves: bool, receiver: str, now_s: float
@@ -49,33 +48,17 @@
 
         :param serves: the receiver is attached to this gateway
         """
-        delivered = self._delivered.get(address, {})
         starts = self._board.directory.limits.cold.starts
         notices = [
             notice
             for notice, mark in starts.list_notices(now_s)
-            if delivered.get(notice.incarnation)
-            != (notice.origin, notice.number)
+            if self._log.lacks(address, notice)
             and not (mark.peer and mark.peer == receiver)
             and (serves or not mark.from_delegate)
         ]
         # The latest ones matter most.
         return notices[-MAX_COLD_NOTICES:]
 
-    def record_delivered(
-        self, address: str, notices: Sequence[cold_marks.ColdNotice]
-    ) -> None:
-        """Record that a peer has received marks."""
-        delivered = self._delivered.setdefault(address, {})
-        if len(delivered) > 2 * exclusions.MAX_KEPT:
-            delivered.clear()
-        for notice in notices:
-            delivered[notice.incarnation] = (notice.origin, notice.number)
-
-    def forget(self, address: str) -> None:
-        """Forget what a former process of a peer has received."""
-        self._delivered.pop(address, None)
-
     def merge(
         self,
         notices: Sequence[cold_marks.ColdNotice],
--- a/src/cyclamenwing/gateway/limit_notices.py
+++ b/src/cyclamenwing/gateway/limit_notices.py
@@ -7,7 +7,7 @@
 import eliot
 
 from cyclamenwing.gateway import blackboard
-from cyclamenwing.routing import exclusions
+from cyclamenwing.gateway import delivery_log
 from cyclamenwing.routing import rate_limits
 
 # Limits of endpoints in one message; the others follow in the next ones.
@@ -19,11 +19,9 @@
 
     def __init__(self, board: blackboard.Blackboard) -> None:
         self._board = board
-        # Origins and numbers of the limits that a peer has received, by its
-        # address.
-        self._delivered: dict[
-            str, dict[exclusions.Incarnation, tuple[str, int]]
-        ] = {}
+        self._log = delivery_log.DeliveryLog()
+        self.record_delivered = self._log.record
+        self.forget = self._log.forget
 
     def build(
         self, address: str, serves: bool, receiver: str, now_s: float
@@ -32,33 +30,17 @@
 
         :param serves: the receiver is attached to this gateway
         """
-        delivered = self._delivered.get(address, {})
         notices = [
             notice
             for notice, limit in self._board.directory.limits.list_notices(
                 now_s
             )
-            if delivered.get(notice.incarnation)
-            != (notice.origin, notice.number)
+            if self._log.lacks(address, notice)
             and not (limit.source and limit.source == receiver)
             and (serves or not limit.from_delegate)
         ]
         return notices[:MAX_LIMIT_NOTICES]
 
-    def record_delivered(
-        self, address: str, notices: Sequence[rate_limits.LimitNotice]
-    ) -> None:
-        """Record that a peer has received limits."""
-        delivered = self._delivered.setdefault(address, {})
-        if len(delivered) > 2 * rate_limits.MAX_KEPT:
-            delivered.clear()
-        for notice in notices:
-            delivered[notice.incarnation] = (notice.origin, notice.number)
-
-    def forget(self, address: str) -> None:
-        """Forget what a former process of a peer has received."""
-        self._delivered.pop(address, None)
-
     def merge(
         self,
         notices: Sequence[rate_limits.LimitNotice],
--- a/tests/gateway/test_recovery.py
+++ b/tests/gateway/test_recovery.py
@@ -12,10 +12,10 @@
 import pytest
 from tests.gateway import deployments
 
-from cyclamenwing.gateway import app
 from cyclamenwing.gateway import host_record
 from cyclamenwing.gateway import pools
 from cyclamenwing.gateway import record_age
+from cyclamenwing.gateway import release_loop
 from cyclamenwing.membership import delegates
 from cyclamenwing.store import errors as store_errors
 
@@ -57,7 +57,7 @@
 def test_holdings_are_released_after_a_start_in_a_long_outage(
     is_delegate: bool, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    monkeypatch.setattr(app, "PREDECESSOR_WINDOW_S", 0.4)
+    monkeypatch.setattr(release_loop, "PREDECESSOR_WINDOW_S", 0.4)
     replace = pools.PoolClient._replace_record
     ended = asyncio.Event()
 
--- a/tests/gateway/test_reservations.py
+++ b/tests/gateway/test_reservations.py
@@ -12,10 +12,10 @@
 from tests.gateway import deployments
 
 from cyclamenwing.budget import escrow
-from cyclamenwing.gateway import app
 from cyclamenwing.gateway import budget_rest
 from cyclamenwing.gateway import clock
 from cyclamenwing.gateway import record_age
+from cyclamenwing.gateway import release_loop
 from cyclamenwing.gateway import token_waits
 from cyclamenwing.routing import return_times
 from cyclamenwing.transport import h1
@@ -47,7 +47,7 @@
 def test_budget_is_not_spent_while_holdings_may_be_released(
     window_s: float, status: int, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    monkeypatch.setattr(app, "PREDECESSOR_WINDOW_S", window_s)
+    monkeypatch.setattr(release_loop, "PREDECESSOR_WINDOW_S", window_s)
     # There is no evidence of the age of its record.
     dead = record_age.Predecessor("dead-1", {}, None, None)
 
--- a/tests/gateway/test_serving.py
+++ b/tests/gateway/test_serving.py
@@ -17,12 +17,12 @@
 from tests.gateway import deployments
 
 from cyclamenwing.budget import escrow
-from cyclamenwing.gateway import app
 from cyclamenwing.gateway import clock
 from cyclamenwing.gateway import gossip_messages
 from cyclamenwing.gateway import peers
 from cyclamenwing.gateway import poison_requests
 from cyclamenwing.gateway import pools
+from cyclamenwing.gateway import release_loop
 from cyclamenwing.gateway import token_waits
 from cyclamenwing.platform import store
 from cyclamenwing.standin import platform_endpoint
@@ -455,7 +455,7 @@
         await asyncio.sleep(0.8)
         deployment.gateways[0].stop()
         # The second process stops before it has freed any holdings.
-        monkeypatch.setattr(app, "PREDECESSOR_WINDOW_S", 0.0)
+        monkeypatch.setattr(release_loop, "PREDECESSOR_WINDOW_S", 0.0)
         second = await deployment.add_gateway("g0")
         second.stop()
         monkeypatch.undo()
