Check that a usual return time is spread over the later half of its range

Cause: test_store_outage_lengthens_retry_after expected a constant of 1.0 s; since return times spread it allowed all from 0.1 s to what the client honours. Ruled out: the constant; clients are told different times by design. Change: the lower bound is half of what the client honours, as the time is spread over at most half of it.

--- a/tests/gateway/test_reservations.py
+++ b/tests/gateway/test_reservations.py
@@ -93,9 +93,11 @@
             age_s = clock.read_time() - board.record_written_s
             after = h1.find_header(head.headers, b"retry-after")
             if not outage:
-                # The usual time is spread, within what the client honours.
+                # The usual time lies beyond what the client honours, so it is
+                # spread over the later half of that.
                 honoured_s = left_s * return_times.HONOURED_SHARE
-                assert 0.1 < float(after or 0) <= honoured_s + 0.05
+                assert honoured_s / 2 - 0.05 < float(after or 0)
+                assert float(after or 0) <= honoured_s + 0.05
                 return
             expected_s = (
                 escrow.OUTAGE_AGE_S + token_waits.OUTAGE_GOSSIP_S - age_s
