Give each gateway of a case a loopback address of its own

Outgoing connections of other processes took ports of gateways that were down, so that these could not start again. The proxy can also hold up bytes.

--- a/review/common/fleet.py
+++ b/review/common/fleet.py
@@ -4,6 +4,7 @@
 import json
 import os
 import pathlib
+import random
 import re
 import shlex
 import signal
@@ -25,12 +26,12 @@
 START_S = 12.0
 
 
-def find_ports(count):
-    """Return free ports."""
+def find_ports(count, host):
+    """Return free ports of a loopback address."""
     sockets = [socket.socket() for _ in range(count)]
     try:
         for sock in sockets:
-            sock.bind(("127.0.0.1", 0))
+            sock.bind((host, 0))
         return [sock.getsockname()[1] for sock in sockets]
     finally:
         for sock in sockets:
@@ -75,9 +76,12 @@
         self.number = number
         self.name = f"front-z{number}-1"
         self.zone = zone
-        ports = find_ports(4)
+        # An address of its own: outgoing connections of other processes
+        # take ports of 127.0.0.1 only.
+        self.ip = f"127.{random.randint(1, 250)}.{os.getpid() % 250}.{number}"
+        ports = find_ports(4, self.ip)
         self.front, self.ready, self.control, self.metrics = (
-            f"127.0.0.1:{port}" for port in ports)
+            f"{self.ip}:{port}" for port in ports)
         self.metrics_port = ports[3]
         self.folder = folder
         self.process = None
@@ -90,7 +94,7 @@
         fields = {
             "node": self.name, "role": "gateway", "zone": self.zone,
             "region": "r1", "zones": {zone: "r1" for zone in zones},
-            "ip": "127.0.0.1", "bootstrap": bootstrap, "seeds": seeds,
+            "ip": self.ip, "bootstrap": bootstrap, "seeds": seeds,
             "port_range": [self.metrics_port, self.metrics_port],
             "listen": {"front": self.front, "ready": self.ready,
                        "control": self.control},
--- a/review/common/proxy.py
+++ b/review/common/proxy.py
@@ -18,6 +18,8 @@
         self._host, _, port = target.rpartition(":")
         self._port = int(port)
         self._links = set()
+        self._open = asyncio.Event()
+        self._open.set()
         self._server = None
 
     async def start(self):
@@ -37,6 +39,14 @@
             link.silent = True
         return len(self._links)
 
+    def cut(self):
+        """Hold up all bytes, also of new connections, until `heal`."""
+        self._open.clear()
+
+    def heal(self):
+        """Let bytes pass again, those that were held up first."""
+        self._open.set()
+
     def stop(self):
         """Stop listening and reset all connections."""
         if self._server is not None:
@@ -48,6 +58,7 @@
     async def _serve(self, reader, writer):
         link = Link()
         self._links.add(link)
+        await self._open.wait()
         try:
             far_reader, far_writer = await asyncio.open_connection(
                 self._host, self._port)
@@ -63,10 +74,10 @@
         for end in (writer, far_writer):
             end.close()
 
-    @staticmethod
-    async def _copy(link, reader, writer):
+    async def _copy(self, link, reader, writer):
         try:
             while data := await reader.read(65536):
+                await self._open.wait()
                 if not link.silent:
                     writer.write(data)
                     await writer.drain()
