Spread the load of case 2 over six replicas

With four, a crash often met a replica that was just back and had few requests, so that its gossip was complete.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -23,11 +23,11 @@
 KEY = "k1"
 # Requests that crash replicas come one after the other. One comes again
 # after this pause, sooner if it was refused, until all machines refuse it.
-CRASH_PAUSE_S = 3.1
+CRASH_PAUSE_S = 3.3
 REFUSED_PAUSE_S = 0.5
 POISON_FROM_S, POISON_UNTIL_S = 8.0, 92.0
 BACK_AFTER_S = 4.0
-REPLICAS = 4
+REPLICAS = 6
 SLOTS = 128
 # Streams of 40 events, 0.29 s apart.
 EVENTS = 40
