--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,9 +1,10 @@
-"""All processes are killed at once; a request known to crash replicas runs."""
+"""A machine is removed for good; what its tenant had paid is refused."""
 
 import asyncio
 import json
 import os
 import pathlib
+import random
 import sys
 
 FOLDER = pathlib.Path(__file__).resolve().parent
@@ -16,146 +17,130 @@
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 GATEWAYS = 4
-KEY = "k1"
-POISON = b"the body that crashes a replica"
-POISON_EVERY_S = 5.0
-BACK_AFTER_S = 4.0
-RESTART_AFTER_S = 1.0
+TENANT, KEY = "t1", "k1"
+# `panel-questions` of the first sheet: prompt tokens, most output tokens.
+PROMPT, OUTPUT = 1460, 172
+PREPAID = 600_000
+REQUESTS_PER_S = 14.0
+REMOVED_AFTER_S = 8.0
+LENGTH_S = 45.0
 STABLE_S = fleet.BOUNDS["stable_ms"] / 1000
-# All processes are killed at these times after the start of traffic.
-KILLS_S = (15.5, 35.5)
-LENGTH_S = 54.0
-MOST_RETRIES = 3
+SETTLE_S = fleet.BOUNDS["settle_ms"] / 1000
+MOST_USED = 0.97
 
 
 def make_config():
     return json.dumps({
         "version": 11,
         "routes": [{
-            "name": "record", "host": "a.example", "prefix": "/record/",
-            "kind": "unsafe", "service": "records", "timeout_ms": 1000,
-            "goal_ms": 200, "attempts": 1, "priority": 2}],
-        "services": [{"name": "records", "health_path": "/health",
-                      "max_conns": 96}],
+            "name": "panel", "host": "a.example", "prefix": "/panel/",
+            "kind": "streaming", "service": "model", "timeout_ms": 12000,
+            "goal_ms": 500, "gap_goal_ms": 300, "attempts": 1, "priority": 2,
+            "sticky": True}],
+        "services": [{
+            "name": "model", "health_path": "/health", "max_conns": 360,
+            "engine": {"slots": 64, "kv_capacity": 381593, "stride": 4}}],
         "limits": {"max_header_bytes": 16384, "max_body_bytes": 4194304,
                    "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-        "tenants": [{"name": "t1", "api_keys": [KEY], "priority": 1}],
+        "tenants": [{"name": TENANT, "api_keys": [KEY], "priority": 1,
+                     "prepaid": PREPAID}],
     }).encode()
 
 
-class CrashingReplica(replica.Replica):
-    """Come back some seconds after a crash, as a new incarnation."""
+class Sent:
+    """Hold one request and what its client saw."""
 
-    def __init__(self, *args, record, **options):
-        super().__init__(*args, **options)
-        self.record, self.tasks, self.over = record, [], False
-        self.incarnation = 1
+    def __init__(self, gateway, at_s):
+        self.gateway, self.at_s = gateway, at_s
+        self.answer = None
 
-    async def crash(self):
-        self.record.write(f"{self.name} crashes")
-        await super().crash()
-        self.tasks.append(asyncio.ensure_future(self._come_back()))
-
-    async def _come_back(self):
-        former = self.name
-        # Its entry goes after three heartbeats of 1.2 s.
-        await asyncio.sleep(3.6)
-        self.store.put(f"servers/{former}", None)
-        await asyncio.sleep(BACK_AFTER_S - 3.6)
-        if not self.over:
-            self.incarnation += 1
-            self.name = f"{former.partition('.')[0]}.{self.incarnation}"
-            await self.start()
-            self.record.write(f"{self.name} is back")
+    def bound(self, now_s):
+        """Return what it may have cost at most, as the rules count it."""
+        answer = self.answer
+        if now_s - answer.ended_s < SETTLE_S and answer.status != 402:
+            return PROMPT + OUTPUT
+        if answer.status in (402, 429, 503):
+            return 0
+        if answer.whole:
+            return PROMPT + 4 * answer.events
+        return PROMPT + OUTPUT
 
 
 async def case():
     loop = asyncio.get_running_loop()
+    choices = random.Random(7)
     record = fleet.Record(FOLDER)
     platform = store.Store()
     address = await platform.start()
     runs = []
-    replicas = [CrashingReplica(platform, runs, f"i-{i}", "records", f"z{i}",
-                                record=record) for i in (1, 2, 3, 4)]
+    replicas = [replica.Replica(platform, runs, f"i-m{i}", "model", f"z{i}",
+                                slots=64) for i in (1, 2, 3)]
     for item in replicas:
-        item.poison = POISON
         await item.start()
     platform.put("op/config", make_config())
     gateways = fleet.Fleet(GATEWAYS, [address] * GATEWAYS)
-    sent = {}
-    disturbed = []
-
-    async def press(body, every_s, name):
-        """Send the same request again and again, at any machine in turn."""
-        count = 0
-        while loop.time() < until_s:
-            count += 1
-            gateway = gateways.gateways[count % GATEWAYS]
-            request = f"{name}{count}"
-            client = http11.Client(gateway.front)
-            at_s = loop.time()
-            answer = await client.send("POST", "/record/x", [
-                ("Host", "a.example"), ("Request-Id", request),
-                ("Deadline-Ms", 1000), ("Key", KEY)], body, 2.0)
-            client.close()
-            sent[request] = (gateway, at_s, answer)
-            await asyncio.sleep(every_s)
+    sent = []
+    tasks = []
+
+    async def ask(gateway, number):
+        item = Sent(gateway, loop.time())
+        sent.append(item)
+        client = http11.Client(gateway.front)
+        item.answer = await client.send(
+            "POST", "/panel/x", [
+                ("Host", "a.example"), ("Request-Id", f"r{number}"),
+                ("Deadline-Ms", 12000), ("Key", KEY), ("Model", "m"),
+                ("Token-Counts", f"{PROMPT},{OUTPUT}"),
+                ("Prompt-Prefix", f"{number:08x}:{PROMPT}")], b"body", 13.0)
+        client.close()
 
     try:
         await gateways.start()
         await asyncio.sleep(4.0)
         began_s = loop.time()
-        until_s = began_s + LENGTH_S
         record.write("traffic starts")
-        clients = [
-            asyncio.ensure_future(press(POISON, POISON_EVERY_S, "poison")),
-            asyncio.ensure_future(press(b"sound", 0.1, "sound"))]
-        for kill_s in KILLS_S if TROUBLE else ():
-            await asyncio.sleep(began_s + kill_s - loop.time())
-            record.write("all processes are killed")
-            disturbed.append(loop.time())
-            await asyncio.gather(*(g.kill() for g in gateways.gateways))
-            await asyncio.sleep(RESTART_AFTER_S)
-            await asyncio.gather(*(g.start() for g in gateways.gateways))
-            record.write("all processes are started again")
-            disturbed[-1] = (disturbed[-1], loop.time())
-        await asyncio.gather(*clients)
+        removed_s = None
+        live = list(gateways.gateways)
+        number = 0
+        while (now_s := loop.time()) < began_s + LENGTH_S:
+            if TROUBLE and not removed_s and now_s > began_s + REMOVED_AFTER_S:
+                removed_s = now_s
+                record.write(f"{live[-1].name} is removed for good")
+                await live[-1].kill()
+                # The platform sends no new connections to it.
+                del live[-1]
+            number += 1
+            tasks.append(asyncio.ensure_future(
+                ask(choices.choice(live), number)))
+            await asyncio.sleep(choices.expovariate(REQUESTS_PER_S))
+        await asyncio.gather(*tasks)
     finally:
         await gateways.stop()
         for item in replicas:
-            item.over = True
-            for task in item.tasks:
-                task.cancel()
             await item.stop()
         await platform.stop()
 
-    crashes = sorted(run.at_s for run in runs if run.id.startswith("poison"))
-    third_s = crashes[2] if len(crashes) > 2 else loop.time()
-    late = 0
-    by_id = {run.id: run for run in runs}
-    for request, (gateway, at_s, answer) in sorted(
-            sent.items(), key=lambda item: item[1][1]):
-        run = by_id.get(request)
-        if request.startswith("sound") and answer.status == 200:
-            continue
-        in_touch = run is not None and not any(
-            begin_s < run.at_s < end_s + STABLE_S
-            for begin_s, end_s in disturbed)
-        counts = (request.startswith("poison") and in_touch
-                  and run.at_s > third_s + STABLE_S)
-        late += counts
-        record.write(
-            f"{request} sent to {gateway.name}: status {answer.status}, "
-            f"run by {run.replica if run else 'nobody'}"
-            + (": counts" if counts else ""), at_s)
-    text = (f"the request crashed {len(crashes)} replicas; it reached {late} "
-            f"replicas later than stable_ms after the third crash, from "
-            f"machines in touch ({MOST_RETRIES} allowed)")
+    denied = 0
+    for number, item in enumerate(sent, 1):
+        answer = item.answer
+        used = sum(other.bound(answer.ended_s) for other in sent
+                   if other.at_s < answer.ended_s and other is not item)
+        fits = used + PROMPT + OUTPUT <= MOST_USED * PREPAID
+        wrong = answer.status == 402 and fits
+        denied += wrong
+        record.write(f"r{number} sent to {item.gateway.name}: status "
+                     f"{answer.status}, {answer.events} events, used by then "
+                     f"{used} of {PREPAID}" + (": DENIED" if wrong else ""),
+                     item.at_s)
+    allowed = 5 + len(sent) / 500
+    got = sum(PROMPT + 4 * i.answer.events for i in sent
+              if i.answer.status == 200)
+    text = (f"{denied} of {len(sent)} requests were refused with 402 though "
+            f"they fit ({allowed:.1f} allowed); the tenant got {got} of "
+            f"{PREPAID} tokens")
     record.write(text)
     print(text)
-    if len(crashes) < 3:
-        raise fleet.CannotRun("fewer than three replicas crashed")
-    return late > MOST_RETRIES
+    return denied > allowed
 
 
 fleet.run(case)
