--- a/review/3/case.py
+++ b/review/3/case.py
@@ -150,7 +150,7 @@
 
     before = [i for i in sent if i.at_s < marks["fault"]]
     judged_s = marks["back"] + RECOVERY_S
-    after, fits = [], 0
+    after = []
     for number, item in enumerate(sent, 1):
         answer = item.answer
         used = sum(other.bound(answer.ended_s) for other in sent
