Send each crash record until the peer has confirmed it

Cause: each request at a crash has a record, some 20 at each gateway; a gossip message held the last 16 by the time at which they were first made, so the one at fault was left out, at its second and later crashes always.

Ruled out: crashes that are not seen (suspect:crash is logged for each), records that are merged wrongly. Related: the oldest record was dropped first whatever its crashes, and the gossip of entries and sidecars left out records as well.

Change: a peer gets the next records by the number of their last change until it has confirmed them, those with several crashes on a cursor of their own. Entries and sidecars send recent records by turns. Of too many records those with the fewest crashes go first. A record goes once to each peer (44 bytes and more) where 18 went in each message for 3 s; no store calls.

--- a/src/cyclamenwing/gateway/gossip.py
+++ b/src/cyclamenwing/gateway/gossip.py
@@ -16,6 +16,7 @@
 from cyclamenwing.gateway import blackboard
 from cyclamenwing.gateway import clock
 from cyclamenwing.gateway import cold_notices
+from cyclamenwing.gateway import crash_notices
 from cyclamenwing.gateway import evacuation_notices
 from cyclamenwing.gateway import fences
 from cyclamenwing.gateway import gossip_messages
@@ -45,6 +46,7 @@
     ) -> None:
         self._board = board
         self._poison_requests = poison_tracker
+        self._crash_notices = crash_notices.CrashNoticeExchange(board)
         self._part_notices = poison_notices.PartNoticeExchange(board)
         self._load_notices = load_notices.LoadNoticeExchange(board)
         self.rate_notices = rate_notices.RateNoticeExchange(board)
@@ -73,6 +75,7 @@
         roster = board.roster
         now_s = clock.read_time()
         self._message_number += 1
+        self._poison_requests.expire()
         config = board.configuration
         attached = roster.list_attached(now_s)
         serves = host in attached
@@ -113,7 +116,12 @@
             },
             pools=pools,
             record_age_s=now_s - board.record_written_s,
-            suspects=self._poison_requests.build_gossip(),
+            suspects=(
+                None
+                if self._crash_notices.knows(host)
+                else self._poison_requests.build_gossip()
+            ),
+            crashes=self._crash_notices.build(address, host),
             store_age_s=now_s - board.direct_contact_s,
             late=self.has_late_record(now_s),
             registered=board.registered,
@@ -207,6 +215,9 @@
         board.versions.merge(message.software, message.software_span_s, now_s)
         if message.suspects is not None:
             self._poison_requests.merge_gossip(message.suspects)
+        self._crash_notices.merge(
+            message.crashes, message.address, message.host, message.holder
+        )
         self._part_notices.merge(
             message.parts, message.address, message.host, message.holder
         )
--- a/src/cyclamenwing/gateway/gossip_messages.py
+++ b/src/cyclamenwing/gateway/gossip_messages.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from cyclamenwing.budget import restoration
+from cyclamenwing.gateway import crash_notices
 from cyclamenwing.gateway import load_notices
 from cyclamenwing.gateway import poison_notices
 from cyclamenwing.gateway import rate_notices
@@ -35,7 +36,9 @@
     :param pools: revision and holders of the pools that it read from the store
         and has not sent to this peer yet
     :param record_age_s: age of its record of usage bounds in the store
-    :param suspects: requests that were running when endpoints crashed
+    :param suspects: requests that were running when endpoints crashed, for
+        peers that send no `crashes`
+    :param crashes: those that the peer has not confirmed
     :param store_age_s: time since it last reached the store directly
     :param late: its record is older than `gossip.LATE_RECORD_AGE_S`; the usage
         bounds may enter their late phase only after a peer has received this
@@ -89,6 +92,7 @@
     evacuations: list[evacuations.OrderNotice] = []
     cold: list[cold_marks.ColdNotice] = []
     rates: rate_notices.RateNotices | None = None
+    crashes: crash_notices.CrashNotices | None = None
     fence: int = 0
     adopted_fence: int = 0
 
--- a/src/cyclamenwing/gateway/poison_requests.py
+++ b/src/cyclamenwing/gateway/poison_requests.py
@@ -122,15 +122,24 @@
             )
 
     def build_gossip(self) -> quarantine.QuarantineGossip | None:
-        """Return crash records to send to peers, None without any."""
+        """Return crash records for peers that confirm none, None without any.
+
+        These are peers of earlier versions.
+        """
         now_ms = _read_ms()
         holder = self._board.escrow.holder
-        self._board.poison_parts.expire(now_ms)
-        self._controller.expire(self._board.quarantine, holder, now_ms)
         return self._controller.make_gossip(
             self._board.quarantine, holder, now_ms
         )
 
+    def expire(self) -> None:
+        """Drop records that have not changed for long."""
+        now_ms = _read_ms()
+        self._board.poison_parts.expire(now_ms)
+        self._controller.expire(
+            self._board.quarantine, self._board.escrow.holder, now_ms
+        )
+
     def merge_gossip(self, received: quarantine.QuarantineGossip) -> None:
         """Merge the crash records of a peer."""
         self._controller.receive(self._board.quarantine, received, _read_ms())
--- a/src/cyclamenwing/routing/quarantine.py
+++ b/src/cyclamenwing/routing/quarantine.py
@@ -10,6 +10,7 @@
 
 import collections
 import dataclasses
+import itertools
 from collections.abc import Iterable
 from typing import Literal
 from typing import NamedTuple
@@ -30,9 +31,13 @@
 CLAIM_TTL_MS = 3_500
 RECORD_TTL_MS = 24 * 3_600 * 1_000
 MAX_RECORDS = 4_096
+# Records dropped at once where there are too many.
+DROPPED_RECORDS = 512
 RECENT_MS = 3_000
 MAX_RECENT_RECORDS = 16
 MAX_OLD_RECORDS = 2
+# Records of each kind in one message to a peer that confirms them.
+MAX_CHANGED_RECORDS = 64
 
 
 class CrashRecord(TypedDict):
@@ -64,6 +69,20 @@
     claims: list[SuspectClaim]
 
 
+class Cursors(NamedTuple):
+    """Hold up to which changes a peer has the records of each kind.
+
+    :param repeated: of records with several crashes
+    :param others: of all other records
+    """
+
+    repeated: int = 0
+    others: int = 0
+
+
+START = Cursors()
+
+
 class _ReceivedClaim(NamedTuple):
     claim: SuspectClaim
     received_ms: int
@@ -73,8 +92,15 @@
 class QuarantineBoard:
     """Hold records and claims by fingerprint.
 
-    `changed_ms` is the time of each record's last change, `old_offset`
-    the position of the older records sent last.
+    Records stand in the order of their last change.
+
+    :ivar changed_ms: time of each record's last change
+    :ivar numbers: number of each record's last change
+    :ivar sources: host that each record's last change came from, empty if it
+        was seen here
+    :ivar number: number of the last change of any record
+    :ivar recent_offset: position of the recent records sent last
+    :ivar old_offset: position of the older records sent last
     """
 
     records: collections.OrderedDict[str, CrashRecord] = dataclasses.field(
@@ -84,6 +110,10 @@
     claims: dict[str, dict[str, _ReceivedClaim]] = dataclasses.field(
         default_factory=dict
     )
+    numbers: dict[str, int] = dataclasses.field(default_factory=dict)
+    sources: dict[str, str] = dataclasses.field(default_factory=dict)
+    number: int = 0
+    recent_offset: int = 0
     old_offset: int = 0
 
 
@@ -103,7 +133,7 @@
         self, board: QuarantineBoard, fingerprint: str, host: str, now_ms: int
     ) -> None:
         """Record that a request was running when an endpoint crashed."""
-        self._merge(
+        self.merge_record(
             board,
             {
                 "fingerprint": _shorten(fingerprint),
@@ -133,7 +163,7 @@
             "crashes": [],
             "cleared_ms": up_to_ms,
         }
-        self._merge(board, update, now_ms)
+        self.merge_record(board, update, now_ms)
         return True
 
     def try_claim(
@@ -199,14 +229,11 @@
     ) -> QuarantineGossip | None:
         """Return recently changed records, some older ones and own claims.
 
-        The older records are sent in rotation, so that processes that
-        start later receive them too.
+        Both are sent in rotation: a crash of a busy endpoint leaves more
+        records than a message holds, and processes that start later receive
+        the older ones too. Those with several crashes are always sent.
         """
-        recent = [
-            name
-            for name, changed_ms in board.changed_ms.items()
-            if now_ms - changed_ms < RECENT_MS
-        ][-MAX_RECENT_RECORDS:]
+        recent = self._select_recent(board, now_ms)
         names = recent + [
             name for name in self._select_old(board) if name not in recent
         ]
@@ -221,12 +248,46 @@
         records = [board.records[name] for name in names]
         return {"records": records, "claims": claims}
 
+    def list_changed(
+        self, board: QuarantineBoard, after: Cursors, receiver: str
+    ) -> tuple[list[CrashRecord], Cursors]:
+        """Return the next changed records for a peer, and what confirms them.
+
+        :param after: changes that the peer has confirmed
+        :param receiver: its host, which needs no records that came from it
+        """
+        if min(after) >= board.number:
+            return [], after
+        changed = list(
+            itertools.takewhile(
+                lambda name: board.numbers[name] > min(after),
+                reversed(board.records),
+            )
+        )[::-1]
+        names: list[str] = []
+        cursors = []
+        for kind, cursor in enumerate(after):
+            due = [
+                name
+                for name in changed
+                if board.numbers[name] > cursor
+                and _is_repeated(board.records[name]) == (kind == 0)
+            ]
+            sent = due[:MAX_CHANGED_RECORDS]
+            cursors.append(
+                board.number
+                if len(sent) == len(due)
+                else board.numbers[sent[-1]]
+            )
+            names += [n for n in sent if board.sources[n] != receiver]
+        return [board.records[name] for name in names], Cursors(*cursors)
+
     def receive(
         self, board: QuarantineBoard, gossip: QuarantineGossip, now_ms: int
     ) -> None:
         """Merge the records and claims of another process."""
         for record in gossip["records"]:
-            self._merge(board, record, now_ms)
+            self.merge_record(board, record, now_ms)
         for claim in gossip["claims"]:
             by_entry = board.claims.setdefault(claim["fingerprint"], {})
             by_entry[claim["entry"]] = _ReceivedClaim(claim, now_ms)
@@ -248,14 +309,24 @@
                     del by_entry[entry]
             if not by_entry:
                 del board.claims[name]
-        for name, changed_ms in list(board.changed_ms.items()):
-            if now_ms - changed_ms > RECORD_TTL_MS:
-                del board.changed_ms[name]
-                del board.records[name]
+        expired = itertools.takewhile(
+            lambda name: now_ms - board.changed_ms[name] > RECORD_TTL_MS,
+            board.records,
+        )
+        for name in list(expired):
+            _drop(board, name)
 
-    def _merge(
-        self, board: QuarantineBoard, update: CrashRecord, now_ms: int
+    def merge_record(
+        self,
+        board: QuarantineBoard,
+        update: CrashRecord,
+        now_ms: int,
+        source: str = "",
     ) -> None:
+        """Merge a record.
+
+        :param source: host that it came from, empty if it was seen here
+        """
         name = update["fingerprint"]
         existing = board.records.get(name)
         crashes = existing["crashes"] if existing else []
@@ -272,10 +343,35 @@
         if merged == existing or (existing is None and not merged["crashes"]):
             return
         board.records[name] = merged
+        board.records.move_to_end(name)
         board.changed_ms[name] = now_ms
-        while len(board.records) > MAX_RECORDS:
-            dropped, _ = board.records.popitem(last=False)
-            del board.changed_ms[dropped]
+        board.number += 1
+        board.numbers[name] = board.number
+        board.sources[name] = source
+        if len(board.records) > MAX_RECORDS:
+            # Those with the fewest crashes go first, the oldest among them.
+            ranked = sorted(
+                board.records, key=lambda n: len(board.records[n]["crashes"])
+            )
+            for dropped in ranked[:DROPPED_RECORDS]:
+                _drop(board, dropped)
+
+    def _select_recent(self, board: QuarantineBoard, now_ms: int) -> list[str]:
+        recent = list(
+            itertools.takewhile(
+                lambda name: now_ms - board.changed_ms[name] < RECENT_MS,
+                reversed(board.records),
+            )
+        )
+        repeated = [n for n in recent if _is_repeated(board.records[n])]
+        first = repeated[:MAX_RECENT_RECORDS]
+        others = [name for name in recent if name not in first]
+        count = min(MAX_RECENT_RECORDS, len(others))
+        board.recent_offset = (board.recent_offset + count) % max(
+            len(others), 1
+        )
+        start = board.recent_offset
+        return first + (others + others)[start : start + count]
 
     def _select_old(self, board: QuarantineBoard) -> list[str]:
         names = list(board.records)
@@ -305,6 +401,17 @@
     return joined[:MAX_CRASHES_KEPT]
 
 
+def _is_repeated(record: CrashRecord) -> bool:
+    return len(record["crashes"]) > 1
+
+
+def _drop(board: QuarantineBoard, name: str) -> None:
+    del board.records[name]
+    del board.changed_ms[name]
+    del board.numbers[name]
+    del board.sources[name]
+
+
 def _precedes(claim: SuspectClaim, other: SuspectClaim) -> bool:
     return (claim["since_ms"], claim["entry"]) < (
         other["since_ms"],
@@ -320,7 +427,9 @@
     "CLAIM_DELAY_MS",
     "CRASHES_TO_QUARANTINE",
     "MAX_CRASHES_KEPT",
+    "START",
     "CrashRecord",
+    "Cursors",
     "QuarantineBoard",
     "QuarantineController",
     "QuarantineGossip",
--- a/tests/routing/test_quarantine.py
+++ b/tests/routing/test_quarantine.py
@@ -143,3 +143,14 @@
     assert len(msgspec.json.encode(gossip)) < 300
     CONTROLLER.expire(old.board, "a", 48 * 3_600_000)
     assert old.board.records == {}
+
+
+def test_no_recent_record_is_left_out_at_a_crash_of_a_busy_endpoint() -> None:
+    # Entries know of a suspect only if its record reaches them in time.
+    old, new = SimulatedProcess("a"), SimulatedProcess("b")
+    names = [f"{number:064d}"[::-1] for number in range(90)]
+    for fingerprint in names:
+        old.crash("h1", 1_000, fingerprint)
+    for message in range(14):
+        old.send_gossip(new, 1_000 + 200 * message)
+    assert len(CONTROLLER.list_records(new.board)) == 90
