Believe the store, not a setting, that no stream came before

Operators of a system like ours saw: after a kill of all front machines beside a release, streams that clients took up held text of two versions.

Cause: `bootstrap` set the time since which no version was missed to minus infinity, whatever the store knew of the host.

Ruled out: wrong origins from keepers (ids are unique, keepers are lost too).

Change: the fleet counts as starting for the first time only if the store does not know the host yet. The confirmation of a configuration rests on the same. One commit more at a host's first start.

Test: with `bootstrap` true test_stream_from_before_a_loss_of_all_gateways fails before (200 instead of 503) and passes now.

--- a/src/cyclamenwing/gateway/app.py
+++ b/src/cyclamenwing/gateway/app.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import math
 import secrets
 import time
 from typing import Any
@@ -127,10 +126,7 @@
                 ),
                 clock.read_time(),
             ),
-            # Before the first start of the fleet there were no streams.
-            versions=versions.VersionHistory(
-                -math.inf if settings.bootstrap else clock.read_time()
-            ),
+            versions=versions.VersionHistory(clock.read_time()),
             # A pause between the two readings must not make peers seem behind.
             started_wall_s=time.time(),
             started_s=clock.read_time(),
--- a/src/cyclamenwing/gateway/blackboard.py
+++ b/src/cyclamenwing/gateway/blackboard.py
@@ -86,6 +86,8 @@
     :param configuration_confirmed: no peer knew a newer configuration since
         the start, or none answered in time
     :param registered: the store lists this gateway
+    :param first_start: the whole fleet starts for the first time, by the
+        settings and by the store
     :param store_contact_s: last answer of the store, direct or through a peer
     :param direct_contact_s: last direct answer of the store
     :param pools_updated_s: last update of each workspace's pool
@@ -127,6 +129,7 @@
     )
     peers: dict[str, Peer] = dataclasses.field(default_factory=dict)
     registered: bool = False
+    first_start: bool = False
     store_contact_s: float = 0.0
     direct_contact_s: float = 0.0
     pools_updated_s: dict[str, float] = dataclasses.field(default_factory=dict)
@@ -179,7 +182,7 @@
             seed != own for seed in self.settings.seeds
         )
         self.configuration_confirmed = (
-            self.settings.bootstrap
+            self.first_start
             or alone
             or 0 < newest <= config.version
             or waited_s >= CONFIRMATION_WAIT_S
--- a/src/cyclamenwing/gateway/registration.py
+++ b/src/cyclamenwing/gateway/registration.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import random
 
 import eliot
@@ -43,7 +44,7 @@
         """Register, then read the list of gateways until cancelled."""
         while not await self._register():
             await asyncio.sleep(RETRY_DELAY_S)
-        if self._board.settings.bootstrap:
+        if self._board.first_start:
             await asyncio.sleep(BOOTSTRAP_DELAY_S)
             await self._read_members(stale=False)
         self._board.roster.settle(clock.read_time())
@@ -64,16 +65,37 @@
     async def _register(self) -> bool:
         own = self._board.roster.own
         key = HOSTS_PREFIX + own.host
+        write = (key, msgspec.json.encode(own))
         try:
-            outcome = await self._store.commit(
-                [], [(key, msgspec.json.encode(own))]
-            )
+            if self._board.settings.bootstrap and not self._era:
+                outcome = await self._store.commit([(key, 0)], [write])
+                self._record_first_start(outcome)
+            outcome = await self._store.commit([], [write])
         except store_errors.StoreError as err:
             eliot.log_message("registration:failed", code=err.code)
             return False
         self._era = outcome.era
         return await self._read_members(stale=False)
 
+    def _record_first_start(
+        self, outcome: protocol.Committed | protocol.Conflict
+    ) -> None:
+        """Record that the whole fleet starts for the first time.
+
+        The setting may still say so when a process of the host starts again.
+        Streams and configurations of former processes would then count as
+        none, so the store must not know the host yet.
+        """
+        own = self._board.roster.own
+        first = isinstance(outcome, protocol.Committed) or any(
+            read_member(entry) == own for entry in outcome.entries
+        )
+        eliot.log_message("registration:bootstrap", first=first)
+        if first:
+            self._board.first_start = True
+            # No stream began before.
+            self._board.versions.since_s = -math.inf
+
     async def _read_members(self, stale: bool) -> bool:
         """Read all registered gateways; return whether the store answered.
 
@@ -87,16 +109,9 @@
             return False
         roster = self._board.roster
         for entry in snapshot.entries:
-            try:
-                member = msgspec.json.decode(
-                    entry.value, type=delegates.Member
-                )
-            except msgspec.DecodeError as err:
-                eliot.log_message(
-                    "registration:unreadable", key=entry.key, reason=str(err)
-                )
-                continue
-            roster.add(member)
+            member = read_member(entry)
+            if member is not None:
+                roster.add(member)
         self._board.registered = True
         roster.refresh(clock.read_time())
         eliot.log_message(
@@ -108,7 +123,19 @@
         return True
 
 
+def read_member(entry: protocol.Entry) -> delegates.Member | None:
+    """Return a registered gateway, None if its entry can't be read."""
+    try:
+        return msgspec.json.decode(entry.value, type=delegates.Member)
+    except msgspec.DecodeError as err:
+        eliot.log_message(
+            "registration:unreadable", key=entry.key, reason=str(err)
+        )
+        return None
+
+
 __all__ = (
     "HOSTS_PREFIX",
     "Registration",
+    "read_member",
 )
--- a/tests/gateway/deployments.py
+++ b/tests/gateway/deployments.py
@@ -97,6 +97,8 @@
         # Region of each zone, in the settings of gateways.
         self.regions: dict[str, str] = {}
         self.operator_key_sha256 = ""
+        # What the settings of gateways say.
+        self.bootstrap = False
 
     async def start(self, gateways: int = 1) -> None:
         for endpoint in self.endpoints:
@@ -127,6 +129,7 @@
                 control=addresses.reserve_address(),
                 store=self.store_address,
                 seeds=seeds,
+                bootstrap=self.bootstrap,
                 regions=self.regions,
                 operator_key_sha256=self.operator_key_sha256,
                 bounds=settings.Bounds(grace_s=4.0),
--- a/tests/gateway/test_stream_versions.py
+++ b/tests/gateway/test_stream_versions.py
@@ -300,3 +300,49 @@
         } == {service}
 
     run(check)
+
+
+@pytest.mark.parametrize("bootstrap", [False, True])
+def test_stream_from_before_a_loss_of_all_gateways_is_not_joined(
+    bootstrap: bool,
+) -> None:
+    # Guards against text of two versions in one stream: the old version has
+    # just left, all gateways are lost and start again, and the client returns.
+    # Their settings may still say that the fleet starts for the first time.
+    async def check(deployment: deployments.Deployment) -> None:
+        deployment.bootstrap = bootstrap
+        await set_versions(deployment, "v1")
+        await begin_stream(deployment)
+        await set_versions(deployment, "v2")
+        await asyncio.sleep(SETTLE_S)
+        for gateway in list(deployment.gateways):
+            gateway.stop()
+            deployment.gateways.remove(gateway)
+        for host in ("g0", "g1"):
+            await deployment.add_gateway(host)
+        await asyncio.sleep(SETTLE_S)
+        status, body = await resume_stream(deployment, 0)
+        assert (status, read_code(body)) == (503, "stream_version_unknown")
+        assert not any(list_resumed(e) for e in deployment.endpoints)
+
+    run(check, gateways=2)
+
+
+def test_fleet_that_starts_for_the_first_time_has_no_older_streams() -> None:
+    async def check() -> None:
+        deployment = deployments.Deployment()
+        deployment.bootstrap = True
+        await deployment.start()
+        try:
+            await asyncio.sleep(SETTLE_S)
+            await begin_stream(deployment)
+            deployment.gateways[0]._streams._known.clear()
+            status, body = await resume_stream(deployment, 0)
+            assert (status, body) == (200, REST)
+        finally:
+            deployment.gateways[0].stop()
+            for endpoint in deployment.endpoints:
+                endpoint.stop()
+            deployment.store.stop()
+
+    asyncio.run(check())
