Trust no answer without an id on a kept connection

Operators of a system like ours saw: a faulty replica wrote an earlier refusal once more on a kept connection; clients were told "not run" for a request that ran, or it ran at a second replica.

Cause here: an answer was taken for the request's own if its id was the same or missing. A refusal without an id on a kept connection let an unsafe request run at a second endpoint, or was answered 503.

Ruled out: a refusal with the id of another request (skipped), and a second one with the same id (a refused connection is closed).

Change: without an id such an answer counts as lost: 502, and another endpoint only for what may run twice.

Test: of test_repeated_refusals five cases fail before, all nine pass now.

--- a/src/cyclamenwing/gateway/attempts.py
+++ b/src/cyclamenwing/gateway/attempts.py
@@ -312,6 +312,18 @@
             )
             metadata = self._dialect.read_answer(head)
             self._observer.observe(endpoint, head.status, metadata)
+            if (
+                metadata.request_id is None
+                and context.call.request_id is not None
+                and connection.uses > 1
+            ):
+                # It may be an earlier answer written once more, so a refusal
+                # does not prove that this request has not run.
+                raise transport_errors.MalformedMessageError(
+                    f"answer {head.status} without a request id on a kept "
+                    "connection",
+                    "unknown",
+                )
             if metadata.request_id in (None, context.call.request_id):
                 self._observer.observe_limit(
                     endpoint, head.status, metadata, sent_s
