Forward nothing of an error as part of a stream

Operators of a system like ours saw: a stream broke off, the next replica answered with an error, and clients found its text or head in their stream, or the stream ended as complete.

Here, of eleven such answers five were forwarded or ended the stream as complete: a JSON error with status 200, an empty one, and an error's text or raw head inside an event stream with and without a length. A resumed stream that began from its first event was joined as well.

Cause: a status of success was all that was checked; whatever ended with a blank line passed as an event.

Ruled out: answers with an error status and raw heads between chunks, which were kept out before.

Change: a resumed answer needs the media type of the stream and a higher first id; lines that are no field of an event make an answer malformed before anything of it is forwarded.

--- a/src/cyclamenwing/gateway/events.py
+++ b/src/cyclamenwing/gateway/events.py
@@ -8,6 +8,9 @@
 
 _END = re.compile(rb"\r\n\r\n|\n\n|\r\r")
 _ID = re.compile(rb"^id:[ ]?([^\r\n]*)", re.MULTILINE)
+# A line that is no field, comment or end of an event, as in the head or text
+# of an error.
+_FOREIGN_LINE = re.compile(rb"(?:\A|[\r\n])(?!\xef\xbb\xbf)[^a-z:\r\n]")
 
 
 # Longest end of an event, less one byte.
@@ -27,6 +30,7 @@
         self._partial = bytearray()
         self.last_id: bytes | None = None
         self.count = 0
+        self._resumed = False
 
     @property
     def partial(self) -> bytes:
@@ -38,16 +42,20 @@
 
         The time is linear in the new bytes, however small the pieces are.
 
-        :raises MalformedMessageError: if an event has no end
+        :raises MalformedMessageError: if an event has no end, the bytes are
+            no events, or a resumed stream repeats one
         """
         begin = max(len(self._partial) - _END_OVERLAP, 0)
         self._partial += data
-        end = 0
-        for match in _END.finditer(self._partial, begin):
-            self.count += 1
-            end = match.end()
-        whole = bytes(self._partial[:end])
-        del self._partial[:end]
+        ends = [m.end() for m in _END.finditer(self._partial, begin)]
+        whole = bytes(self._partial[: ends[-1]]) if ends else b""
+        if _FOREIGN_LINE.search(whole):
+            raise transport_errors.MalformedMessageError(
+                "the stream has bytes that are no event", "unknown"
+            )
+        self._check_resumed(whole)
+        self.count += len(ends)
+        del self._partial[: len(whole)]
         if len(self._partial) > MAX_EVENT_BYTES:
             raise transport_errors.MalformedMessageError(
                 "an event of the stream is too long", "unknown"
@@ -60,6 +68,24 @@
     def restart(self) -> None:
         """Drop the partial event at the end of a broken stream."""
         self._partial.clear()
+        self._resumed = self.last_id is not None
+
+    def _check_resumed(self, whole: bytes) -> None:
+        """Check that the first event after a restart follows the last one.
+
+        :raises MalformedMessageError: if the ids don't increase
+        """
+        if not self._resumed or not whole:
+            return
+        self._resumed = False
+        found = _ID.search(whole)
+        first, last = found and found[1], self.last_id
+        if first is None or last is None:
+            return
+        if first.isdigit() and last.isdigit() and int(first) <= int(last):
+            raise transport_errors.MalformedMessageError(
+                "the resumed stream repeats an event", "unknown"
+            )
 
 
 __all__ = ("EventReader",)
--- a/src/cyclamenwing/gateway/forwarding.py
+++ b/src/cyclamenwing/gateway/forwarding.py
@@ -13,6 +13,7 @@
 from cyclamenwing.transport import h1_client
 
 SUCCESS_STATUSES = range(200, 300)
+EVENT_STREAM = b"text/event-stream"
 
 
 class AnswerForwarder:
@@ -39,6 +40,7 @@
         self.observe_begin: Callable[[], None] | None = None
         self.reader = events.EventReader()
         self.started = False
+        self._content_type = EVENT_STREAM
         # The whole answer of the endpoint is here and only has to be written.
         self.complete = False
 
@@ -94,6 +96,7 @@
         stream can go on at an event boundary.
         """
         context = self._context
+        self._check_content_type(head)
         self.reader.restart()
         while True:
             await self._delivery.wait_room()
@@ -138,6 +141,21 @@
         """Write nothing more."""
         self._delivery.discard()
 
+    def _check_content_type(self, head: h1.ResponseHead) -> None:
+        """Check that the answer to a resumed stream goes on with it.
+
+        The text of an error may come with a status of success.
+
+        :raises MalformedMessageError: if it is of another type
+        """
+        found = _read_type(head)
+        if not self.started:
+            self._content_type = found or EVENT_STREAM
+        elif found and found != self._content_type:
+            raise transport_errors.MalformedMessageError(
+                f"resumed stream answered with {found!r}", "unknown"
+            )
+
     def _begin_answer(self) -> None:
         if self.observe_begin is not None:
             self.observe_begin()
@@ -155,6 +173,12 @@
             self._context.status = head.status
 
 
+def _read_type(head: h1.ResponseHead) -> bytes:
+    """Return the media type of an answer, without its parameters."""
+    value = h1.find_header(head.headers, b"content-type") or b""
+    return value.partition(b";")[0].strip().lower()
+
+
 def _is_framed(head: h1.ResponseHead) -> bool:
     """Return whether the body's end is told from that of the connection."""
     names = {name for name, _ in head.headers}
