End watches once another call of the store gets no answer

Cause: a watch on a silent connection ends 4 s after it began, later than stable_ms. The renewal of the record had timed out before, but ended no watch.

Ruled out: shorter watches, which cost twice the calls all the time.

Change: a call that got no answer at all ends the watches, and a new connection is tried at once. A reset ends none. After a silent call one read and two watches more for each delegate; none otherwise.

--- a/src/cyclamenwing/gateway/relay.py
+++ b/src/cyclamenwing/gateway/relay.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Sequence
@@ -41,6 +42,12 @@
 )
 
 
+class WatchSilencedError(errors.StoreUnavailableError):
+    """Report a watch that ended as its connection may be silent."""
+
+    code = "watch_silenced"
+
+
 class RelayRequest(msgspec.Struct):
     """Ask a peer to make one store call, `read`, `follow` or `commit`."""
 
@@ -79,6 +86,10 @@
         self._board = board
         self._caller = http
         self._unreachable = False
+        # Set, and replaced, when a call got no answer at all. Connections on
+        # which watches wait may then be silent as well.
+        self._silenced = asyncio.Event()
+        self._probe_due = asyncio.Event()
 
     async def read(
         self, prefix: str, stale: bool = False
@@ -105,7 +116,7 @@
         """Wait for changes after a revision, by long polling."""
         try:
             return await self._call_direct(
-                lambda: self._direct.follow(prefix, revision, wait_s)
+                lambda: self._watch(prefix, revision, wait_s)
             )
         except errors.StoreHistoryLostError:
             raise
@@ -147,9 +158,16 @@
         return protocol.Committed(reply.revision, reply.era)
 
     async def probe(self) -> None:
-        """Test direct calls periodically while the store is unreachable."""
+        """Test direct calls periodically while the store is unreachable.
+
+        The first test follows a silent call at once: new connections may work
+        though those that were open have gone silent.
+        """
         while True:
-            await asyncio.sleep(PROBE_INTERVAL_S)
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(PROBE_INTERVAL_S):
+                    await self._probe_due.wait()
+            self._probe_due.clear()
             if not self._unreachable:
                 continue
             if not self._board.roster.acts_as_delegate:
@@ -192,16 +210,47 @@
         except (
             errors.StoreHistoryLostError,
             errors.StoreRefusedError,
+            WatchSilencedError,
         ):
             raise
         except errors.StoreError as err:
             self._unreachable = True
             eliot.log_message("relay:store_lost", code=err.code)
+            if isinstance(
+                err.__cause__, transport_errors.ConnectionSilentError
+            ):
+                self._silenced.set()
+                self._silenced = asyncio.Event()
+                self._probe_due.set()
             raise
         self._board.direct_contact_s = clock.read_time()
         self._board.eras.check(result.era, "store")
         return result
 
+    async def _watch(
+        self, prefix: str, revision: int, wait_s: float
+    ) -> protocol.Changes:
+        """Wait for changes until another call got no answer.
+
+        :raises WatchSilencedError: if one got none
+        """
+        watch = asyncio.ensure_future(
+            self._direct.follow(prefix, revision, wait_s)
+        )
+        silenced = asyncio.ensure_future(self._silenced.wait())
+        try:
+            await asyncio.wait(
+                (watch, silenced), return_when=asyncio.FIRST_COMPLETED
+            )
+            if watch.done():
+                return watch.result()
+            raise WatchSilencedError(
+                "another call got no answer during the watch"
+            )
+        finally:
+            watch.cancel()
+            silenced.cancel()
+
     async def _relay(
         self, request: RelayRequest, cause: errors.StoreError
     ) -> RelayReply:
@@ -262,7 +311,7 @@
             )
         if request.call == "follow":
             changes = await self._call_direct(
-                lambda: self._direct.follow(
+                lambda: self._watch(
                     request.prefix, request.revision, request.wait_s
                 )
             )
@@ -299,6 +348,7 @@
         errors.StoreBusyError,
         errors.StoreHistoryLostError,
         errors.StoreRefusedError,
+        WatchSilencedError,
     )
 }
 
