Keep quarantined requests in the store

Cause: the records of whole requests were in memory and in gossip only; the store had a copy of quarantined parts alone.

Change: the same code keeps both kinds.

--- a/src/cyclamenwing/gateway/app.py
+++ b/src/cyclamenwing/gateway/app.py
@@ -145,9 +145,15 @@
             self._store, board, http, settled
         )
         self._pools = pools.PoolClient(board, self._store, settled)
-        self._poison_records = poison_records.PoisonRecordStore(
-            board, self._store, settled
-        )
+        self._poison_records = [
+            poison_records.PoisonRecordStore(
+                board, self._store, settled, source
+            )
+            for source in (
+                poison_records.PartRecords(board),
+                poison_records.RequestRecords(board),
+            )
+        ]
         self._streams = stream_origins.StreamOrigins(board, http)
         self._releases = releases.PredecessorRelease(
             board, self._store, self._pools.request_draw
@@ -264,7 +270,7 @@
             self._store.probe,
             self._pools.run,
             self._reservations.run,
-            self._poison_records.run,
+            *(records.run for records in self._poison_records),
             self._streams.run,
             self._release_loop.run,
             self._reclaims.run,
--- a/src/cyclamenwing/gateway/crash_notices.py
+++ b/src/cyclamenwing/gateway/crash_notices.py
@@ -25,6 +25,14 @@
     crashes: list[tuple[str, int]]
     cleared_ms: int
 
+    def unpack(self) -> quarantine.CrashRecord:
+        """Return the record."""
+        return {
+            "fingerprint": self.fingerprint,
+            "crashes": self.crashes,
+            "cleared_ms": self.cleared_ms,
+        }
+
 
 class CrashNotices(msgspec.Struct, array_like=True):
     """Hold changed records of requests.
@@ -97,17 +105,14 @@
         for notice in notices.records:
             self._controller.merge_record(
                 self._board.quarantine,
-                {
-                    "fingerprint": notice.fingerprint,
-                    "crashes": notice.crashes,
-                    "cleared_ms": notice.cleared_ms,
-                },
+                notice.unpack(),
                 now_ms,
                 host,
             )
 
 
 __all__ = (
+    "CrashNotice",
     "CrashNoticeExchange",
     "CrashNotices",
 )
