Try reclaims less often where they keep failing

A host that is removed for good stays among the known peers, and each failed try read its record again after 5 s, for as long as the process lived. The delay now doubles up to 60 s, and budgets are looked through only when a try is due. What is known of a gateway is forgotten once it is heard of again.

--- a/src/cyclamenwing/gateway/reclaims.py
+++ b/src/cyclamenwing/gateway/reclaims.py
@@ -38,8 +38,9 @@
 # A record that did not change between two reads is older than the time between
 # them. A holder that finds out by itself assumes a shorter time.
 UNCHANGED_S = pool_restoration.MIN_RECLAIM_AGE_S + 0.5
-# Delay before a reclaim is tried again that failed.
+# Delay before a reclaim is tried again, doubled each time.
 RETRY_DELAY_S = 5.0
+MAX_RETRY_DELAY_S = 60.0
 
 
 class SilentRecord(NamedTuple):
@@ -69,6 +70,7 @@
         self._pools = pool_client
         self._silent: dict[str, SilentRecord] = {}
         self._retry_at_s: dict[str, float] = {}
+        self._retry_delay_s: dict[str, float] = {}
 
     async def run(self) -> None:
         """Reclaim holdings until cancelled."""
@@ -76,14 +78,8 @@
             await asyncio.sleep(POLL_INTERVAL_S * random.uniform(0.8, 1.2))
             now_s = clock.read_time()
             candidates = self._list_candidates(now_s)
-            self._silent = {
-                holder: silent
-                for holder, silent in self._silent.items()
-                if holder in candidates
-            }
+            self._forget_live(now_s)
             for holder, host in candidates.items():
-                if now_s < self._retry_at_s.get(holder, 0.0):
-                    continue
                 try:
                     await self._reclaim(holder, host, now_s)
                 except store_errors.StoreError as err:
@@ -91,6 +87,13 @@
                         "funds:reclaim_failed", holder=holder, code=err.code
                     )
 
+    def _forget_live(self, now_s: float) -> None:
+        """Forget what is known of gateways that are heard of again."""
+        live = {peer.holder for peer in self._board.list_live_peers(now_s)}
+        for known in (self._silent, self._retry_at_s, self._retry_delay_s):
+            for holder in live & known.keys():
+                del known[holder]
+
     def _list_candidates(self, now_s: float) -> dict[str, str]:
         """Return holders to reclaim from, and their hosts.
 
@@ -112,6 +115,7 @@
             peer.holder: peer.host
             for peer in board.peers.values()
             if now_s - peer.received_s > blackboard.PEER_TIMEOUT_S
+            and now_s >= self._retry_at_s.get(peer.holder, 0.0)
             and any(
                 peer.holder in pool.holders
                 for pool in board.escrow.pools.values()
@@ -160,7 +164,9 @@
             self._pools.request_draw()
 
     def _postpone(self, holder: str, now_s: float) -> None:
-        self._retry_at_s[holder] = now_s + RETRY_DELAY_S
+        delay_s = self._retry_delay_s.get(holder, RETRY_DELAY_S)
+        self._retry_at_s[holder] = now_s + delay_s
+        self._retry_delay_s[holder] = min(delay_s * 2, MAX_RETRY_DELAY_S)
 
     def _list_reductions(self, record: records.HolderRecord) -> dict[str, int]:
         """Return what each pool may count for the holder, where that is less.
