--- a/src/cyclamenwing/gateway/events.py
+++ b/src/cyclamenwing/gateway/events.py
@@ -8,9 +8,12 @@
 
 _END = re.compile(rb"\r\n\r\n|\n\n|\r\r")
 _ID = re.compile(rb"^id:[ ]?([^\r\n]*)", re.MULTILINE)
-# A line that is no field, comment or end of an event, as in the head or text
-# of an error.
-_FOREIGN_LINE = re.compile(rb"(?:\A|[\r\n])(?!\xef\xbb\xbf)[^a-z:\r\n]")
+# Begins of lines that are no field, comment or end of an event, as in the head
+# or text of an error. Most streams end lines by a line feed alone, and the
+# search for these is several times as fast.
+_FOREIGN_START = re.compile(rb"(?!\xef\xbb\xbf)[^a-z:\r\n]")
+_FOREIGN_LINE = re.compile(rb"\n[^a-z:\r\n]")
+_FOREIGN_LINE_ANY_END = re.compile(rb"[\r\n][^a-z:\r\n]")
 
 
 # Longest end of an event, less one byte.
@@ -49,7 +52,7 @@
         self._partial += data
         ends = [m.end() for m in _END.finditer(self._partial, begin)]
         whole = bytes(self._partial[: ends[-1]]) if ends else b""
-        if _FOREIGN_LINE.search(whole):
+        if _has_foreign_line(whole):
             raise transport_errors.MalformedMessageError(
                 "the stream has bytes that are no event", "unknown"
             )
@@ -88,4 +91,9 @@
             )
 
 
+def _has_foreign_line(data: bytes) -> bool:
+    pattern = _FOREIGN_LINE_ANY_END if b"\r" in data else _FOREIGN_LINE
+    return bool(_FOREIGN_START.match(data) or pattern.search(data))
+
+
 __all__ = ("EventReader",)
