--- a/review/6/case.py
+++ b/review/6/case.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import pathlib
+import signal
 import sys
 import time
 
@@ -19,6 +20,8 @@
 DRAIN_MS = fleet.FIELDS["bounds"]["drain_ms"]
 # A draining replica serves on for `drain_ms` and at times many seconds.
 SERVES_ON_S = 6.0
+# Time in which a gateway that starts must be ready.
+START_S = 15.0
 
 
 async def send_requests(one, answers, until_s: float) -> None:
@@ -104,6 +107,21 @@
             f"after the release {failed} of {len(answers) - after} requests "
             "got no success, though three replicas are ready"
         )
+        restarted = one.gateways[0]
+        restarted.send(signal.SIGTERM)
+        await restarted.process.wait()
+        await restarted.start()
+        began_s = time.monotonic()
+        ready = False
+        while not ready and time.monotonic() - began_s < START_S:
+            await asyncio.sleep(0.2)
+            ready = await restarted.is_ready()
+        took_s = time.monotonic() - began_s
+        one.note(
+            f"{restarted.name} is started again: "
+            + (f"ready after {took_s:.1f} s" if ready else "not ready in "
+               f"{took_s:.0f} s")
+        )
         failures = one.gateways[0].events("task:failed")
         one.note(f"gateway log: task:failed {len(failures)} times")
         for item in failures[:1]:
--- a/review/common-2/proxy.py
+++ b/review/common-2/proxy.py
@@ -20,11 +20,14 @@
     """Forward connections to the store.
 
     A silenced connection stays open and passes nothing on in either direction.
+
+    :ivar cut: new connections are silent as well
     """
 
     def __init__(self, target: str) -> None:
         self.target = target
         self.address = ""
+        self.cut = False
         self.links: set[Link] = set()
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task] = set()
@@ -41,6 +44,12 @@
         """Return the connections on which a call with a text is waiting."""
         return [i for i in self.links if text in i.waiting and not i.silent]
 
+    def partition(self) -> None:
+        """Silence all connections, those to come too."""
+        self.cut = True
+        for link in self.links:
+            link.silent = True
+
     def close(self) -> None:
         if self._server is not None:
             self._server.close()
@@ -52,6 +61,7 @@
         host, _, port = self.target.rpartition(":")
         far_reader, far_writer = await asyncio.open_connection(host, int(port))
         link = Link()
+        link.silent = self.cut
         link.writers = [writer, far_writer]
         self.links.add(link)
         for source, sink, calls in (
