--- a/review/common-2/standins.py
+++ b/review/common-2/standins.py
@@ -9,19 +9,32 @@
 import base64
 import contextlib
 import json
+import random
 import socket
 import time
 import urllib.parse
 
 MS = 1000.0
+_reserved: set[int] = set()
 
 
 def reserve_port() -> int:
-    """Return a free port of the loopback address."""
-    with socket.socket() as sock:
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
+    """Return a free port of the loopback address.
+
+    It lies below the ports that the system gives to outgoing connections, so
+    that none of these takes it before its process starts.
+    """
+    while True:
+        port = random.randrange(18_000, 32_000)
+        if port in _reserved:
+            continue
+        with socket.socket() as sock:
+            try:
+                sock.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        _reserved.add(port)
+        return port
 
 
 async def read_head(reader: asyncio.StreamReader) -> tuple[str, dict]:
