--- a/review/6/case.py
+++ b/review/6/case.py
@@ -70,7 +70,9 @@
         await send_requests(one, answers, time.monotonic() + 3.0)
         leaving = one.replicas[0]
         leaving.state = "draining"
-        acked_s = await one.store.put(f"servers/{leaving.name}", leaving.entry())
+        acked_s = await one.store.put(
+            f"servers/{leaving.name}", leaving.entry()
+        )
         one.note(f"the store acknowledges that {leaving.name} is draining")
         await send_requests(one, answers, acked_s + SERVES_ON_S)
         late = [
@@ -89,7 +91,6 @@
             old.state = "draining"
             await one.store.put(f"servers/{old.name}", old.entry())
         one.note("three new replicas are ready, the three others drain")
-        began = len(answers)
         await send_requests(one, answers, time.monotonic() + 4.0)
         for old in one.replicas[1:4]:
             old.state = "gone"
@@ -119,8 +120,11 @@
         took_s = time.monotonic() - began_s
         one.note(
             f"{restarted.name} is started again: "
-            + (f"ready after {took_s:.1f} s" if ready else "not ready in "
-               f"{took_s:.0f} s")
+            + (
+                f"ready after {took_s:.1f} s"
+                if ready
+                else f"not ready in {took_s:.0f} s"
+            )
         )
         failures = one.gateways[0].events("task:failed")
         one.note(f"gateway log: task:failed {len(failures)} times")
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -55,7 +55,11 @@
 async def wait_for_new_watches(proxies) -> list:
     """Return each gateway's watch of the replicas once all have just begun."""
     while True:
-        links = [i for p in proxies for i in p.list_waiting("kv-watch?prefix=servers")]
+        links = [
+            i
+            for p in proxies
+            for i in p.list_waiting("kv-watch?prefix=servers")
+        ]
         oldest_s = min((link.since_s for link in links), default=0.0)
         if len(links) == len(proxies) and time.monotonic() - oldest_s < 0.3:
             return links
@@ -87,7 +91,9 @@
             if fleet.TROUBLE:
                 for link in links:
                     link.silent = True
-                one.note(f"{len(links)} connections go silent, on which a watch waits")
+                one.note(
+                    f"{len(links)} connections go silent while a watch waits"
+                )
             await asyncio.sleep(0.1)
             leaving.state = "draining"
             entry = leaving.entry()
--- a/review/common-2/fleet.py
+++ b/review/common-2/fleet.py
@@ -1,4 +1,4 @@
-"""Gateways started with the commands of the deploy file, and their settings."""
+"""Gateways started as the deploy file says, and their settings."""
 
 from __future__ import annotations
 
@@ -93,7 +93,7 @@
             "node": self.name,
             "zone": self.zone,
             "region": "r1",
-            "zones": {z: "r1" for z in fleet.zones},
+            "zones": dict.fromkeys(fleet.zones, "r1"),
             "listen": {
                 "front": self.front,
                 "ready": self.ready,
@@ -101,7 +101,9 @@
             },
             "ip": "127.0.0.1",
             "port_range": [self.metrics, self.metrics],
-            "platform": {"address": self.changes.get("store", fleet.store.address)},
+            "platform": {
+                "address": self.changes.get("store", fleet.store.address)
+            },
             "seeds": [g.control for g in fleet.gateways[:3]],
             "bootstrap": self.starts == 0 and fleet.bootstrap,
             **FIELDS,
@@ -110,7 +112,7 @@
         path = fleet.folder / f"{self.name}.conf"
         template = (ROOT / role["template"]).read_text()
         path.write_text(render(template, fields))
-        self.log = open(fleet.folder / f"{self.name}.log", "ab")
+        log = (fleet.folder / f"{self.name}.log").open("ab")
         self.process = await asyncio.create_subprocess_exec(
             *shlex.split(role["run"]),
             cwd=ROOT,
@@ -122,9 +124,10 @@
                 "PYTHONDONTWRITEBYTECODE": "1",
                 "CYCLAMENWING_CONFIG": str(path),
             },
-            stdout=self.log,
-            stderr=self.log,
+            stdout=log,
+            stderr=log,
         )
+        log.close()
         self.starts += 1
 
     def send(self, number: int) -> None:
@@ -233,38 +236,69 @@
         "version": 10,
         "routes": [
             {
-                "name": "read", "host": "h.example", "prefix": "/read/",
-                "service": "app", "kind": "idempotent", "timeout_ms": 2500,
-                "goal_ms": 200, "attempts": 2, "priority": 2,
+                "name": "read",
+                "host": "h.example",
+                "prefix": "/read/",
+                "service": "app",
+                "kind": "idempotent",
+                "timeout_ms": 2500,
+                "goal_ms": 200,
+                "attempts": 2,
+                "priority": 2,
             },
             {
-                "name": "write", "host": "h.example", "prefix": "/write/",
-                "service": "app", "kind": "unsafe", "timeout_ms": 2500,
-                "goal_ms": 200, "attempts": 1, "priority": 2,
+                "name": "write",
+                "host": "h.example",
+                "prefix": "/write/",
+                "service": "app",
+                "kind": "unsafe",
+                "timeout_ms": 2500,
+                "goal_ms": 200,
+                "attempts": 1,
+                "priority": 2,
             },
             {
-                "name": "compare", "host": "h.example", "prefix": "/compare/",
-                "service": "llm", "kind": "streaming", "timeout_ms": 6000,
-                "goal_ms": 800, "gap_goal_ms": 300, "attempts": 2,
-                "priority": 0, "sticky": True, "resumable": True,
+                "name": "compare",
+                "host": "h.example",
+                "prefix": "/compare/",
+                "service": "llm",
+                "kind": "streaming",
+                "timeout_ms": 6000,
+                "goal_ms": 800,
+                "gap_goal_ms": 300,
+                "attempts": 2,
+                "priority": 0,
+                "sticky": True,
+                "resumable": True,
             },
             {
-                "name": "chat", "host": "h.example", "prefix": "/chat/",
-                "service": "llm", "kind": "streaming", "timeout_ms": 12000,
-                "goal_ms": 500, "gap_goal_ms": 300, "attempts": 1,
-                "priority": 2, "sticky": True,
+                "name": "chat",
+                "host": "h.example",
+                "prefix": "/chat/",
+                "service": "llm",
+                "kind": "streaming",
+                "timeout_ms": 12000,
+                "goal_ms": 500,
+                "gap_goal_ms": 300,
+                "attempts": 1,
+                "priority": 2,
+                "sticky": True,
             },
         ],
         "services": [
             {"name": "app", "health_path": "/health", "max_conns": 96},
             {
-                "name": "llm", "health_path": "/health", "max_conns": 360,
+                "name": "llm",
+                "health_path": "/health",
+                "max_conns": 360,
                 "engine": {"slots": 64, "kv_capacity": 381593, "stride": 4},
             },
         ],
         "limits": {
-            "max_header_bytes": 16384, "max_body_bytes": 1048576,
-            "header_timeout_ms": 3000, "idle_timeout_ms": 15000,
+            "max_header_bytes": 16384,
+            "max_body_bytes": 1048576,
+            "header_timeout_ms": 3000,
+            "idle_timeout_ms": 15000,
         },
         "tenants": [{"name": "t1", "api_keys": ["key-1"]}],
         **changes,
@@ -272,7 +306,7 @@
 
 
 def run_case(main) -> int:
-    """Run a case; return 0 if the rule held, 1 if not, 2 if it couldn't run."""
+    """Run a case; return 0 if its rule held, 1 if not, 2 if it can't run."""
 
     async def guarded():
         async with asyncio.timeout(115):
--- a/review/common-2/proxy.py
+++ b/review/common-2/proxy.py
@@ -33,9 +33,7 @@
         self._tasks: set[asyncio.Task] = set()
 
     async def listen(self) -> str:
-        self._server = await asyncio.start_server(
-            self._accept, "127.0.0.1", 0
-        )
+        self._server = await asyncio.start_server(self._accept, "127.0.0.1", 0)
         host, port = self._server.sockets[0].getsockname()[:2]
         self.address = f"{host}:{port}"
         return self.address
--- a/review/common-2/standins.py
+++ b/review/common-2/standins.py
@@ -293,7 +293,11 @@
         return await self.serve(headers, body, echo, writer)
 
     async def serve(self, headers, body, echo, writer):
-        self.runs.append((time.monotonic(), headers.get("request-id"), headers))
+        self.runs.append((
+            time.monotonic(),
+            headers.get("request-id"),
+            headers,
+        ))
         stamp = [*echo, ("Replica-Stamp", f"stamp-{self.name}")]
         if "token-counts" in headers:
             return await self.stream(headers, stamp, writer)
