--- a/review/common-3/lib.py
+++ b/review/common-3/lib.py
@@ -452,6 +452,44 @@
             writer.close()
 
 
+class KeptConnection:
+    """A connection that a client keeps for many requests."""
+
+    def __init__(self, address):
+        self._address = address
+        self._streams = None
+
+    async def call(self, method, target, headers, body=b"", timeout_s=10.0):
+        """Send a request; return its whole answer.
+
+        :raises OSError: if the connection ends without one
+        """
+        host, _, port = self._address.rpartition(":")
+        try:
+            async with asyncio.timeout(timeout_s):
+                if self._streams is None:
+                    self._streams = await asyncio.open_connection(
+                        host, int(port), limit=2**24
+                    )
+                reader, writer = self._streams
+                fields = {"Host": HOST, **headers}
+                writer.write(
+                    make_message(f"{method} {target} HTTP/1.1", fields, body)
+                )
+                first, found, answer = await read_message(reader)
+        except (TimeoutError, OSError, EOFError, ValueError) as err:
+            self.close()
+            raise OSError(repr(err)) from err
+        if found.get("connection", "").lower() == "close":
+            self.close()
+        return int(first.split(" ")[1]), found, answer
+
+    def close(self):
+        if self._streams is not None:
+            self._streams[1].close()
+            self._streams = None
+
+
 def run_case(folder, case):
     """Run a case in a temporary folder; return the exit code."""
     record = Record(folder)
