--- a/review/common-3/lib.py
+++ b/review/common-3/lib.py
@@ -9,6 +9,7 @@
 import json
 import os
 import pathlib
+import random
 import shutil
 import signal
 import socket
@@ -20,6 +21,10 @@
 PROGRAM = ("python3", "src/gateway.py")
 HOST = "api.example"
 START_TIMEOUT_S = 25.0
+# Below the ports that the system gives to outgoing connections.
+PORTS = (16_000, 30_000)
+
+_reserved = set()
 
 
 class Record:
@@ -38,9 +43,17 @@
 
 
 def reserve_address():
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{sock.getsockname()[1]}"
+    """Return a free address whose port no outgoing connection gets."""
+    while True:
+        port = random.randrange(*PORTS)
+        with socket.socket() as sock:
+            try:
+                sock.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        if port not in _reserved:
+            _reserved.add(port)
+            return f"127.0.0.1:{port}"
 
 
 async def read_message(reader):
@@ -427,6 +440,13 @@
                 await process.wait()
 
 
+def read_memory_mb(process):
+    """Return the resident memory of a process."""
+    status = pathlib.Path(f"/proc/{process.pid}/status").read_text()
+    line = next(x for x in status.splitlines() if x.startswith("VmRSS"))
+    return int(line.split()[1]) / 1024
+
+
 async def call(address, method, target, headers, body=b"", timeout_s=10.0):
     """Send one request on a new connection; return its whole answer.
 
