--- a/review/11/case.py
+++ b/review/11/case.py
@@ -2,8 +2,9 @@
 
 Several tenants send one large request each to the same gateway. It draws the
 tokens, and the requests run and are answered. Then the gateway is killed, and
-the store is away for a second and comes back from a copy two seconds old. The
-tenants go on at the other gateways until these refuse for good.
+the store is away for a second and comes back from a copy some two seconds old.
+This happens three times, with other tenants and another gateway. Then all
+tenants go on at all gateways until these refuse for good.
 """
 
 import asyncio
@@ -20,14 +21,19 @@
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 GATEWAYS = ("g0", "g1", "g2", "g3")
-TENANTS = [f"t{n}" for n in range(10)]
+VICTIMS = ("g0", "g1", "g2")
+TENANTS_PER_VICTIM = 8
+TENANTS = [f"t{n}" for n in range(len(VICTIMS) * TENANTS_PER_VICTIM)]
 PREPAID = 60_000
-LARGE = (17_020, 12)
+LARGE = (24_000, 12)
 SMALL = (1_110, 12)
 TOKENS_PER_EVENT = 4
 COPY_AGE_S = 2.0
 AWAY_S = 1.0
-STAGGER_S = 0.015
+STAGGER_S = 0.01
+RESTART_S = 0.5
+# Until the gateways draw from the restored pools again.
+SETTLE_S = 6.0
 SPEND_S = 45.0
 
 
@@ -125,35 +131,39 @@
     for host in GATEWAYS:
         fleet.add(host)
     clients = Clients(fleet, record)
-    try:
-        await fleet.start_all()
-        await asyncio.sleep(5.0)
-        copy = store.copy()
-        await asyncio.sleep(COPY_AGE_S - 0.5)
+    waiting = iter(TENANTS)
+
+    async def burst(host):
         tasks = []
-        for tenant in TENANTS:
+        for _ in range(TENANTS_PER_VICTIM):
             tasks.append(
-                asyncio.create_task(clients.send(tenant, "g0", LARGE))
+                asyncio.create_task(clients.send(next(waiting), host, LARGE))
             )
             await asyncio.sleep(STAGGER_S)
         await tasks[-1]
-        hosts = GATEWAYS
         if TROUBLE:
-            record.write("kill of g0; the store is away")
+            await fleet.kill(host)
             store.stop_serving()
-            await fleet.kill("g0")
-            await asyncio.gather(*tasks)
-            await asyncio.sleep(AWAY_S / 2)
-            await fleet.start("g0", bootstrap=False)
-            await asyncio.sleep(AWAY_S / 2)
-            await store.return_from(copy)
-            record.write(f"the store is back, era {store.era}")
-        else:
-            await asyncio.gather(*tasks)
-            await asyncio.sleep(AWAY_S)
+            record.write(f"{host} is killed, the store is away")
+        await asyncio.gather(*tasks)
+
+    try:
+        await fleet.start_all()
+        await asyncio.sleep(5.0)
+        for host in VICTIMS:
+            copy = store.copy()
+            await asyncio.sleep(COPY_AGE_S - AWAY_S)
+            await burst(host)
+            if TROUBLE:
+                await asyncio.sleep(RESTART_S)
+                await fleet.start(host, bootstrap=False)
+                await asyncio.sleep(AWAY_S - RESTART_S)
+                await store.return_from(copy)
+                record.write(f"the store is back, era {store.era}")
+            await asyncio.sleep(SETTLE_S)
         until_s = time.monotonic() + SPEND_S
         await asyncio.gather(
-            *(clients.spend(t, hosts, until_s) for t in TENANTS)
+            *(clients.spend(t, GATEWAYS, until_s) for t in TENANTS)
         )
     finally:
         await fleet.stop_all()
