--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,131 +1,185 @@
-"""Waiting watches go silent while the other connections to the store work.
+"""Replicas that read slowly, and requests as large as the limits allow.
 
-See claim.txt. The rule is DRAIN: a request reaches a replica later than
-`drain_ms` after its `draining` was acknowledged, sent on by machines that are
-in touch again.
+Clients send bodies of 4 MB, the `max_body_bytes` of the configuration, to an
+unsafe route. Their replica reads slowly. The platform kills a process that
+exceeds `memory_mb`. Small requests at another, sound replica are under way.
 """
 
-from __future__ import annotations
-
 import asyncio
+import json
+import os
 import pathlib
+import socket
 import sys
 import time
 
-sys.path.insert(0, str(pathlib.Path(__file__).parents[1] / "common-2"))
-
-import fleet
-import proxy
-import standins
-
-DRAIN_S = fleet.FIELDS["bounds"]["drain_ms"] / 1000
-STABLE_S = 3.0
-ROUNDS = 3
-SERVES_ON_S = 6.0
-
-
-async def send(one, number: int, answers: list) -> None:
-    gateway = one.gateways[number % len(one.gateways)]
-    answers.append(
-        await standins.request(
-            gateway.front,
-            "GET",
-            f"/read/{number}",
-            {
-                "Host": "h.example",
-                "Request-Id": f"r{number}",
-                "Deadline-Ms": "2500",
-                "Key": "key-1",
-            },
+FOLDER = pathlib.Path(__file__).resolve().parent
+sys.path.insert(0, str(FOLDER.parent / "common-3"))
+
+import lib  # noqa: E402
+
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+MEMORY_MB = 128
+BODY_BYTES = 4_000_000
+UPLOADS = 24
+STAGGER_S = 0.5
+# Rate at which a slow replica reads, and its window: links have small ones.
+SLOW_BYTES_PER_S = 200 * 1024
+WINDOW_BYTES = 65_536
+# Clients that record small things on kept connections, one after the other.
+RECORDERS = 12
+RECORD_WORK_S = 0.4
+DEADLINE_S = 30.0
+LENGTH_S = 16.0
+
+
+def make_configuration():
+    route = {
+        "host": lib.HOST,
+        "kind": "unsafe",
+        "timeout_ms": 30_000,
+        "goal_ms": 1000,
+        "public": True,
+    }
+    return json.dumps({
+        "version": 1,
+        "routes": [
+            route | {"name": "up", "prefix": "/up/", "service": "files"},
+            route | {"name": "rec", "prefix": "/rec/", "service": "records"},
+        ],
+        "services": [{"name": "files"}, {"name": "records"}],
+        "limits": {"max_body_bytes": 4_194_304},
+        "tenants": [],
+    }).encode()
+
+
+class SlowReplica(lib.Replica):
+    """Read request bodies slowly; run a request once it is complete."""
+
+    async def start(self):
+        # A small window, as links of the platform have.
+        sock = socket.socket()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, WINDOW_BYTES)
+        sock.bind(("127.0.0.1", 0))
+        self.address = f"127.0.0.1:{sock.getsockname()[1]}"
+        self._server = await asyncio.start_server(
+            self.serve, sock=sock, limit=65_536
         )
-    )
 
+    async def serve(self, reader, writer):
+        if TROUBLE:
+            reader = SlowReader(reader)
+        await super().serve(reader, writer)
 
-async def send_always(one, answers: list) -> None:
-    tasks = set()
-    number = 0
-    while True:
-        number += 1
-        task = asyncio.create_task(send(one, number, answers))
-        tasks.add(task)
-        task.add_done_callback(tasks.discard)
-        await asyncio.sleep(0.02)
-
-
-async def wait_for_new_watches(proxies) -> list:
-    """Return each gateway's watch of the replicas once all have just begun."""
-    while True:
-        links = [
-            i
-            for p in proxies
-            for i in p.list_waiting("kv-watch?prefix=servers")
-        ]
-        oldest_s = min((link.since_s for link in links), default=0.0)
-        if len(links) == len(proxies) and time.monotonic() - oldest_s < 0.3:
-            return links
-        await asyncio.sleep(0.005)
 
+class SlowReader:
+    """Pass on what a stream reader reads, at a bounded rate."""
 
-async def main() -> int:
-    one = fleet.Fleet(__file__, gateways=2)
-    proxies = []
-    try:
-        await one.store.listen()
-        for gateway in one.gateways:
-            proxies.append(proxy.StoreProxy(one.store.address))
-            gateway.changes["store"] = await proxies[-1].listen()
-        for number in range(4 + ROUNDS):
-            await one.add_replica(standins.Replica(f"i-{number}aa", "app"))
-        await one.start(fleet.make_config())
-        answers: list[standins.Answer] = []
-        sender = asyncio.create_task(send_always(one, answers))
-        await asyncio.sleep(STABLE_S + 1.0)
-        if not answers or any(a.status != 200 for a in answers):
-            one.write_record("could not run: requests fail without trouble")
-            return 2
-        broken = 0
-        for number in range(ROUNDS):
-            leaving = one.replicas[number]
-            links = await wait_for_new_watches(proxies)
-            silent_s = time.monotonic()
-            if fleet.TROUBLE:
-                for link in links:
-                    link.silent = True
-                one.note(
-                    f"{len(links)} connections go silent while a watch waits"
-                )
+    def __init__(self, reader):
+        self._reader = reader
+
+    async def readuntil(self, end):
+        return await self._reader.readuntil(end)
+
+    async def readexactly(self, count):
+        data = b""
+        while len(data) < count:
             await asyncio.sleep(0.1)
-            leaving.state = "draining"
-            entry = leaving.entry()
-            acked_s = await one.store.put(f"servers/{leaving.name}", entry)
-            one.note(f"the store acknowledges that {leaving.name} drains")
-            await asyncio.sleep(SERVES_ON_S)
-            leaving.state = "gone"
-            leaving.close()
-            await one.store.put(f"servers/{leaving.name}", None)
-            late = [
-                at - acked_s
-                for at, _, _ in leaving.arrivals
-                if at - acked_s > DRAIN_S and at - silent_s > STABLE_S + 0.05
-            ]
-            last = max((at for at, _, _ in leaving.arrivals), default=acked_s)
-            one.note(
-                f"requests that reached {leaving.name} later than "
-                f"{DRAIN_S:.0f} s after that, by machines in touch again: "
-                f"{len(late)}; the last of all after {last - acked_s:.2f} s"
+            piece = await self._reader.read(
+                min(int(SLOW_BYTES_PER_S * 0.1), count - len(data))
             )
-            broken += len(late)
-            await asyncio.sleep(STABLE_S)
-        sender.cancel()
-        failed = sum(a.status != 200 for a in answers)
-        one.note(f"{len(answers)} requests answered, {failed} without success")
-        one.write_record("DRAIN broken" if broken else "DRAIN held")
-        return 1 if broken else 0
+            if not piece:
+                raise asyncio.IncompleteReadError(data, count)
+            data += piece
+        return data
+
+
+async def case(record, work):
+    store = lib.Store()
+    await store.start()
+    files, records = SlowReplica("f1", "files"), lib.Replica("r1", "records")
+    records.pause_s = RECORD_WORK_S
+    for replica in (files, records):
+        await replica.start()
+        await store.put(f"servers/{replica.name}", replica.describe())
+    await store.put("op/config", make_configuration())
+    fleet = lib.Fleet(work, store, limits={"memory_mb": MEMORY_MB})
+    fleet.add("g0")
+    address = fleet.settings["g0"]["listen"]
+    outcomes = {}
+
+    async def send(connection, kind, request, body):
+        headers = {
+            "Request-Id": request,
+            "Deadline-Ms": f"{DEADLINE_S * 1000:.0f}",
+        }
+        try:
+            status, _, _ = await connection.call(
+                "POST",
+                f"/{kind}/{request}",
+                headers,
+                body,
+                timeout_s=DEADLINE_S + 2,
+            )
+        except OSError as err:
+            status = f"no answer: {err}"
+        outcomes[request] = status
+        record.write(f"{request} {len(body)} bytes: {status}")
+
+    async def upload(number):
+        await asyncio.sleep(number * STAGGER_S)
+        await send(
+            lib.KeptConnection(address),
+            "up",
+            f"up{number:08d}",
+            b"x" * BODY_BYTES,
+        )
+
+    async def keep_recording(number):
+        connection = lib.KeptConnection(address)
+        await asyncio.sleep(number * RECORD_WORK_S / RECORDERS)
+        count = 0
+        while not ended.is_set():
+            request = f"rec{number:04d}{count:04d}"
+            await send(connection, "rec", request, b"r")
+            count += 1
+
+    peak_mb = 0.0
+    ended = asyncio.Event()
+    tasks = []
+    try:
+        await fleet.start_all()
+        await asyncio.sleep(2.0)
+        tasks += [asyncio.create_task(upload(n)) for n in range(UPLOADS)]
+        clients = [
+            asyncio.create_task(keep_recording(n)) for n in range(RECORDERS)
+        ]
+        until_s = time.monotonic() + LENGTH_S
+        while time.monotonic() < until_s and not ended.is_set():
+            memory_mb = lib.read_memory_mb(fleet.processes["g0"])
+            peak_mb = max(peak_mb, memory_mb)
+            if memory_mb > MEMORY_MB:
+                record.write(f"{memory_mb:.0f} MB: the platform kills g0")
+                ended.set()
+                await fleet.kill("g0")
+            await asyncio.sleep(0.02)
+        killed = ended.is_set()
+        ended.set()
+        await asyncio.gather(*clients)
     finally:
-        await one.stop()
-        for item in proxies:
-            item.close()
+        for task in tasks:
+            task.cancel()
+        await fleet.stop_all()
+    ran = [run["id"] for run in records.runs]
+    for request in ran:
+        record.write(f"run {request} at {records.name}")
+    lost = [r for r in ran if not isinstance(outcomes[r], int)]
+    record.write(
+        f"SUMMARY killed {killed}, peak {peak_mb:.0f} MB of {MEMORY_MB}, "
+        f"{len(ran)} records run, {len(lost)} of them without an answer"
+    )
+    return 1 if len(lost) > 3 else 0
 
 
 if __name__ == "__main__":
-    sys.exit(fleet.run_case(main))
+    sys.exit(lib.run_case(FOLDER, case))
