--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,6 +1,6 @@
 """Replicas that read slowly, and requests as large as the limits allow.
 
-Clients send bodies of 4 MB, the `max_body_bytes` of the configuration, to an
+Clients send bodies of 4 MB, within the `max_body_bytes` of the limits, to an
 unsafe route. Their replica reads slowly. The platform kills a process that
 exceeds `memory_mb`. Small requests at another, sound replica are under way.
 """
