--- a/review/common-4/rig.py
+++ b/review/common-4/rig.py
@@ -25,6 +25,8 @@
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 MAX_TXN_ENTRIES = 32
+# A case that takes longer could not run.
+MAX_CASE_S = 115
 
 
 # Below the ports that the system gives to outgoing connections.
@@ -98,13 +100,6 @@
     return await reader.readexactly(int(head.headers.get("content-length", 0)))
 
 
-async def read_request(reader: asyncio.StreamReader) -> Message | None:
-    head = await read_head(reader)
-    if head is not None:
-        head.body = await read_body(reader, head)
-    return head
-
-
 def encode_answer(status: int, headers: dict[str, str], body: bytes) -> bytes:
     lines = [f"HTTP/1.1 {status} S"]
     lines += [f"{k}: {v}" for k, v in headers.items()]
@@ -140,7 +135,8 @@
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._writers.add(writer)
         try:
-            while (request := await read_request(reader)) is not None:
+            while (request := await read_head(reader)) is not None:
+                request.body = await self.read_body(reader, request)
                 if not await self.handle(request, reader, writer):
                     break
         except (OSError, asyncio.IncompleteReadError):
@@ -149,12 +145,18 @@
             self._writers.discard(writer)
             writer.close()
 
+    async def read_body(
+        self, reader: asyncio.StreamReader, head: Message
+    ) -> bytes:
+        return await read_body(reader, head)
+
     async def handle(
         self,
         request: Message,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> bool:
+        """Answer a request; return whether the connection stays open."""
         raise NotImplementedError
 
 
@@ -452,6 +454,7 @@
         store: str,
         folder: pathlib.Path,
         bounds: dict | None = None,
+        limits: dict | None = None,
     ) -> None:
         self.name = name
         self.zone = zone
@@ -459,6 +462,7 @@
         self._store = store
         self._folder = folder
         self._bounds = bounds or {}
+        self._limits = limits or {}
         self.front = f"127.0.0.1:{pick_port()}"
         self.ready = f"127.0.0.1:{pick_port()}"
         self.control = f"127.0.0.1:{pick_port()}"
@@ -490,7 +494,8 @@
                 "link_mbps": 1000.0,
                 "cpu_share": 0.817,
                 "cpus": 1,
-            },
+            }
+            | self._limits,
             "bounds": {
                 "drain_ms": 2000,
                 "grace_s": 8,
@@ -575,6 +580,56 @@
         return "replica-stamp" in self.headers
 
 
+class Connection:
+    """Keep a connection of a client open for several requests."""
+
+    def __init__(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self._reader = reader
+        self._writer = writer
+
+    @classmethod
+    async def open(cls, address: str) -> Connection:
+        host, port = address.split(":")
+        return cls(*await asyncio.open_connection(host, int(port)))
+
+    def close(self) -> None:
+        self._writer.close()
+
+    async def ask(
+        self,
+        method: str,
+        target: str,
+        headers: dict[str, str],
+        timeout_s: float,
+        body: bytes = b"",
+    ) -> Answer:
+        """Send a request and read the whole answer."""
+        got = Answer(0, {}, b"", False)
+        try:
+            async with asyncio.timeout(timeout_s):
+                lines = [f"{method} {target} HTTP/1.1", "Host: case.example"]
+                lines += [f"{k}: {v}" for k, v in headers.items()]
+                if body or method == "POST":
+                    lines.append(f"Content-Length: {len(body)}")
+                head = "\r\n".join(lines).encode() + b"\r\n\r\n"
+                self._writer.write(head + body)
+                await self._writer.drain()
+                answer = await read_head(self._reader)
+                if answer is None:
+                    got.error = "closed without an answer"
+                    return got
+                got.status, got.headers = answer.status, answer.headers
+                got.body = await read_body(self._reader, answer)
+                got.whole = True
+        except TimeoutError:
+            got.error = "no answer in time"
+        except (OSError, asyncio.IncompleteReadError, ValueError) as err:
+            got.error = repr(err)
+        return got
+
+
 async def send(
     address: str,
     method: str,
@@ -584,33 +639,14 @@
     timeout_s: float = 10.0,
 ) -> Answer:
     """Send a request on a new connection and read the whole answer."""
-    host, port = address.split(":")
-    got = Answer(0, {}, b"", False)
-    writer = None
     try:
-        async with asyncio.timeout(timeout_s):
-            reader, writer = await asyncio.open_connection(host, int(port))
-            lines = [f"{method} {target} HTTP/1.1", "Host: case.example"]
-            lines += [f"{k}: {v}" for k, v in headers.items()]
-            if body or method == "POST":
-                lines.append(f"Content-Length: {len(body)}")
-            writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
-            await writer.drain()
-            head = await read_head(reader)
-            if head is None:
-                got.error = "closed without an answer"
-                return got
-            got.status, got.headers = head.status, head.headers
-            got.body = await read_body(reader, head)
-            got.whole = True
-    except TimeoutError:
-        got.error = "no answer in time"
-    except (OSError, asyncio.IncompleteReadError, ValueError) as err:
-        got.error = repr(err)
+        connection = await Connection.open(address)
+    except OSError as err:
+        return Answer(0, {}, b"", False, repr(err))
+    try:
+        return await connection.ask(method, target, headers, timeout_s, body)
     finally:
-        if writer is not None:
-            writer.close()
-    return got
+        connection.close()
 
 
 # --- a deployment ---------------------------------------------------------
@@ -645,6 +681,7 @@
         gateways: int,
         zones: int = 4,
         bounds: dict | None = None,
+        limits: dict | None = None,
     ) -> None:
         await self.store.start()
         for replica in replicas:
@@ -662,6 +699,7 @@
                 self.store.address,
                 folder,
                 bounds,
+                limits,
             )
             for number in range(gateways)
         ]
@@ -674,15 +712,19 @@
     def seeds(self) -> list[str]:
         return [gateway.control for gateway in self.gateways[:3]]
 
+    def close_servers(self) -> None:
+        """Close the stand-ins, within the event loop."""
+        for server in (self.store, *self.replicas):
+            server.close()
+
     def close(self) -> None:
+        """End all processes and remove the temporary files."""
         for gateway in self.gateways:
             gateway.kill()
         if logs := os.environ.get("LOGS"):
             for gateway in self.gateways:
                 target = pathlib.Path(logs) / gateway.log.name
                 target.write_bytes(gateway.log.read_bytes())
-        for server in (self.store, *self.replicas):
-            server.close()
         self.temporary.cleanup()
 
 
@@ -692,17 +734,24 @@
     trouble = os.environ.get("TROUBLE", "1") != "0"
 
     async def run() -> bool:
-        async with asyncio.timeout(115):
-            return await play(deployment, trouble)
+        try:
+            async with asyncio.timeout(MAX_CASE_S):
+                return await play(deployment, trouble)
+        finally:
+            deployment.close_servers()
 
     try:
-        broken = asyncio.run(run())
-        code = 1 if broken else 0
-    except Exception as err:
+        code = 1 if asyncio.run(run()) else 0
+    except BaseException as err:
         deployment.note(f"the case could not run: {err!r}")
         code = 2
-    finally:
+    try:
         deployment.close()
+    except OSError as err:
+        deployment.note(f"not all could be ended: {err!r}")
+        code = 2
     deployment.note(f"exit {code}")
     deployment.save()
-    sys.exit(code)
+    sys.stdout.flush()
+    # Tasks of the stand-ins that are left can't change the exit code.
+    os._exit(code)
