--- a/review/common-4/rig.py
+++ b/review/common-4/rig.py
@@ -21,6 +21,7 @@
 import tempfile
 import time
 import tomllib
+import typing
 import urllib.parse
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
@@ -163,10 +164,19 @@
 # --- the platform's store -------------------------------------------------
 
 
+class Copy(typing.NamedTuple):
+    """Hold the state of a store at one time."""
+
+    items: dict[str, tuple[bytes, int, int]]
+    history: list[tuple[int, str, bytes | None]]
+    revision: int
+
+
 class Store(Server):
     """Serve ranges, watches and transactions as PROTOCOL.md says.
 
     :ivar mode: empty, or "silent" or "busy" while the store is down
+    :ivar era: value of `Store-Era` in all answers, None for no such header
     """
 
     def __init__(self) -> None:
@@ -175,7 +185,7 @@
         self.history: list[tuple[int, str, bytes | None]] = []
         self.revision = 1
         self.mode = ""
-        self.calls = 0
+        self.era: int | None = None
         self._changed = asyncio.Condition()
 
     async def put(self, key: str, value: bytes | None) -> None:
@@ -197,6 +207,26 @@
             self.mode = mode
             self._changed.notify_all()
 
+    def copy(self) -> Copy:
+        """Return a copy of what the store holds."""
+        return Copy(dict(self.items), list(self.history), self.revision)
+
+    async def restore(self, copy: Copy) -> None:
+        """Go back to a copy; the operator and the replicas write again."""
+        rewritten = {
+            key: self.items.get(key, (None, 0, 0))[0]
+            for key in {*self.items, *copy.items}
+            if key.startswith(("op/", "servers/"))
+        }
+        async with self._changed:
+            self.items = dict(copy.items)
+            self.history = list(copy.history)
+            self.revision = copy.revision
+            self.era = (self.era or 0) + 1
+            self._changed.notify_all()
+        for key, value in rewritten.items():
+            await self.put(key, value)
+
     def _write(self, key: str, value: bytes | None) -> None:
         self.history.append((self.revision, key, value))
         if value is None:
@@ -206,7 +236,6 @@
         self.items[key] = (value, self.revision, created)
 
     async def handle(self, request, reader, writer) -> bool:
-        self.calls += 1
         if self.mode == "silent":
             async with self._changed:
                 await self._changed.wait_for(lambda: self.mode != "silent")
@@ -220,6 +249,8 @@
                     await self._changed.wait_for(lambda: self.mode != "silent")
                 return False
         head = {"Content-Type": "application/json"}
+        if self.era is not None:
+            head["Store-Era"] = str(self.era)
         body = json.dumps(answer).encode()
         writer.write(encode_answer(status, head, body))
         await writer.drain()
@@ -248,6 +279,8 @@
 
     async def _watch(self, query: dict[str, str]) -> tuple[int, dict]:
         after, prefix = int(query["after"]), query["prefix"]
+        if after > self.revision:
+            return 410, {}
 
         def list_events() -> list[dict]:
             return [
