--- a/review/common-4/rig.py
+++ b/review/common-4/rig.py
@@ -186,6 +186,9 @@
         self.revision = 1
         self.mode = ""
         self.era: int | None = None
+        # Called with the new values by key once a transaction is answered.
+        self.watch_commit: typing.Callable[[dict[str, bytes]], None] | None
+        self.watch_commit = None
         self._changed = asyncio.Condition()
 
     async def put(self, key: str, value: bytes | None) -> None:
@@ -254,6 +257,11 @@
         body = json.dumps(answer).encode()
         writer.write(encode_answer(status, head, body))
         await writer.drain()
+        if self.watch_commit and status == 200 and "kv-txn" in request.target:
+            writes = json.loads(request.body)["replace"]
+            self.watch_commit({
+                row["key"]: base64.b64decode(row["value"]) for row in writes
+            })
         return True
 
     async def _answer(self, request: Message) -> tuple[int, dict]:
