--- a/review/common-4/budgets.py
+++ b/review/common-4/budgets.py
@@ -75,7 +75,8 @@
         self.statuses: dict[int, int] = {}
         self.delivered = 0
         self._ids = itertools.count(1)
-        self._stopping = False
+        # Set to stop the clients that were started before.
+        self._stop = asyncio.Event()
         self._clients: list[asyncio.Task[None]] = []
 
     @property
@@ -120,9 +121,8 @@
 
     def start_clients(self, count: int, deadline_s: float = 10.0) -> None:
         """Start clients that send one request after the other."""
-        self._stopping = False
         self._clients += [
-            asyncio.create_task(self._run_client(deadline_s))
+            asyncio.create_task(self._run_client(deadline_s, self._stop))
             for _ in range(count)
         ]
 
@@ -133,12 +133,15 @@
         self._clients.clear()
 
     def let_clients_stop(self) -> None:
-        """Let each client send no more requests."""
-        self._stopping = True
+        """Let the clients that were started send no more requests."""
+        self._stop.set()
+        self._stop = asyncio.Event()
 
-    async def _run_client(self, deadline_s: float) -> None:
+    async def _run_client(
+        self, deadline_s: float, stop: asyncio.Event
+    ) -> None:
         served_pause_s, refused_pause_s = self.pause_s
-        while not self._stopping:
+        while not stop.is_set():
             answer = await self.ask(random.choice(self.targets), deadline_s)
             served = answer.status == 200
             await asyncio.sleep(served_pause_s if served else refused_pause_s)
--- a/review/new-6/case.py
+++ b/review/new-6/case.py
@@ -18,7 +18,7 @@
 PREPAID = 1_000_000
 PROMPT, OUTPUT = 1_980, 20
 BURST = 180
-CLIENTS = 40
+CLIENTS = 48
 DEADLINE_S = 6.0
 COPY_AGE_S = 1.0
 AWAY_S = 0.5
@@ -29,30 +29,31 @@
 
 
 class DrawWatch:
-    """Wait for a commit in which one gateway draws many tokens."""
+    """Wait until one gateway has drawn many tokens in a burst."""
 
     def __init__(self, gateway: str, tokens: int) -> None:
         self._prefix = gateway + "-"
         self._tokens = tokens
-        self._drawn: int | None = None
+        self._before: int | None = None
         self.seen = asyncio.Event()
-        self.armed = False
 
-    def read(self, writes: dict[str, bytes]) -> None:
-        """Compare what the pool lists for the gateway with the time before."""
-        if POOL not in writes:
-            return
-        drawn = sum(
+    def read(self, pool: bytes) -> int:
+        """Return what a pool lists for the gateway."""
+        return sum(
             tokens
-            for holder, tokens in json.loads(writes[POOL])["drawn"].items()
+            for holder, tokens in json.loads(pool)["drawn"].items()
             if holder.startswith(self._prefix)
         )
-        before, self._drawn = self._drawn, drawn
-        if (
-            self.armed
-            and before is not None
-            and drawn - before >= self._tokens
-        ):
+
+    def arm(self, pool: bytes) -> None:
+        """Count from a pool as it is now."""
+        self._before = self.read(pool)
+
+    def watch(self, writes: dict[str, bytes]) -> None:
+        """Compare a commit's pool with the one before the burst."""
+        if self._before is None or POOL not in writes:
+            return
+        if self.read(writes[POOL]) - self._before >= self._tokens:
             self.seen.set()
 
 
@@ -64,12 +65,12 @@
     store = deployment.store
     copy = store.copy()
     await asyncio.sleep(COPY_AGE_S)
-    watch.armed = True
+    watch.arm(store.items[POOL][0])
     tenant.targets = [frozen]
     tenant.start_clients(BURST, DEADLINE_S)
     await watch.seen.wait()
     tenant.let_clients_stop()
-    await asyncio.sleep(0.002)
+    await asyncio.sleep(0.015)
     frozen.send_signal(signal.SIGSTOP)
     stopped_s = time.monotonic()
     await store.set_mode("silent")
@@ -82,7 +83,6 @@
     deployment.note(f"the store is back, {COPY_AGE_S} s older: {pool}")
     await asyncio.sleep(stopped_s + REROUTE_S - time.monotonic())
     tenant.targets = deployment.gateways[1:]
-    tenant.pause_s = (0.4, 0.4)
     tenant.start_clients(CLIENTS, DEADLINE_S)
     await asyncio.sleep(stopped_s + FREEZE_S - time.monotonic())
     pool = json.loads(store.items[POOL][0])["drawn"]
@@ -95,20 +95,17 @@
     store = deployment.store
     store.era = 0
     replicas = [rig.Replica(f"i-{n}", "llm", f"z{n % 4 + 1}") for n in range(4)]
-    watch = DrawWatch("front-1", 80_000)
-    store.watch_commit = watch.read
+    watch = DrawWatch("front-1", 60_000)
+    store.watch_commit = watch.watch
     await deployment.open(budgets.make_config(PREPAID, 500), replicas, 4)
     await asyncio.sleep(5.0)
     tenant = budgets.Tenant(deployment, PREPAID, PROMPT, OUTPUT)
-    tenant.pause_s = (0.0, 0.1)
+    tenant.pause_s = (0.4, 0.4)
     if trouble:
         await drill(deployment, tenant, watch)
-    else:
-        tenant.start_clients(0)
     tenant.targets = list(deployment.gateways)
-    if not trouble:
-        tenant.start_clients(CLIENTS, DEADLINE_S)
-    while tenant.statuses.get(402, 0) < 400:
+    tenant.start_clients(CLIENTS, DEADLINE_S)
+    while tenant.statuses.get(402, 0) < 200:
         await asyncio.sleep(0.2)
     await asyncio.sleep(3.0)
     await tenant.stop_clients()
