--- a/review/common-4/rig.py
+++ b/review/common-4/rig.py
@@ -702,6 +702,8 @@
         self.store = Store()
         self.replicas: list[Replica] = []
         self.gateways: list[Gateway] = []
+        # Address of the store by gateway, where it is not the store's own.
+        self.store_addresses: dict[str, str] = {}
         self.started = time.time()
         self._lines: list[str] = []
 
@@ -724,7 +726,8 @@
         bounds: dict | None = None,
         limits: dict | None = None,
     ) -> None:
-        await self.store.start()
+        if not self.store.address:
+            await self.store.start()
         for replica in replicas:
             await replica.start()
             await self.store.put(f"servers/{replica.name}", replica.describe())
@@ -737,7 +740,9 @@
                 f"front-{number + 1}",
                 names[number % zones],
                 names,
-                self.store.address,
+                self.store_addresses.get(
+                    f"front-{number + 1}", self.store.address
+                ),
                 folder,
                 bounds,
                 limits,
