--- a/review/common-4/budgets.py
+++ b/review/common-4/budgets.py
@@ -112,7 +112,7 @@
             events = answer.body.count(b"data:")
             self.delivered += self.prompt + events * STRIDE
         self._deployment.note(
-            f"request {number} to {gateway.name} sent at {sent_s:.3f}: "
+            f"request {number:016x} to {gateway.name} sent at {sent_s:.3f}: "
             f"{answer.status} {answer.error}; consumed {self.consumed}"
         )
         return answer
--- a/review/common-4/rig.py
+++ b/review/common-4/rig.py
@@ -560,16 +560,6 @@
                 stdin=subprocess.DEVNULL,
             )
 
-    def send_signal(self, number: int) -> None:
-        assert self.process is not None
-        self.process.send_signal(number)
-
-    async def wait_end(self, timeout_s: float = 12.0) -> None:
-        assert self.process is not None
-        until_s = time.monotonic() + timeout_s
-        while self.process.poll() is None and time.monotonic() < until_s:
-            await asyncio.sleep(0.01)
-
     async def wait_ready(self, timeout_s: float = 15.0) -> None:
         until_s = time.monotonic() + timeout_s
         while time.monotonic() < until_s:
@@ -606,10 +596,6 @@
     whole: bool = True
     error: str = ""
 
-    @property
-    def stamped(self) -> bool:
-        return "replica-stamp" in self.headers
-
 
 class Connection:
     """Keep a connection of a client open for several requests."""
@@ -702,7 +688,14 @@
             print(line, flush=True)
 
     def save(self) -> None:
-        text = "\n".join(self._lines) + "\n"
+        """Write the record: all runs of replicas, then the notes."""
+        runs = [
+            f"{run['at'] - self.started:8.3f} run of {run['id']} at "
+            f"{run['replica']}, {run['events']} events"
+            for replica in self.replicas
+            for run in replica.runs
+        ]
+        text = "\n".join([*sorted(runs), *self._lines]) + "\n"
         (self.folder / "record.txt").write_text(text)
 
     async def open(
@@ -756,7 +749,7 @@
 
 
 def run_case(folder: pathlib.Path, play) -> None:
-    """Play a case and exit: 1 if the rule was broken, 0 if not, 2 if unable."""
+    """Play a case; exit with 1 if its rule broke, 0 if not, 2 if unable."""
     deployment = Deployment(folder)
     trouble = os.environ.get("TROUBLE", "1") != "0"
 
