--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,175 +1,143 @@
-"""A configuration adds a route to model replicas, and splits another one.
+"""An entry of another writer that can't be read, beside a replica that drains.
 
-The new route has whole answers. The streaming route is split between the model
-service and one for which the configuration names no engine, as in the example
-that `fleetbench wire` prints. The clients of one tenant use the new route, those
-of another the streaming one, with requests of 100 prompt tokens and 400 output
-tokens, until they are refused for good. With TROUBLE=0 the configuration does
-not change, and all use the streaming route.
+See claim.txt. The rule is DRAIN: a request reaches a replica later than
+`drain_ms` after the store has acknowledged that the replica is draining.
 """
 
+from __future__ import annotations
+
 import asyncio
-import json
-import os
 import pathlib
+import signal
 import sys
 import time
 
-FOLDER = pathlib.Path(__file__).resolve().parent
-sys.path.insert(0, str(FOLDER.parent / "common-3"))
-
-import lib  # noqa: E402
-
-TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-GATEWAYS = ("g0", "g1", "g2", "g3")
-PATHS = {"t1": "/ask/1" if TROUBLE else "/chat/1", "t2": "/chat/1"}
-PREPAID = 100_000
-PROMPT, OUTPUT = 100, 400
-STRIDE = 4
-CLIENTS = 4
-CONFIG_MS = 2000
-SPEND_S = 40.0
+sys.path.insert(0, str(pathlib.Path(__file__).parents[1] / "common-2"))
 
+import fleet
+import standins
 
-def make_configuration(version):
-    route = {
-        "host": lib.HOST,
-        "service": "llm",
-        "timeout_ms": 10_000,
-        "goal_ms": 1000,
-        "sticky": True,
-    }
-    routes = [
-        route | {"name": "chat", "prefix": "/chat/", "kind": "streaming"}
-    ]
-    if version > 1:
-        routes.append(
-            route | {"name": "ask", "prefix": "/ask/", "kind": "unsafe"}
-        )
-        del routes[0]["service"]
-        routes[0]["split"] = [
-            {"service": "llm", "weight": 90},
-            {"service": "plain", "weight": 10},
-        ]
-    return json.dumps({
-        "version": version,
-        "routes": routes,
-        "services": [
-            {
-                "name": "llm",
-                "engine": {
-                    "slots": 64,
-                    "kv_capacity": 400_000,
-                    "stride": STRIDE,
-                },
-            },
-            {"name": "plain"},
-        ],
-        "tenants": [
-            {"name": name, "api_keys": [f"key-{name}"], "prepaid": PREPAID}
-            for name in PATHS
-        ],
-    }).encode()
+DRAIN_MS = fleet.FIELDS["bounds"]["drain_ms"]
+# A draining replica serves on for `drain_ms` and at times many seconds.
+SERVES_ON_S = 6.0
+# Time in which a gateway that starts must be ready.
+START_S = 15.0
 
 
-class ModelReplica(lib.Replica):
-    """Generate as many tokens as a request allows, each one a word."""
-
-    events = OUTPUT // STRIDE
-
-    async def answer(self, writer, first, headers, body):
-        whole = " /ask/" in first
-        expected = headers.get("expect-replica", self.name) == self.name
-        if not whole or not expected:
-            await super().answer(writer, first, headers, body)
-            return
-        self.runs.append({"id": headers["request-id"]})
-        writer.write(
-            lib.make_message(
-                "HTTP/1.1 200 OK",
+async def send_requests(one, answers, until_s: float) -> None:
+    number = 0
+    while time.monotonic() < until_s:
+        number += 1
+        gateway = one.gateways[number % len(one.gateways)]
+        answers.append(
+            await standins.request(
+                gateway.front,
+                "GET",
+                f"/read/{number}",
                 {
-                    "Request-Id": headers["request-id"],
-                    "Replica-Stamp": "signed",
-                    "Content-Type": "text/plain",
+                    "Host": "h.example",
+                    "Request-Id": f"r{number}",
+                    "Deadline-Ms": "2500",
+                    "Key": "key-1",
                 },
-                b"word " * OUTPUT,
             )
         )
+        await asyncio.sleep(0.03)
 
 
-def count_tokens(body):
-    """Return the output tokens that an answer has delivered."""
-    return body.count(b"word ") + body.count(b"\n\n") * STRIDE
-
-
-async def case(record, work):
-    store = lib.Store()
-    await store.start()
-    replicas = [ModelReplica(f"m{n}", "llm") for n in range(2)]
-    replicas.append(ModelReplica("m2", "plain"))
-    for replica in replicas:
-        await replica.start()
-        await store.put(f"servers/{replica.name}", replica.describe())
-    await store.put("op/config", make_configuration(1))
-    fleet = lib.Fleet(work, store)
-    for host in GATEWAYS:
-        fleet.add(host)
-    consumed = {name: {"prompt": 0, "output": 0} for name in PATHS}
-
-    async def spend(tenant, number, until_s):
-        refused = count = 0
-        while time.monotonic() < until_s and refused < 2 * len(GATEWAYS):
-            count += 1
-            host = GATEWAYS[(number + count) % len(GATEWAYS)]
-            request = f"{tenant}{number:06x}{count:08x}"
-            status, _, body = await lib.call(
-                fleet.settings[host]["listen"],
-                "POST",
-                PATHS[tenant],
-                {
-                    "Request-Id": request,
-                    "Model": "m",
-                    "Token-Counts": f"{PROMPT},{OUTPUT}",
-                    "Prompt-Prefix": f"{number:x}{count:x}:{PROMPT}",
-                    "Deadline-Ms": "10000",
-                    "Key": f"key-{tenant}",
-                },
-                b"p" * PROMPT,
-            )
-            tokens = count_tokens(body) if status == 200 else 0
-            if status == 200:
-                consumed[tenant]["prompt"] += PROMPT
-                consumed[tenant]["output"] += tokens
-            record.write(f"{request} at {host}: {status}, {tokens} tokens")
-            refused = refused + 1 if status == 402 else 0
-            if status != 200:
-                await asyncio.sleep(0.2)
-
+async def main() -> int:
+    one = fleet.Fleet(__file__, gateways=2)
     try:
-        await fleet.start_all()
-        await asyncio.sleep(3.0)
-        if TROUBLE:
-            await store.put("op/config", make_configuration(2))
-            record.write("configuration 2 adds /ask/ and splits /chat/")
-        await asyncio.sleep(CONFIG_MS / 1000)
-        until_s = time.monotonic() + SPEND_S
-        await asyncio.gather(
-            *(spend(t, n, until_s) for t in PATHS for n in range(CLIENTS))
+        await one.store.listen()
+        for number in range(4):
+            await one.add_replica(standins.Replica(f"i-{number}aa", "app"))
+        await one.start(fleet.make_config())
+        answers: list[standins.Answer] = []
+        # Machines are in touch after `stable_ms`.
+        await send_requests(one, answers, time.monotonic() + 4.0)
+        if any(a.status != 200 for a in answers):
+            one.write_record("could not run: requests fail without trouble")
+            return 2
+        one.note(f"{len(answers)} requests answered with 200")
+        if fleet.TROUBLE:
+            # Bytes that no decoder can read.
+            unreadable = b'{"entry":' * 1500
+            await one.store.put("servers/i-0000", unreadable)
+            one.note(
+                "another writer puts servers/i-0000, "
+                f"{len(unreadable)} bytes that can't be read"
+            )
+        await send_requests(one, answers, time.monotonic() + 3.0)
+        leaving = one.replicas[0]
+        leaving.state = "draining"
+        acked_s = await one.store.put(
+            f"servers/{leaving.name}", leaving.entry()
+        )
+        one.note(f"the store acknowledges that {leaving.name} is draining")
+        await send_requests(one, answers, acked_s + SERVES_ON_S)
+        late = [
+            at - acked_s
+            for at, _, _ in leaving.arrivals
+            if at - acked_s > DRAIN_MS / 1000
+        ]
+        leaving.state = "gone"
+        leaving.close()
+        await one.store.put(f"servers/{leaving.name}", None)
+        one.note(f"{leaving.name} exits and its entry is removed")
+        # All others are replaced as well; new ones start first.
+        for number in range(1, 4):
+            await one.add_replica(standins.Replica(f"i-{number}bb", "app"))
+        for old in one.replicas[1:4]:
+            old.state = "draining"
+            await one.store.put(f"servers/{old.name}", old.entry())
+        one.note("three new replicas are ready, the three others drain")
+        await send_requests(one, answers, time.monotonic() + 4.0)
+        for old in one.replicas[1:4]:
+            old.state = "gone"
+            old.close()
+            await one.store.put(f"servers/{old.name}", None)
+        one.note("they exit")
+        after = len(answers)
+        await send_requests(one, answers, time.monotonic() + 4.0)
+        failed = sum(a.status != 200 for a in answers[after:])
+        one.note(
+            f"{len(late)} requests reached {leaving.name} later than "
+            f"{DRAIN_MS} ms, the last after {max(late, default=0):.2f} s"
+        )
+        one.note(
+            f"after the release {failed} of {len(answers) - after} requests "
+            "got no success, though three replicas are ready"
+        )
+        restarted = one.gateways[0]
+        restarted.send(signal.SIGTERM)
+        await restarted.process.wait()
+        await restarted.start()
+        began_s = time.monotonic()
+        ready = False
+        while not ready and time.monotonic() - began_s < START_S:
+            await asyncio.sleep(0.2)
+            ready = await restarted.is_ready()
+        took_s = time.monotonic() - began_s
+        one.note(
+            f"{restarted.name} is started again: "
+            + (
+                f"ready after {took_s:.1f} s"
+                if ready
+                else f"not ready in {took_s:.0f} s"
+            )
         )
+        failures = one.gateways[0].events("task:failed")
+        one.note(f"gateway log: task:failed {len(failures)} times")
+        for item in failures[:1]:
+            one.note(f"  {item['task']}: {item['reason']}")
+        if late:
+            one.write_record("DRAIN broken")
+            return 1
+        one.write_record("DRAIN held")
+        return 0
     finally:
-        await fleet.stop_all()
-    for replica in replicas:
-        for run in replica.runs:
-            record.write(f"run {run['id']} at {replica.name}")
-    totals = {name: sum(tokens.values()) for name, tokens in consumed.items()}
-    record.write(
-        f"SUMMARY consumed {consumed}, in all {totals}, of {PREPAID} prepaid "
-        "each"
-    )
-    if not all(totals.values()):
-        return 2
-    return 1 if max(totals.values()) > PREPAID else 0
+        await one.stop()
 
 
 if __name__ == "__main__":
-    sys.exit(lib.run_case(FOLDER, case))
+    sys.exit(fleet.run_case(main))
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,7 +4,7 @@
 # do is to check that this machine's interpreter compiles them.
 set -e
 cd "$(dirname "$0")"
-for file in common-2/*.py common-3/*.py [0-9]*/case.py; do
+for file in common-2/*.py common-3/*.py common-4/*.py [0-9]*/case.py; do
     [ -e "$file" ] || continue
     python3 -c "import sys; compile(open(sys.argv[1]).read(), sys.argv[1], 'exec')" "$file"
 done
--- a/review/common-4/budgets.py
+++ b/review/common-4/budgets.py
@@ -50,9 +50,7 @@
             "header_timeout_ms": 3_000,
             "idle_timeout_ms": 15_000,
         },
-        "tenants": [
-            {"name": "t1", "api_keys": ["key-1"], "prepaid": prepaid}
-        ],
+        "tenants": [{"name": "t1", "api_keys": ["key-1"], "prepaid": prepaid}],
     }
 
 
