Decode all JSON of others in one place, nested too deeply or not

Cause: msgspec raises RecursionError for such JSON, which no reader caught. It ended the watch of all endpoints, which read the entry again after each restart. The same held for the watch of the configuration, for members, records and pools, and for messages of peers and operators.

Ruled out: a slow watch. The log has `task:failed` 35 times with RecursionError, and no change after the entry was applied.

Replies of peers that can't be read count as no reply in `request_record_ages` and `request_fence`, which caught nothing.

--- a/src/cyclamenwing/bench/budget.py
+++ b/src/cyclamenwing/bench/budget.py
@@ -9,8 +9,7 @@
 from typing import Any
 from typing import NamedTuple
 
-import msgspec
-
+from cyclamenwing import decoding
 from cyclamenwing.bench import budget_baselines
 from cyclamenwing.bench import budget_grants
 from cyclamenwing.bench import budget_replay
@@ -92,7 +91,7 @@
 
 def read_trace(path: pathlib.Path) -> protocol.Trace:
     """Return the trace of a file."""
-    return msgspec.json.decode(path.read_bytes(), type=protocol.Trace)
+    return decoding.decode(path.read_bytes(), protocol.Trace)
 
 
 def measure_trace(trace: protocol.Trace) -> list[Figures]:
--- a/src/cyclamenwing/bench/catalog_probes.py
+++ b/src/cyclamenwing/bench/catalog_probes.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from cyclamenwing import decoding
 from cyclamenwing.bench import memory
 from cyclamenwing.bench import slopes
 from cyclamenwing.bench import timing
@@ -52,7 +53,7 @@
     encoded = msgspec.json.encode(make_revision(workspaces))
 
     def build_index() -> index.Index:
-        decoded = msgspec.json.decode(encoded, type=types.Revision)
+        decoded = decoding.decode(encoded, types.Revision)
         return index.Index(decoded)
 
     return memory.measure_bytes(build_index)
@@ -63,7 +64,7 @@
     encoded = msgspec.json.encode(make_revision(workspaces))
 
     def adopt_revision() -> None:
-        decoded = msgspec.json.decode(encoded, type=types.Revision)
+        decoded = decoding.decode(encoded, types.Revision)
         index.Index(decoded)
 
     return timing.measure_cpu_us(adopt_revision)
--- a/src/cyclamenwing/bench/control_model.py
+++ b/src/cyclamenwing/bench/control_model.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from cyclamenwing import decoding
 from cyclamenwing.bench import membership_probes
 from cyclamenwing.budget import account
 from cyclamenwing.entry import blackboard
@@ -207,9 +208,7 @@
         })
     reports += [_make_report(number) for number in range(sidecars)]
     encoded = msgspec.json.encode(reports)
-    view.receive_reports(
-        msgspec.json.decode(encoded, type=list[types.MemberReport]), 0
-    )
+    view.receive_reports(decoding.decode(encoded, list[types.MemberReport]), 0)
     view.pick_reports()
     return view
 
--- a/src/cyclamenwing/bench/membership_probes.py
+++ b/src/cyclamenwing/bench/membership_probes.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from cyclamenwing import decoding
 from cyclamenwing.bench import memory
 from cyclamenwing.bench import slopes
 from cyclamenwing.bench import timing
@@ -50,7 +51,7 @@
     ]
     board = view.MemberBoard()
     controller = view.MemberController()
-    decoder = msgspec.json.Decoder(types.Heartbeat)
+    decoder = decoding.Decoder(types.Heartbeat)
 
     def receive_all() -> None:
         for message in encoded:
--- a/src/cyclamenwing/budget/layout.py
+++ b/src/cyclamenwing/budget/layout.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from cyclamenwing import decoding
 from cyclamenwing.budget import errors
 from cyclamenwing.store import errors as store_errors
 from cyclamenwing.store import keys
@@ -42,8 +43,8 @@
             "the ledger layout can't be read"
         )
     try:
-        return msgspec.json.decode(entry.value, type=Layout)
-    except (msgspec.ValidationError, msgspec.DecodeError) as err:
+        return decoding.decode(entry.value, Layout)
+    except msgspec.DecodeError as err:
         raise errors.MalformedLedgerError(str(err)) from err
 
 
--- a/src/cyclamenwing/budget/segments.py
+++ b/src/cyclamenwing/budget/segments.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from cyclamenwing import decoding
 from cyclamenwing.budget import billing
 from cyclamenwing.budget import errors
 from cyclamenwing.budget import shard as shards
@@ -63,8 +64,8 @@
     if entry is None:
         raise errors.MalformedLedgerError(f"missing bill segment {key!r}")
     try:
-        return msgspec.json.decode(entry.value, type=list[types.Bill])
-    except (msgspec.ValidationError, msgspec.DecodeError) as err:
+        return decoding.decode(entry.value, list[types.Bill])
+    except msgspec.DecodeError as err:
         raise errors.MalformedLedgerError(str(err)) from err
 
 
--- a/src/cyclamenwing/budget/session.py
+++ b/src/cyclamenwing/budget/session.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from cyclamenwing import decoding
 from cyclamenwing.budget import errors
 
 MAX_COMMIT_IDS = 16
@@ -57,8 +58,8 @@
                 "commits": [],
             }
         try:
-            return msgspec.json.decode(value, type=SessionRecord)
-        except (msgspec.ValidationError, msgspec.DecodeError) as err:
+            return decoding.decode(value, SessionRecord)
+        except msgspec.DecodeError as err:
             raise errors.MalformedLedgerError(str(err)) from err
 
     def encode(self, document: SessionRecord) -> bytes:
--- a/src/cyclamenwing/budget/shard.py
+++ b/src/cyclamenwing/budget/shard.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from cyclamenwing import decoding
 from cyclamenwing.budget import errors
 from cyclamenwing.budget import types
 
@@ -25,8 +26,8 @@
         if value is None:
             return make_shard()
         try:
-            return msgspec.json.decode(value, type=types.LedgerShard)
-        except (msgspec.ValidationError, msgspec.DecodeError) as err:
+            return decoding.decode(value, types.LedgerShard)
+        except msgspec.DecodeError as err:
             raise errors.MalformedLedgerError(str(err)) from err
 
     def encode(self, document: types.LedgerShard) -> bytes:
--- a/src/cyclamenwing/catalog/audit_trail.py
+++ b/src/cyclamenwing/catalog/audit_trail.py
@@ -16,6 +16,7 @@
 
 import msgspec
 
+from cyclamenwing import decoding
 from cyclamenwing import errors as base_errors
 from cyclamenwing.catalog import audit
 from cyclamenwing.catalog import errors
@@ -58,8 +59,8 @@
         if value is None:
             return {"commits": [], "audit": [], "audit_segments": 0}
         try:
-            return msgspec.json.decode(value, type=types.Chain)
-        except (msgspec.ValidationError, msgspec.DecodeError) as err:
+            return decoding.decode(value, types.Chain)
+        except msgspec.DecodeError as err:
             raise errors.AuditBrokenError(str(err)) from err
 
     def encode(self, document: types.Chain) -> bytes:
--- a/src/cyclamenwing/catalog/revisions.py
+++ b/src/cyclamenwing/catalog/revisions.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from cyclamenwing import decoding
 from cyclamenwing.catalog import errors
 from cyclamenwing.catalog import types
 from cyclamenwing.store import keys
@@ -31,8 +32,8 @@
                 "audit_segments": 0,
             }
         try:
-            return msgspec.json.decode(value, type=types.Head)
-        except (msgspec.ValidationError, msgspec.DecodeError) as err:
+            return decoding.decode(value, types.Head)
+        except msgspec.DecodeError as err:
             raise errors.MalformedCatalogError(str(err)) from err
 
     def encode(self, document: types.Head) -> bytes:
@@ -105,8 +106,8 @@
             f"the file with digest {digest} is corrupted"
         )
     try:
-        return msgspec.json.decode(value, type=types.ServiceFile)
-    except (msgspec.ValidationError, msgspec.DecodeError) as err:
+        return decoding.decode(value, types.ServiceFile)
+    except msgspec.DecodeError as err:
         raise errors.MalformedCatalogError(str(err)) from err
 
 
--- a/src/cyclamenwing/catalog/segments.py
+++ b/src/cyclamenwing/catalog/segments.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from cyclamenwing import decoding
 from cyclamenwing.catalog import errors
 from cyclamenwing.catalog import types
 from cyclamenwing.store import errors as store_errors
@@ -99,8 +100,8 @@
 
 def _decode_segment(value: bytes) -> list[types.AuditRecord]:
     try:
-        return msgspec.json.decode(value, type=list[types.AuditRecord])
-    except (msgspec.ValidationError, msgspec.DecodeError) as err:
+        return decoding.decode(value, list[types.AuditRecord])
+    except msgspec.DecodeError as err:
         raise errors.AuditBrokenError(str(err)) from err
 
 
--- a/src/cyclamenwing/cli/replay.py
+++ b/src/cyclamenwing/cli/replay.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from cyclamenwing import decoding
 from cyclamenwing.cli import protocol
 from cyclamenwing.replay import budget
 from cyclamenwing.replay import protocol as replay_protocol
@@ -45,10 +46,8 @@
     :raises SettingsError: if the file can't be read or its kind is unknown
     """
     try:
-        trace = msgspec.json.decode(
-            path.read_bytes(), type=replay_protocol.Trace
-        )
-    except (OSError, msgspec.ValidationError, msgspec.DecodeError) as err:
+        trace = decoding.decode(path.read_bytes(), replay_protocol.Trace)
+    except (OSError, msgspec.DecodeError) as err:
         raise errors.SettingsSyntaxError(str(err), str(path)) from err
     for replayer in REPLAYERS:
         if trace["kind"] == replayer.KIND:
--- a/src/cyclamenwing/demo/checks.py
+++ b/src/cyclamenwing/demo/checks.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from cyclamenwing import decoding
 from cyclamenwing import errors as base_errors
 from cyclamenwing.budget import types
 from cyclamenwing.standin import engine
@@ -51,7 +52,7 @@
         return [f"status {answer.status} instead of {status}"]
     if status < 400:
         return []
-    body = msgspec.json.decode(answer.body, type=base_errors.ErrorBody)
+    body = decoding.decode(answer.body, base_errors.ErrorBody)
     faults = []
     if body["code"] != code:
         faults.append(f"code {body['code']} instead of {code}")
@@ -62,7 +63,7 @@
 
 def check_whole(body: bytes, prompt: str, tokens: int) -> list[str]:
     """Return a fault if a complete answer isn't the engine's text."""
-    completion = msgspec.json.decode(body, type=Completion)
+    completion = decoding.decode(body, Completion)
     text = "".join(
         choice.message.content
         for choice in completion.choices
@@ -83,7 +84,7 @@
     text = "".join(
         choice.delta.content
         for event in events
-        for choice in msgspec.json.decode(event, type=Completion).choices
+        for choice in decoding.decode(event, Completion).choices
         if choice.delta
     )
     return _compare_text(text, prompt, tokens)
--- a/src/cyclamenwing/entry/admission.py
+++ b/src/cyclamenwing/entry/admission.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from cyclamenwing import decoding
 from cyclamenwing.budget import types as budget_types
 from cyclamenwing.catalog import index
 from cyclamenwing.catalog import types as catalog_types
@@ -93,14 +94,9 @@
     """Return the admitted chat completion; raise a coded error."""
     workspace = authenticate(catalog, caller)
     try:
-        body = msgspec.json.decode(caller.body, type=dict[str, Any])
+        body = decoding.decode_document(caller.body)
         prompt = bound_prompt(body, len(caller.body))
-    except (
-        msgspec.ValidationError,
-        msgspec.DecodeError,
-        UnicodeDecodeError,
-        RecursionError,
-    ) as err:
+    except msgspec.DecodeError as err:
         raise errors.MalformedRequestError(str(err)) from err
     model = body.get("model")
     route = (
--- a/src/cyclamenwing/gateway/explanation.py
+++ b/src/cyclamenwing/gateway/explanation.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from cyclamenwing import decoding
 from cyclamenwing.gateway import blackboard
 from cyclamenwing.gateway import clock
 from cyclamenwing.gateway import configuration
@@ -112,7 +113,7 @@
 
         :raises GatewayError: if the request would be refused at once
         """
-        query = msgspec.json.decode(body, type=Query)
+        query = decoding.decode(body, Query)
         return msgspec.json.encode(self.explain(query))
 
     def explain(self, query: Query) -> Explanation:
--- a/src/cyclamenwing/gateway/grants.py
+++ b/src/cyclamenwing/gateway/grants.py
@@ -5,6 +5,7 @@
 import eliot
 import msgspec
 
+from cyclamenwing import decoding
 from cyclamenwing import errors
 from cyclamenwing.gateway import blackboard
 from cyclamenwing.gateway import clock
@@ -47,9 +48,7 @@
                 )
                 if status != 200:
                     continue
-                reply = msgspec.json.decode(
-                    answer, type=grant_messages.GrantReply
-                )
+                reply = decoding.decode(answer, grant_messages.GrantReply)
             except (errors.CodedError, msgspec.DecodeError) as err:
                 roster.record_failure(member.host, clock.read_time())
                 eliot.log_message(
--- a/src/cyclamenwing/gateway/peers.py
+++ b/src/cyclamenwing/gateway/peers.py
@@ -13,10 +13,12 @@
 from collections.abc import Callable
 from collections.abc import Collection
 from collections.abc import Coroutine
+from typing import TypeVar
 
 import eliot
 import msgspec
 
+from cyclamenwing import decoding
 from cyclamenwing import errors
 from cyclamenwing.gateway import blackboard
 from cyclamenwing.gateway import clock
@@ -56,6 +58,7 @@
 
 TransferTokens = Callable[[str, int], Awaitable[int]]
 Answer = Callable[[bytes], Awaitable[bytes]]
+Reply = TypeVar("Reply")
 
 
 class Peers:
@@ -131,9 +134,7 @@
             )
             if status != 200:
                 return 0
-            reply = msgspec.json.decode(
-                answer, type=gossip_messages.TransferReply
-            )
+            reply = decoding.decode(answer, gossip_messages.TransferReply)
         except (errors.CodedError, msgspec.DecodeError) as err:
             eliot.log_message(
                 "peers:transfer_failed", peer=peer.host, reason=str(err)
@@ -178,10 +179,8 @@
                     "peers:record_age_failed", reason=repr(answer)
                 )
                 continue
-            if answer[0] == 200:
-                reply = msgspec.json.decode(
-                    answer[1], type=gossip_messages.RecordAgeReply
-                )
+            reply = _read_reply(answer, gossip_messages.RecordAgeReply)
+            if reply is not None:
                 evidence.append(
                     record_age.AgeEvidence(
                         reply.elapsed_s,
@@ -258,9 +257,7 @@
             )
             if status != 200:
                 return
-            reply = msgspec.json.decode(
-                answer, type=gossip_messages.GossipMessage
-            )
+            reply = decoding.decode(answer, gossip_messages.GossipMessage)
         except (errors.CodedError, msgspec.DecodeError) as err:
             if address not in self._retry_at_s:
                 eliot.log_message(
@@ -338,9 +335,7 @@
         task.add_done_callback(self._tasks.discard)
 
     async def _answer_gossip(self, body: bytes) -> bytes:
-        received = msgspec.json.decode(
-            body, type=gossip_messages.GossipMessage
-        )
+        received = decoding.decode(body, gossip_messages.GossipMessage)
         self._merge(received)
         reply = self.gossip.build_message(received.address, received.host)
         reply.fence = self._board.fences.get_number(received.holder)
@@ -350,9 +345,7 @@
         return msgspec.json.encode(reply)
 
     async def _answer_transfer(self, body: bytes) -> bytes:
-        request = msgspec.json.decode(
-            body, type=gossip_messages.TransferRequest
-        )
+        request = decoding.decode(body, gossip_messages.TransferRequest)
         tokens = 0
         if self.transfer_tokens is not None:
             tokens = await self.transfer_tokens(
@@ -369,9 +362,7 @@
         return msgspec.json.encode(gossip_messages.TransferReply(tokens))
 
     async def _answer_record_age(self, body: bytes) -> bytes:
-        request = msgspec.json.decode(
-            body, type=gossip_messages.RecordAgeRequest
-        )
+        request = decoding.decode(body, gossip_messages.RecordAgeRequest)
         reply = self.gossip.report_record_age(request.holder)
         eliot.log_message(
             "peers:record_age_sent",
@@ -412,14 +403,14 @@
         for answer in answers:
             if isinstance(answer, BaseException):
                 eliot.log_message("peers:fence_failed", reason=repr(answer))
-            elif answer[0] == 200:
-                reply = msgspec.json.decode(answer[1], type=fences.FenceReply)
-                if reply.fenced:
-                    fenced.add(reply.voter)
+                continue
+            reply = _read_reply(answer, fences.FenceReply)
+            if reply is not None and reply.fenced:
+                fenced.add(reply.voter)
         return len(fenced & set(voters))
 
     async def _answer_fence(self, body: bytes) -> bytes:
-        request = msgspec.json.decode(body, type=fences.FenceRequest)
+        request = decoding.decode(body, fences.FenceRequest)
         fenced = self.gossip.fence_holder(request)
         eliot.log_message(
             "peers:fence_answered",
@@ -436,6 +427,18 @@
         return compression.pack(config.source) if config else b""
 
 
+def _read_reply(answer: tuple[int, bytes], kind: type[Reply]) -> Reply | None:
+    """Return a peer's reply, None if it refused or can't be read."""
+    status, body = answer
+    if status != 200:
+        return None
+    try:
+        return decoding.decode(body, kind)
+    except msgspec.DecodeError as err:
+        eliot.log_message("peers:reply_unreadable", reason=str(err))
+        return None
+
+
 def compute_interval(peers: int) -> float:
     """Return the seconds between two exchanges with the same peer.
 
--- a/src/cyclamenwing/gateway/poison_records.py
+++ b/src/cyclamenwing/gateway/poison_records.py
@@ -17,6 +17,7 @@
 import eliot
 import msgspec
 
+from cyclamenwing import decoding
 from cyclamenwing.gateway import blackboard
 from cyclamenwing.gateway import crash_notices
 from cyclamenwing.routing import poison_parts
@@ -221,10 +222,8 @@
                 continue
             self._revision = entry.revision
             try:
-                records = msgspec.json.decode(
-                    entry.value, type=source.list_type
-                )
-            except (msgspec.DecodeError, UnicodeDecodeError) as err:
+                records = decoding.decode(entry.value, source.list_type)
+            except msgspec.DecodeError as err:
                 eliot.log_message(
                     "suspect:record_unreadable",
                     key=source.key,
--- a/src/cyclamenwing/gateway/records.py
+++ b/src/cyclamenwing/gateway/records.py
@@ -8,6 +8,7 @@
 import eliot
 import msgspec
 
+from cyclamenwing import decoding
 from cyclamenwing.budget import escrow
 from cyclamenwing.budget import restoration
 from cyclamenwing.gateway import eras
@@ -28,9 +29,9 @@
     The other fields are those of `restoration.Mark`.
     """
 
-    drawn: dict[str, int] = {}
-    era: int = 0
-    basis: tuple[int, int] = (0, 0)
+    drawn: dict[str, decoding.Integer] = {}
+    era: decoding.Integer = 0
+    basis: tuple[decoding.Integer, decoding.Integer] = (0, 0)
     restored: tuple[str, ...] = ()
 
 
@@ -41,10 +42,10 @@
     know the last two count `late` alone, which frees less.
     """
 
-    ceiling: int
+    ceiling: decoding.Integer
     early: float
     late: float
-    burst: int | None = None
+    burst: decoding.Integer | None = None
     steady: float = 0.0
 
 
@@ -88,11 +89,11 @@
     promises: dict[str, UsageBoundRecord]
     former: list[PredecessorRecord] = []
     clock_confirmed: bool = False
-    era: int = 0
+    era: decoding.Integer = 0
     restoring: bool = False
     clock_lead_s: float | None = None
     voters: tuple[str, ...] = ()
-    fence: int = 0
+    fence: decoding.Integer = 0
     reclaimed: bool = False
 
 
@@ -119,7 +120,7 @@
         older state is restored in their place
     """
     try:
-        record = msgspec.json.decode(entry.value, type=PoolRecord)
+        record = decoding.decode(entry.value, PoolRecord)
     except msgspec.DecodeError as err:
         eliot.log_message(
             "funds:pool_unreadable", key=entry.key, reason=str(err)
@@ -134,7 +135,7 @@
 def read_holder(entry: protocol.Entry) -> HolderRecord | None:
     """Return the record of a gateway, None if it can't be read."""
     try:
-        return msgspec.json.decode(entry.value, type=HolderRecord)
+        return decoding.decode(entry.value, HolderRecord)
     except msgspec.DecodeError as err:
         eliot.log_message(
             "funds:record_unreadable", key=entry.key, reason=str(err)
--- a/src/cyclamenwing/gateway/registration.py
+++ b/src/cyclamenwing/gateway/registration.py
@@ -9,6 +9,7 @@
 import eliot
 import msgspec
 
+from cyclamenwing import decoding
 from cyclamenwing.gateway import blackboard
 from cyclamenwing.gateway import clock
 from cyclamenwing.membership import delegates
@@ -126,7 +127,7 @@
 def read_member(entry: protocol.Entry) -> delegates.Member | None:
     """Return a registered gateway, None if its entry can't be read."""
     try:
-        return msgspec.json.decode(entry.value, type=delegates.Member)
+        return decoding.decode(entry.value, delegates.Member)
     except msgspec.DecodeError as err:
         eliot.log_message(
             "registration:unreadable", key=entry.key, reason=str(err)
--- a/src/cyclamenwing/gateway/relay.py
+++ b/src/cyclamenwing/gateway/relay.py
@@ -17,6 +17,7 @@
 import eliot
 import msgspec
 
+from cyclamenwing import decoding
 from cyclamenwing.gateway import blackboard
 from cyclamenwing.gateway import clock
 from cyclamenwing.store import errors
@@ -184,7 +185,7 @@
 
     async def answer_peer(self, body: bytes) -> bytes:
         """Make a store call for a peer; return the encoded reply."""
-        request = msgspec.json.decode(body, type=RelayRequest)
+        request = decoding.decode(body, RelayRequest)
         try:
             reply = await self._execute(request)
         except errors.StoreError as err:
@@ -268,7 +269,7 @@
                 msgspec.json.encode(request),
                 timeout_s,
             )
-            reply = msgspec.json.decode(answer, type=RelayReply)
+            reply = decoding.decode(answer, RelayReply)
         except transport_errors.ConnectFailedError as err:
             raise errors.StoreUnavailableError(err.message) from err
         except (
--- a/src/cyclamenwing/gateway/reservations.py
+++ b/src/cyclamenwing/gateway/reservations.py
@@ -10,6 +10,7 @@
 import eliot
 import msgspec
 
+from cyclamenwing import decoding
 from cyclamenwing.gateway import blackboard
 from cyclamenwing.gateway import budget_rest
 from cyclamenwing.gateway import clock
@@ -125,7 +126,7 @@
         :raises LeavingError: if the process stops
         """
         self._board.check_leaving()
-        request = msgspec.json.decode(body, type=grant_messages.GrantRequest)
+        request = decoding.decode(body, grant_messages.GrantRequest)
         board = self._board
         # Gossip to attached gateways has no holdings and pools, which another
         # delegate needs to tell whether a budget is spent.
@@ -171,7 +172,7 @@
         :raises LeavingError: if the process stops
         """
         self._board.check_leaving()
-        returned = msgspec.json.decode(body, type=dict[str, int])
+        returned = decoding.decode(body, dict[str, int])
         for workspace, tokens in returned.items():
             account = self._board.escrow.open_account(workspace)
             account.add_transfer(max(tokens, 0))
--- a/src/cyclamenwing/gateway/settings.py
+++ b/src/cyclamenwing/gateway/settings.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from cyclamenwing import decoding
 from cyclamenwing.settings import comments
 from cyclamenwing.settings import errors
 
@@ -101,7 +102,7 @@
         raise errors.SettingsSyntaxError(str(err), str(path)) from err
     plain = comments.blank_comments(text).encode()
     try:
-        return msgspec.json.decode(plain, type=GatewaySettings)
+        return decoding.decode(plain, GatewaySettings)
     except msgspec.ValidationError as err:
         raise errors.SettingsSchemaError(str(err), str(path)) from err
     except msgspec.DecodeError as err:
--- a/src/cyclamenwing/gateway/stream_origins.py
+++ b/src/cyclamenwing/gateway/stream_origins.py
@@ -16,6 +16,7 @@
 import eliot
 import msgspec
 
+from cyclamenwing import decoding
 from cyclamenwing import errors as base_errors
 from cyclamenwing.gateway import blackboard
 from cyclamenwing.gateway import calls
@@ -185,7 +186,7 @@
 
     async def answer_note(self, body: bytes) -> bytes:
         """Keep the origins that a peer tells of."""
-        for note in msgspec.json.decode(body, type=list[OriginNote]):
+        for note in decoding.decode(body, list[OriginNote]):
             self._put(
                 note.request,
                 versions.Origin(note.service, note.software),
@@ -195,7 +196,7 @@
 
     async def answer_query(self, body: bytes) -> bytes:
         """Answer a peer that looks for an origin."""
-        query = msgspec.json.decode(body, type=OriginQuery)
+        query = decoding.decode(body, OriginQuery)
         known = self._known.get(query.request)
         return msgspec.json.encode(OriginReply(known and known.origin))
 
@@ -247,7 +248,7 @@
             )
             if status != 200:
                 return None
-            return msgspec.json.decode(answer, type=OriginReply).origin
+            return decoding.decode(answer, OriginReply).origin
         except (base_errors.CodedError, msgspec.DecodeError) as err:
             eliot.log_message(
                 "streams:keeper_failed", address=address, reason=str(err)
--- a/src/cyclamenwing/gateway/watches.py
+++ b/src/cyclamenwing/gateway/watches.py
@@ -18,6 +18,7 @@
 import eliot
 import msgspec
 
+from cyclamenwing import decoding
 from cyclamenwing import errors as base_errors
 from cyclamenwing.gateway import blackboard
 from cyclamenwing.gateway import clock
@@ -274,7 +275,7 @@
 
     async def answer(self, body: bytes) -> bytes:
         """Answer the long poll of an attached gateway."""
-        request = msgspec.json.decode(body, type=WatchRequest)
+        request = decoding.decode(body, WatchRequest)
         self._board.roster.record_attached(request.host, clock.read_time())
         cache = self.open_cache(request.prefix)
         if cache.revision < 0:
@@ -367,7 +368,7 @@
             )
             if status != 200:
                 return None
-            reply = msgspec.json.decode(answer, type=WatchReply)
+            reply = decoding.decode(answer, WatchReply)
         except (base_errors.CodedError, msgspec.DecodeError) as err:
             eliot.log_message(
                 "watch:delegate_failed",
--- a/src/cyclamenwing/membership/fencing.py
+++ b/src/cyclamenwing/membership/fencing.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from cyclamenwing import decoding
 from cyclamenwing.membership import errors
 from cyclamenwing.membership import orders
 from cyclamenwing.store import commits
@@ -187,8 +188,8 @@
 
 def _decode(value: bytes, kind: type[T]) -> T:
     try:
-        return msgspec.json.decode(value, type=kind)
-    except (msgspec.ValidationError, msgspec.DecodeError) as err:
+        return decoding.decode(value, kind)
+    except msgspec.DecodeError as err:
         raise store_errors.StoreMalformedError(str(err)) from err
 
 
--- a/src/cyclamenwing/membership/host_list.py
+++ b/src/cyclamenwing/membership/host_list.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from cyclamenwing import decoding
 from cyclamenwing.membership import errors
 from cyclamenwing.membership import types
 from cyclamenwing.transport import errors as transport_errors
@@ -33,8 +34,8 @@
             f"host list answered with status {answer.status}"
         )
     try:
-        return msgspec.json.decode(answer.body, type=list[types.Host])
-    except (msgspec.ValidationError, msgspec.DecodeError) as err:
+        return decoding.decode(answer.body, list[types.Host])
+    except msgspec.DecodeError as err:
         raise errors.HostListError(str(err)) from err
 
 
--- a/src/cyclamenwing/platform/configuration.py
+++ b/src/cyclamenwing/platform/configuration.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from cyclamenwing import decoding
 from cyclamenwing.gateway import configuration
 from cyclamenwing.platform import errors
 from cyclamenwing.routing import cold_marks
@@ -61,8 +62,8 @@
     # Longest pause between two events of a stream that still counts as good
     # service; `goal_ms` if absent.
     gap_goal_ms: float | None = None
-    attempts: int = 1
-    priority: int = 0
+    attempts: decoding.Integer = 1
+    priority: decoding.Integer = 0
     # Requests need no API key.
     public: bool = False
     # Requests name prompt parts that endpoints keep in their prefix cache.
@@ -77,11 +78,11 @@
     """Hold the engine parameters of a service's model endpoints."""
 
     # Requests that one endpoint runs at the same time.
-    slots: int = 1
+    slots: decoding.Integer = 1
     # Tokens of running requests and of the prefix cache together.
-    kv_capacity: int = 0
+    kv_capacity: decoding.Integer = 0
     # Largest number of tokens in one event of a stream.
-    stride: int = 1
+    stride: decoding.Integer = 1
 
 
 class ServiceEntry(msgspec.Struct):
@@ -90,7 +91,7 @@
     name: str
     health_path: str = "/health"
     # Connections that one endpoint accepts from all clients together.
-    max_conns: int = 64
+    max_conns: decoding.Integer = 64
     engine: EngineEntry | None = None
     # Seconds for which an endpoint is cold after its start, and the requests
     # per second that it tolerates meanwhile. No endpoint is cold unless both
@@ -102,8 +103,8 @@
 class LimitsEntry(msgspec.Struct):
     """Hold the limits of what clients send and of the time they take."""
 
-    max_header_bytes: int = 16_384
-    max_body_bytes: int = 4_194_304
+    max_header_bytes: decoding.Integer = 16_384
+    max_body_bytes: decoding.Integer = 4_194_304
     header_timeout_ms: float = 3000.0
     idle_timeout_ms: float = 15000.0
 
@@ -114,9 +115,9 @@
     name: str
     api_keys: list[str] = []
     # Overrides the priority of the route.
-    priority: int | None = None
+    priority: decoding.Integer | None = None
     # Total tokens that the workspace may consume; top-ups raise this number.
-    prepaid: int | None = None
+    prepaid: decoding.Integer | None = None
     # As for routes. An endpoint must be in a region of both lists.
     home_regions: list[str] = []
 
@@ -124,7 +125,7 @@
 class ConfigEntry(msgspec.Struct):
     """Hold a whole configuration as it is stored."""
 
-    version: int
+    version: decoding.Integer
     routes: list[RouteEntry] = []
     services: list[ServiceEntry] = []
     limits: LimitsEntry = msgspec.field(default_factory=LimitsEntry)
@@ -132,7 +133,7 @@
     tenants: list[WorkspaceEntry] = []
 
 
-_DECODER = msgspec.json.Decoder(ConfigEntry)
+_DECODER = decoding.Decoder(ConfigEntry)
 
 
 def read_configuration(data: bytes) -> configuration.Configuration:
@@ -143,7 +144,7 @@
     """
     try:
         entry = _DECODER.decode(data)
-    except (msgspec.DecodeError, UnicodeDecodeError) as err:
+    except msgspec.DecodeError as err:
         raise errors.ConfigurationUnreadableError(str(err)) from err
     return configuration.Configuration(
         version=entry.version,
--- a/src/cyclamenwing/platform/endpoints.py
+++ b/src/cyclamenwing/platform/endpoints.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from cyclamenwing import decoding
 from cyclamenwing.platform import errors
 from cyclamenwing.routing import endpoints
 
@@ -24,14 +25,14 @@
     # Version of its software; that of its weights is with its models.
     version: str = ""
     # Requests that the endpoint runs at the same time.
-    slots: int = 1
+    slots: decoding.Integer = 1
     # Remaining time in which the endpoint is cold, at the time of writing.
     cold_left_ms: float = 0.0
     # Start time of this incarnation in Unix milliseconds.
-    born: int = 0
+    born: decoding.Integer = 0
 
 
-_DECODER = msgspec.json.Decoder(EndpointEntry)
+_DECODER = decoding.Decoder(EndpointEntry)
 
 
 def read_endpoint(key: str, value: bytes) -> endpoints.Endpoint:
@@ -44,7 +45,7 @@
         host, _, port = entry.address.rpartition(":")
         if not host or not 0 < int(port) < 65_536:
             raise ValueError(f"invalid address {entry.address!r}")
-    except (msgspec.DecodeError, UnicodeDecodeError, ValueError) as err:
+    except (msgspec.DecodeError, ValueError) as err:
         raise errors.EndpointUnreadableError(f"{key}: {err}") from err
     return endpoints.Endpoint(
         name=read_name(key),
--- a/src/cyclamenwing/platform/store.py
+++ b/src/cyclamenwing/platform/store.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from cyclamenwing import decoding
 from cyclamenwing.store import errors
 from cyclamenwing.store import protocol
 from cyclamenwing.transport import errors as transport_errors
@@ -220,7 +221,7 @@
             f"{status} returned by the store: {body[:200]!r}"
         )
     try:
-        return msgspec.json.decode(body, type=kind)
+        return decoding.decode(body, kind)
     except msgspec.DecodeError as err:
         raise errors.StoreMalformedError(str(err)) from err
 
--- a/src/cyclamenwing/request/claims.py
+++ b/src/cyclamenwing/request/claims.py
@@ -14,6 +14,7 @@
 
 import msgspec
 
+from cyclamenwing import decoding
 from cyclamenwing.request import errors
 from cyclamenwing.store import protocol
 
@@ -128,8 +129,8 @@
         if value is None:
             return {"commits": [], "claims": {}}
         try:
-            return msgspec.json.decode(value, type=ClaimShard)
-        except (msgspec.ValidationError, msgspec.DecodeError) as err:
+            return decoding.decode(value, ClaimShard)
+        except msgspec.DecodeError as err:
             raise MalformedClaimsError(str(err)) from err
 
     def encode(self, document: ClaimShard) -> bytes:
--- a/src/cyclamenwing/routing/prefix.py
+++ b/src/cyclamenwing/routing/prefix.py
@@ -9,6 +9,8 @@
 import msgspec
 import xxhash
 
+from cyclamenwing import decoding
+
 BLOCK_BYTES = 256
 DIGEST_BITS = 32
 # Lengths, in blocks, of the prefixes that are compared. Each is at most twice
@@ -56,13 +58,13 @@
     """Return the prefix digests of a chat request; none if malformed."""
     try:
         chat = _DECODER.decode(body)
-    except (msgspec.DecodeError, UnicodeDecodeError):
+    except msgspec.DecodeError:
         return ()
     pairs = ((item.role, item.content) for item in chat.messages)
     return pick_anchors(chain_blocks(render_prompt(pairs)))
 
 
-_DECODER = msgspec.json.Decoder(_Chat)
+_DECODER = decoding.Decoder(_Chat)
 
 __all__ = (
     "ANCHORS",
--- a/src/cyclamenwing/sidecar/calls.py
+++ b/src/cyclamenwing/sidecar/calls.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from cyclamenwing import decoding
 from cyclamenwing.request import types
 from cyclamenwing.sidecar import errors
 from cyclamenwing.sidecar import meter
@@ -67,10 +68,8 @@
     :raises SidecarError: if it can't be decoded
     """
     try:
-        return msgspec.json.decode(
-            base64.b64decode(order["body"]), type=dict[str, Any]
-        )
-    except (msgspec.ValidationError, msgspec.DecodeError, ValueError) as err:
+        return decoding.decode_document(base64.b64decode(order["body"]))
+    except (msgspec.DecodeError, ValueError) as err:
         raise errors.SidecarError(
             f"the order has a malformed body: {err}"
         ) from err
--- a/src/cyclamenwing/sidecar/endpoint_observer.py
+++ b/src/cyclamenwing/sidecar/endpoint_observer.py
@@ -8,6 +8,7 @@
 import eliot
 import msgspec
 
+from cyclamenwing import decoding
 from cyclamenwing.membership import types as membership_types
 from cyclamenwing.routing import reports
 from cyclamenwing.routing import types
@@ -101,12 +102,12 @@
 
     def _update_reports(self, load: bytes, events: bytes) -> None:
         try:
-            engine_load = msgspec.json.decode(load, type=reports.EngineLoad)
+            engine_load = decoding.decode(load, reports.EngineLoad)
             cache_events = [
-                msgspec.json.decode(line, type=reports.CacheEvent)
+                decoding.decode(line, reports.CacheEvent)
                 for line in events.splitlines()
             ]
-        except (msgspec.DecodeError, UnicodeDecodeError) as err:
+        except msgspec.DecodeError as err:
             raise errors.EndpointMalformedError(str(err)) from err
         self._reports.up = True
         self._reports.load = engine_load
--- a/src/cyclamenwing/sidecar/meter.py
+++ b/src/cyclamenwing/sidecar/meter.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from cyclamenwing import decoding
 from cyclamenwing.request import types
 from cyclamenwing.sidecar import errors
 
@@ -91,8 +92,8 @@
     def finish(self) -> bytes:
         """Read the usage and return the complete response."""
         try:
-            decoded = msgspec.json.decode(self._buffer, type=dict[str, Any])
-        except (msgspec.ValidationError, msgspec.DecodeError) as err:
+            decoded = decoding.decode(self._buffer, dict[str, Any])
+        except msgspec.DecodeError as err:
             raise errors.EndpointMalformedError(str(err), "ran") from err
         usage = read_usage(decoded.get("usage"))
         self.usage = _cap_usage(usage, self._max_tokens)
@@ -227,11 +228,11 @@
 def _decode_event(data: bytes) -> Event:
     try:
         return _DECODER.decode(data)
-    except (msgspec.ValidationError, msgspec.DecodeError) as err:
+    except msgspec.DecodeError as err:
         raise errors.EndpointMalformedError(str(err), "ran") from err
 
 
-_DECODER = msgspec.json.Decoder(Event)
+_DECODER = decoding.Decoder(Event)
 
 __all__ = (
     "BufferedMeter",
--- a/src/cyclamenwing/standin/metadata_store.py
+++ b/src/cyclamenwing/standin/metadata_store.py
@@ -12,6 +12,7 @@
 
 import msgspec
 
+from cyclamenwing import decoding
 from cyclamenwing.transport import h1
 from cyclamenwing.transport import h1_server
 from cyclamenwing.transport import pooled_client
@@ -153,7 +154,7 @@
 
     async def _txn(self, _: dict[str, str], body: bytes) -> Answer:
         await asyncio.sleep(self.txn_pause_s)
-        txn = msgspec.json.decode(body)
+        txn = decoding.decode(body, dict[str, Any])
         expected, writes = txn["expected"], txn["replace"]
         if len(expected) + len(writes) > MAX_TXN_ENTRIES:
             return 400, {"error": "too many entries"}
--- a/src/cyclamenwing/store/client.py
+++ b/src/cyclamenwing/store/client.py
@@ -10,9 +10,9 @@
 
 import msgspec
 
+from cyclamenwing import decoding
 from cyclamenwing.store import errors
 from cyclamenwing.store import protocol
-from cyclamenwing.transport import client
 from cyclamenwing.transport import errors as transport_errors
 from cyclamenwing.transport import protocol as transport
 
@@ -270,8 +270,8 @@
 
 def _read_events(line: bytes) -> list[protocol.Entry]:
     try:
-        reply = msgspec.json.decode(line, type=WatchReply)
-    except client.DECODE_ERRORS as err:
+        reply = decoding.decode(line, WatchReply)
+    except msgspec.DecodeError as err:
         raise errors.StoreMalformedError(str(err)) from err
     result = reply.get("result", {})
     if result.get("canceled"):
--- a/src/cyclamenwing/transport/client.py
+++ b/src/cyclamenwing/transport/client.py
@@ -14,6 +14,7 @@
 from tornado import curl_httpclient
 from tornado import httpclient
 
+from cyclamenwing import decoding
 from cyclamenwing import errors as base_errors
 from cyclamenwing.transport import errors
 from cyclamenwing.transport import protocol
@@ -39,12 +40,6 @@
     pycurl.E_WRITE_ERROR,
     pycurl.E_FILESIZE_EXCEEDED,
 ))
-DECODE_ERRORS = (
-    msgspec.ValidationError,
-    msgspec.DecodeError,
-    UnicodeDecodeError,
-    RecursionError,
-)
 
 
 class CurlStream:
@@ -235,8 +230,8 @@
         if response.status >= 400:
             raise parse_error_response(response)
         try:
-            return msgspec.json.decode(response.body, type=reply)
-        except DECODE_ERRORS as err:
+            return decoding.decode(response.body, reply)
+        except msgspec.DecodeError as err:
             raise errors.MalformedMessageError(str(err), "unknown") from err
 
     async def fetch(
@@ -390,8 +385,8 @@
 ) -> errors.PeerRefusedError:
     """Return the coded error that a peer responded with."""
     try:
-        body = msgspec.json.decode(response.body, type=base_errors.ErrorBody)
-    except DECODE_ERRORS:
+        body = decoding.decode(response.body, base_errors.ErrorBody)
+    except msgspec.DecodeError:
         text = response.body[:MAX_QUOTED_BODY_BYTES].decode(errors="replace")
         return errors.PeerRefusedError(
             "malformed_refusal",
@@ -404,7 +399,6 @@
 
 
 __all__ = (
-    "DECODE_ERRORS",
     "MAX_BUFFERED_BYTES",
     "MAX_RESPONSE_BYTES",
     "CurlClient",
--- a/src/cyclamenwing/transport/frame_codec.py
+++ b/src/cyclamenwing/transport/frame_codec.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from cyclamenwing import decoding
 from cyclamenwing.request import types
 from cyclamenwing.transport import errors
 
@@ -19,7 +20,7 @@
     "refusal": ("code", "message", "run"),
 }
 
-_DECODER = msgspec.json.Decoder(types.Frame)
+_DECODER = decoding.Decoder(types.Frame)
 
 
 async def read_frames(
@@ -54,7 +55,7 @@
     """
     try:
         frame = _DECODER.decode(line)
-    except (msgspec.ValidationError, msgspec.DecodeError) as err:
+    except msgspec.DecodeError as err:
         raise errors.MalformedMessageError(str(err), "unknown") from err
     required = _REQUIRED_FIELDS.get(frame.get("t", ""), ("t",))
     missing = [name for name in required if name not in frame]
--- a/src/cyclamenwing/transport/server.py
+++ b/src/cyclamenwing/transport/server.py
@@ -12,6 +12,7 @@
 from tornado import netutil
 from tornado import web
 
+from cyclamenwing import decoding
 from cyclamenwing import errors as base_errors
 from cyclamenwing.transport import delegates
 from cyclamenwing.transport import errors
@@ -57,13 +58,8 @@
         :raises MalformedMessageError: if it does not match the type
         """
         try:
-            return msgspec.json.decode(self.request.body, type=message)
-        except (
-            msgspec.ValidationError,
-            msgspec.DecodeError,
-            UnicodeDecodeError,
-            RecursionError,
-        ) as err:
+            return decoding.decode(self.request.body, message)
+        except msgspec.DecodeError as err:
             raise errors.MalformedMessageError(str(err)) from err
 
     def write_json(self, message: object) -> None:
