Use no entry as an endpoint that lacks fields

Cause: another writer's entry without `version`, `slots`, `cold_left_ms` and `seq` was decoded, as these had defaults or were not read.

Ruled out: an address that an endpoint had before; it never had it.

Change: the fields that each endpoint writes are required, and the address must be IPv4 with a port. The tests for each missing field, for a host name, for a NUL and for a port in other digits failed before.

--- a/src/cyclamenwing/platform/endpoints.py
+++ b/src/cyclamenwing/platform/endpoints.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import ipaddress
 from typing import Literal
 
 import msgspec
@@ -21,13 +22,16 @@
     # "ip:port" that requests are sent to.
     address: str
     state: Literal["ready", "draining"]
-    zone: str = ""
+    zone: str
     # Version of its software; that of its weights is with its models.
-    version: str = ""
+    version: str
     # Requests that the endpoint runs at the same time.
-    slots: decoding.Integer = 1
+    slots: decoding.Integer
     # Remaining time in which the endpoint is cold, at the time of writing.
-    cold_left_ms: float = 0.0
+    cold_left_ms: float
+    # Number of the entry's last renewal. It is not used, but an entry without
+    # it was not written by an endpoint.
+    seq: decoding.Integer
     # Start time of this incarnation in Unix milliseconds.
     born: decoding.Integer = 0
 
@@ -42,9 +46,7 @@
     """
     try:
         entry = _DECODER.decode(value)
-        host, _, port = entry.address.rpartition(":")
-        if not host or not 0 < int(port) < 65_536:
-            raise ValueError(f"invalid address {entry.address!r}")
+        _check_address(entry.address)
     except (msgspec.DecodeError, ValueError) as err:
         raise errors.EndpointUnreadableError(f"{key}: {err}") from err
     return endpoints.Endpoint(
@@ -60,6 +62,17 @@
     )
 
 
+def _check_address(address: str) -> None:
+    """Check that an address has an IPv4 address and a port.
+
+    :raises ValueError: if it has not
+    """
+    host, _, port = address.rpartition(":")
+    ipaddress.IPv4Address(host)
+    if not (port.isascii() and port.isdecimal() and 0 < int(port) < 65_536):
+        raise ValueError(f"invalid port in {address!r}")
+
+
 def read_name(key: str) -> str:
     """Return the endpoint's id from its key."""
     return key.removeprefix(KEY_PREFIX)
--- a/tests/platform/test_endpoints.py
+++ b/tests/platform/test_endpoints.py
@@ -58,7 +58,11 @@
         {"address": "10.0.0.9:http"},
         {"address": "10.0.0.9:0"},
         {"address": "10.0.0.9:70000"},
+        {"address": "10.0.0.9:\u0668\u0660"},
+        {"address": "host.example:8080"},
+        {"address": "10.0.0.9\x00:8080"},
         {"slots": "many"},
+        {"seq": "4"},
         {"born": 1.5},
     ],
 )
@@ -69,13 +73,23 @@
         read(ENTRY | change)
 
 
-@pytest.mark.parametrize("missing", ["service", "address", "state"])
+@pytest.mark.parametrize("missing", sorted(ENTRY.keys() - {"born"}))
 def test_missing_required_field_is_refused(missing: str) -> None:
     with pytest.raises(errors.EndpointUnreadableError):
         read({k: v for k, v in ENTRY.items() if k != missing})
 
 
-@pytest.mark.parametrize("value", [b"", b"\xff", b"null", b"{"])
+def test_number_that_can_not_be_encoded_again_is_refused() -> None:
+    """Gossip that tells of such a number could not be sent."""
+    value = msgspec.json.encode(ENTRY | {"born": 1})
+    value = value.replace(b'"born":1', b'"born":%d' % 10**30)
+    with pytest.raises(errors.EndpointUnreadableError):
+        endpoints.read_endpoint("servers/i-1", value)
+
+
+@pytest.mark.parametrize(
+    "value", [b"", b"\xff", b"null", b"{", b'{"service":' * 100_000]
+)
 def test_malformed_bytes_are_refused(value: bytes) -> None:
     with pytest.raises(errors.EndpointUnreadableError):
         endpoints.read_endpoint("servers/i-1", value)
