Let usage bounds follow what requests use, not what they reserve

Cause: a usage bound counted all that running requests had reserved, and its headroom followed the rate of reservations, here 16 times the rate of use; nothing was taken back at the end of a request. So the bound exceeded all holdings of the process, and its successor counted them as used.

Ruled out: holdings that are not released (the pool lists them under `closed`).

Change: streamed requests may use their prompt and 512 output tokens at once; the rest is reserved but deferred, and is made usable in steps of 512 as events are passed on. Requests that end early lower the rate. From 5 gateways on, delegates pledge what is deferred instead of handing it over. Gossip names deferred tokens, and a budget with such tokens is not called spent. A gateway that was reclaimed from gives up what it had deferred.

`record_spent` of the tests of slow clients and the simulated fleet now get the reservation, as `Reservations.settle` does; they check the same.

--- a/src/cyclamenwing/budget/escrow.py
+++ b/src/cyclamenwing/budget/escrow.py
@@ -9,10 +9,12 @@
 Each gateway also commits a usage bound for each account, in a record next
 to the pools. The bound limits how many of its tokens the gateway may use,
 and grows with the age of the record: not at first, then at the recent rate
-of use. Once a peer has noticed that the record is old, the bound grows fast
-enough to serve the recent demand during an outage of the store. When the
-process has died, its successor on the same host releases the tokens above the
-bound to the pool.
+of use. Running requests count with the tokens that they may use without
+asking again, which is less than what is reserved for a long answer. Once a
+peer has noticed that the record is old, the bound grows fast enough to serve
+the recent demand during an outage of the store. When the process has died,
+its successor on the same host releases the tokens above the bound to the
+pool.
 
 While the result of a commit is unknown, the gateway assumes the worse
 outcome for its holdings and for its usage bounds, until a read of the store
@@ -37,6 +39,8 @@
 
 # Time constant of the rate of use; long enough to cover a large batch twice.
 RATE_WINDOW_S = 8.0
+# A rate of use that is older than this is close to 0.
+MAX_RATE_AGE_S = 10 * RATE_WINDOW_S
 # Time constant of the tokens that requests may still give back: half of them
 # run for 1 s, and attached gateways return what is left 0.5 to 1 s later.
 RECENT_S = 2.0
@@ -60,7 +64,10 @@
     :param given: tokens given to other gateways
     :param spent: tokens that requests have used
     :param reserved: tokens reserved for requests in progress
+    :param deferred: those of them that the requests may not use yet
     :param wanted: tokens that waiting requests need
+    :param wanted_later: those of them that will be deferred
+    :param awaited: deferred tokens that running requests wait for
     :param rate: rate of use at `rate_at_s`, in tokens per second
     :param recent: tokens reserved lately at `rate_at_s`
     :param usage_bounds: the usage bounds that the store may hold
@@ -74,7 +81,10 @@
     given: int = 0
     spent: int = 0
     reserved: int = 0
+    deferred: int = 0
     wanted: int = 0
+    wanted_later: int = 0
+    awaited: int = 0
     rate: float = 0.0
     rate_at_s: float = 0.0
     recent: float = 0.0
@@ -83,9 +93,14 @@
 
     @property
     def used(self) -> int:
-        """Return the tokens that count against holdings and usage bounds."""
+        """Return the tokens that count against holdings."""
         return self.spent + self.reserved + self.given - self.received
 
+    @property
+    def committed(self) -> int:
+        """Return the tokens that count against usage bounds."""
+        return self.used - self.deferred
+
     @property
     def held(self) -> int:
         """Return the tokens that this gateway holds and has not used."""
@@ -93,64 +108,127 @@
         return drawn - self.used
 
     def count_available(self, now_s: float) -> int:
-        """Return the tokens that may be reserved now.
+        """Return the tokens that may be reserved and used now."""
+        return min(self.held, self.measure_room(now_s))
+
+    def measure_room(self, now_s: float) -> int:
+        """Return the tokens that the usage bounds leave.
 
-        Without a usage bound only tokens received from peers are available.
-        No other process can release these, so they need no bound.
+        Without a usage bound these are the ones received from peers. No other
+        process can release them, so they need no bound.
         """
         if not self.usage_bounds:
-            return self.held - max(self.drawn, 0)
+            return self.held + self.deferred - max(self.drawn, 0)
         limit = min(
             p.compute_limit(now_s, self.outage_noticed)
             for p in self.usage_bounds
         )
-        return min(self.held, limit - self.used)
+        return limit - self.committed
 
-    def measure_headroom(self, used: int) -> int:
+    def measure_headroom(self, committed: int) -> int:
         """Return the initial headroom of the newest usage bound.
 
-        :param used: tokens in use when the bound was computed
+        :param committed: `committed` when the bound was computed
+        """
+        if not self.usage_bounds:
+            return 0
+        return self.usage_bounds[-1].ceiling - committed
+
+    def count_missing(self, tokens: int, initial: int, now_s: float) -> int:
+        """Return the tokens that others must transfer for a request.
+
+        :param initial: tokens that it may use at once
         """
-        return self.usage_bounds[-1].ceiling - used if self.usage_bounds else 0
+        return max(tokens - self.held, initial - self.measure_room(now_s), 0)
 
-    def predict_wait(self, tokens: int, now_s: float) -> float | None:
+    def predict_wait(
+        self, tokens: int, now_s: float, initial: int | None = None
+    ) -> float | None:
         """Return the seconds until the usage bounds allow a request.
 
         None means that they don't within `MAX_GROWTH_WAIT_S`, or that the
         gateway holds too few tokens. The result assumes that a peer has
         noticed that the record is old.
+
+        :param initial: tokens that it may use at once, None for all
         """
         if tokens > self.held or not self.usage_bounds:
             return None
+        if initial is None:
+            initial = tokens
         steps = round(MAX_GROWTH_WAIT_S / GROWTH_WAIT_STEP_S)
         return next(
             (
                 step * GROWTH_WAIT_STEP_S
                 for step in range(steps)
-                if tokens
+                if initial
                 <= min(
                     p.compute_limit(now_s + step * GROWTH_WAIT_STEP_S, True)
                     for p in self.usage_bounds
                 )
-                - self.used
+                - self.committed
             ),
             None,
         )
 
-    def reserve(self, tokens: int, now_s: float) -> bool:
-        """Reserve tokens for a request; return whether they were available."""
-        if tokens > self.count_available(now_s):
+    def reserve(
+        self, tokens: int, now_s: float, initial: int | None = None
+    ) -> bool:
+        """Reserve tokens for a request; return whether they were available.
+
+        :param initial: tokens that it may use at once, None for all; the
+            others are deferred until `extend`
+        """
+        if initial is None:
+            initial = tokens
+        if tokens > self.held or initial > self.measure_room(now_s):
             return False
         self.reserved += tokens
-        self.recent = self.measure_recent(now_s) + tokens
-        self.rate = self.measure_rate(now_s) + tokens / RATE_WINDOW_S
-        self.rate_at_s = now_s
+        self.deferred += tokens - initial
+        self._record_use(initial, now_s, tokens)
         return True
 
-    def settle(self, reserved: int, spent: int) -> None:
-        """End a reservation of which `spent` tokens were used."""
+    def extend(self, tokens: int, now_s: float) -> bool:
+        """Let a running request use deferred tokens; return whether it may.
+
+        They are held, unless another gateway has reclaimed them.
+        """
+        if tokens > min(self.held + self.deferred, self.measure_room(now_s)):
+            return False
+        self.deferred -= tokens
+        self._record_use(tokens, now_s, 0)
+        return True
+
+    def settle(
+        self,
+        reserved: int,
+        spent: int,
+        deferred: int = 0,
+        now_s: float | None = None,
+    ) -> None:
+        """End a reservation of which `spent` tokens were used.
+
+        :param deferred: tokens of it that are deferred still
+        :param now_s: present time, None if none has passed since a request
+        """
         self.reserved -= reserved
+        self.deferred -= deferred
         self.spent += spent
+        self.record_unused(reserved - deferred - spent, now_s)
+
+    def record_unused(self, tokens: int, now_s: float | None = None) -> None:
+        """Correct the rate of use by tokens that were counted in it."""
+        unused_rate = tokens / RATE_WINDOW_S
+        if now_s is not None:
+            # `rate` is that of an earlier time.
+            idle_s = min(max(now_s - self.rate_at_s, 0.0), MAX_RATE_AGE_S)
+            unused_rate *= math.exp(idle_s / RATE_WINDOW_S)
+        self.rate = max(self.rate - unused_rate, 0.0)
+
+    def _record_use(self, tokens: int, now_s: float, reserved: int) -> None:
+        self.recent = self.measure_recent(now_s) + reserved
+        self.rate = self.measure_rate(now_s) + tokens / RATE_WINDOW_S
+        self.rate_at_s = now_s
 
     def deduct_transfer(self, tokens: int, now_s: float) -> int:
         """Deduct available tokens for another gateway; return how many."""
@@ -207,10 +285,10 @@
         :param change: tokens drawn, or returned if negative, by the commit
         """
         return usage_bounds.plan_bound(
-            self.used,
+            self.committed,
             max(self.held + change, 0),
             self.measure_rate(now_s),
-            self.wanted,
+            self.wanted - self.wanted_later + self.awaited,
             now_s,
         )
 
@@ -298,7 +376,7 @@
                 bound.compute_limit(now_s, late=False)
                 for bound in account.usage_bounds
             )
-            left = max(limit, account.used)
+            left = max(limit, account.committed)
             account.drawn = min(account.drawn, left)
             if account.min_drawn is not None:
                 account.min_drawn = min(account.min_drawn, left)
--- a/src/cyclamenwing/budget/usage_bounds.py
+++ b/src/cyclamenwing/budget/usage_bounds.py
@@ -86,10 +86,10 @@
 ) -> UsageBound:
     """Return the usage bound to commit.
 
-    :param used: tokens in use
+    :param used: tokens that are used, or that running requests may use
     :param held: tokens held once the commit has taken effect
     :param rate: recent rate of use in tokens per second
-    :param wanted: tokens that waiting requests need
+    :param wanted: tokens that requests wait to use
     """
     headroom = max(rate * HEADROOM_S, held * HEADROOM_SHARE) + wanted
     early = max(rate * EARLY_RATE_FACTOR, held * EARLY_RATE_SHARE)
--- a/src/cyclamenwing/gateway/app.py
+++ b/src/cyclamenwing/gateway/app.py
@@ -171,6 +171,7 @@
             self._peers.request_tokens,
             grant_client.request_grant,
             grant_client.return_tokens,
+            grant_client.ask_pledged,
         )
         self._peers.transfer_tokens = self._reservations.transfer_to_peer
         self._peers.handlers.update({
@@ -180,6 +181,7 @@
             stream_origins.QUERY_PATH: self._streams.answer_query,
             grants.GRANT_PATH: self._reservations.answer_grant,
             grants.RETURN_PATH: self._reservations.answer_return,
+            grants.PLEDGE_PATH: self._reservations.pledges.answer,
         })
         self._operator_calls = operator_calls.OperatorCalls(
             settings.operator_key_sha256,
@@ -349,6 +351,7 @@
         try:
             async with asyncio.timeout(RETURN_TIMEOUT_S):
                 await self._reservations.wait_for_incoming(INCOMING_TIMEOUT_S)
+                self._reservations.pledges.end_all()
                 await self._reservations.return_idle(0.0)
                 if self.board.roster.acts_as_delegate:
                     await self._pools.return_holdings()
--- a/src/cyclamenwing/gateway/blackboard.py
+++ b/src/cyclamenwing/gateway/blackboard.py
@@ -53,6 +53,8 @@
     :param store_age_s: time since it last reached the store directly
     :param gateways: live gateways that the message speaks for
     :param drawn: tokens by workspace that the pool listed for it then
+    :param deferred: tokens by workspace that its running requests have
+        reserved and not asked for
     :param wall_offset_s: its wall clock less this gateway's clock, as far as
         the message's delay shows
     """
@@ -69,6 +71,7 @@
     gateways: int = 1
     wall_offset_s: float | None = None
     drawn: dict[str, int] = {}  # noqa: RUF012
+    deferred: dict[str, int] = {}  # noqa: RUF012
 
 
 @dataclasses.dataclass(slots=True)
--- a/src/cyclamenwing/gateway/budget_rest.py
+++ b/src/cyclamenwing/gateway/budget_rest.py
@@ -26,10 +26,10 @@
 
         These are the free tokens of the pool, the holdings of all gateways
         that are live or fell silent lately, and what running requests may give
-        back. Return False while they are not known: just after the start,
-        before the pool was read or restored, while holdings of predecessors
-        may still be released, or if the state of the pool is outdated although
-        the store is reachable.
+        back, among it what long answers have not asked for. Return False while
+        they are not known: just after the start, before the pool was read or
+        restored, while holdings of predecessors may still be released, or if
+        the state of the pool is outdated although the store is reachable.
         """
         board = self._board
         now_s = clock.read_time()
@@ -53,8 +53,9 @@
         free = max(board.escrow.count_free(workspace, prepaid), 0)
         account = board.escrow.open_account(workspace)
         given_back = int(account.measure_recent(now_s) * GIVE_BACK_SHARE)
+        given_back += account.deferred
         peers_held = sum(
-            peer.held.get(workspace, 0)
+            peer.held.get(workspace, 0) + peer.deferred.get(workspace, 0)
             for peer in board.list_live_peers(now_s)
         )
         return (
--- a/src/cyclamenwing/gateway/forwarding.py
+++ b/src/cyclamenwing/gateway/forwarding.py
@@ -109,6 +109,7 @@
                 self._begin_answer()
             context.events = self.reader.count
             if events_data:
+                await context.cover_events(self.reader.count)
                 self._start(head)
                 self._delivery.write(events_data, self.reader.count)
         if self.reader.partial:
--- a/src/cyclamenwing/gateway/gossip.py
+++ b/src/cyclamenwing/gateway/gossip.py
@@ -114,6 +114,11 @@
                 for name, account in board.escrow.accounts.items()
                 if not serves and account.held > 0
             },
+            deferred={
+                name: account.deferred
+                for name, account in board.escrow.accounts.items()
+                if not serves and account.deferred
+            },
             pools=pools,
             record_age_s=now_s - board.record_written_s,
             suspects=(
@@ -191,6 +196,7 @@
                 )
                 for name in message.held
             },
+            message.deferred,
         )
         self._order_notices.merge(message.evacuations, message.host, now_s)
         self._merge_members(message, now_s)
--- a/src/cyclamenwing/gateway/gossip_messages.py
+++ b/src/cyclamenwing/gateway/gossip_messages.py
@@ -59,6 +59,8 @@
         record's age is acknowledged only if the receiver has adopted it
     :param adopted_fence: number of the fence that the sender has adopted
     :param rates: observed or learned speeds of endpoints
+    :param deferred: tokens by workspace that its running requests have
+        reserved and not asked for yet
     """
 
     host: str
@@ -92,6 +94,7 @@
     evacuations: list[evacuations.OrderNotice] = []
     cold: list[cold_marks.ColdNotice] = []
     rates: rate_notices.RateNotices | None = None
+    deferred: dict[str, int] = {}
     crashes: crash_notices.CrashNotices | None = None
     fence: int = 0
     adopted_fence: int = 0
--- a/src/cyclamenwing/gateway/grants.py
+++ b/src/cyclamenwing/gateway/grants.py
@@ -15,6 +15,7 @@
 
 GRANT_PATH = "/peers/grant"
 RETURN_PATH = "/peers/return"
+PLEDGE_PATH = "/peers/pledge"
 # Time for the call itself, on top of the delegate's wait for tokens.
 CALL_TIMEOUT_S = 0.15
 RETURN_TIMEOUT_S = 0.5
@@ -63,6 +64,32 @@
             return reply
         return None
 
+    async def ask_pledged(
+        self, address: str, request: grant_messages.PledgeRequest
+    ) -> int:
+        """Return how many pledged tokens a delegate has handed over."""
+        try:
+            status, answer = await self._caller.call(
+                address,
+                "POST",
+                PLEDGE_PATH,
+                msgspec.json.encode(request),
+                request.wait_s + CALL_TIMEOUT_S,
+            )
+            if status != 200:
+                return 0
+            reply = decoding.decode(answer, grant_messages.PledgeReply)
+        except (errors.CodedError, msgspec.DecodeError) as err:
+            eliot.log_message(
+                "pledge:failed",
+                delegate=address,
+                pledge=request.name,
+                tokens=request.tokens,
+                reason=str(err),
+            )
+            return 0
+        return max(reply.tokens, 0)
+
     async def return_tokens(self, workspace: str, tokens: int) -> bool:
         """Give tokens to a delegate that holds the workspace's.
 
@@ -97,6 +124,7 @@
 
 __all__ = (
     "GRANT_PATH",
+    "PLEDGE_PATH",
     "RETURN_PATH",
     "GrantClient",
 )
--- a/src/cyclamenwing/gateway/handler.py
+++ b/src/cyclamenwing/gateway/handler.py
@@ -179,22 +179,21 @@
         if workspace is None or workspace.prepaid_tokens is None:
             return
         if context.max_tokens:
-            await self._reservations.reserve(
+            context.reservation = await self._reservations.reserve(
                 workspace.name,
                 workspace.prepaid_tokens,
                 context.max_tokens,
                 context.route.goal_s,
                 context.begin_by_s - clock.read_time(),
+                initial=context.initial_tokens,
+                lasts_s=context.deadline_s - clock.read_time(),
             )
 
     def _settle(self, context: request_context.RequestContext) -> None:
-        workspace = context.workspace
-        if workspace is None or workspace.prepaid_tokens is None:
-            return
-        if context.max_tokens:
-            spent = context.count_spent(_count_event_tokens(context))
+        if context.reservation is not None:
             self._reservations.settle(
-                workspace.name, context.max_tokens, spent
+                context.reservation,
+                context.count_spent(context.tokens_per_event),
             )
 
     async def _try_endpoints(
@@ -350,7 +349,7 @@
             ran=context.may_have_run,
             events=context.events,
             tokens=context.max_tokens,
-            spent=context.count_spent(_count_event_tokens(context)),
+            spent=context.count_spent(context.tokens_per_event),
             reserved_ms=_compute_elapsed_ms(context, context.reserved_s),
             first_ms=_compute_elapsed_ms(context, context.first_byte_s),
             ms=round((now_s - context.started_s) * 1000, 1),
@@ -383,9 +382,4 @@
     return round((time_s - context.started_s) * 1000, 1)
 
 
-def _count_event_tokens(context: request_context.RequestContext) -> int:
-    engine = context.service.engine
-    return engine.tokens_per_event if engine else 1
-
-
 __all__ = ("RequestHandler",)
--- a/src/cyclamenwing/gateway/pools.py
+++ b/src/cyclamenwing/gateway/pools.py
@@ -71,7 +71,7 @@
         self._replaced = False
         self._restoration = pool_restoration.PoolRestoration(board, store)
         self._renewed_s = 0.0
-        self._used_at_renewal: dict[str, int] = {}
+        self._committed_at_renewal: dict[str, int] = {}
 
     @property
     def predecessors_read(self) -> bool:
@@ -276,7 +276,8 @@
     def _is_bound_awaited(self) -> bool:
         """Return whether a request waits only for a higher usage bound."""
         return any(
-            account.wanted and account.held >= account.wanted
+            account.awaited
+            or (account.wanted and account.held >= account.wanted)
             for account in self._board.escrow.accounts.values()
         )
 
@@ -297,10 +298,10 @@
     def _is_usage_bound_nearly_used(
         self, name: str, account: escrow.WorkspaceAccount
     ) -> bool:
-        used_at_renewal = self._used_at_renewal.get(name, 0)
-        headroom = account.measure_headroom(used_at_renewal)
+        at_renewal = self._committed_at_renewal.get(name, 0)
+        headroom = account.measure_headroom(at_renewal)
         return (
-            account.used - used_at_renewal > headroom * EARLY_RENEWAL_FRACTION
+            account.committed - at_renewal > headroom * EARLY_RENEWAL_FRACTION
         )
 
     async def _commit(
@@ -373,8 +374,9 @@
         self._record_revision = revision
         self._renewed_s = now_s
         self._board.record_written_s = 0.0 if self._retired else now_s
-        self._used_at_renewal = {
-            name: account.used for name, account in own_escrow.accounts.items()
+        self._committed_at_renewal = {
+            name: account.committed
+            for name, account in own_escrow.accounts.items()
         }
 
     def _merge_entries(self, entries: list[protocol.Entry]) -> None:
--- a/src/cyclamenwing/gateway/request_context.py
+++ b/src/cyclamenwing/gateway/request_context.py
@@ -6,11 +6,14 @@
 
 from cyclamenwing.gateway import calls
 from cyclamenwing.gateway import configuration
+from cyclamenwing.gateway import reservation
 from cyclamenwing.routing import endpoints
 from cyclamenwing.routing import placement
 from cyclamenwing.routing import versions
 from cyclamenwing.transport import h1
 
+STREAM = configuration.RouteKind.STREAM
+
 
 @dataclasses.dataclass(slots=True)
 class RequestContext:
@@ -31,6 +34,7 @@
     :param excluded: names of endpoints that are not tried again
     :param scope: endpoints that it may be sent to
     :param homes: regions of that scope, for the log; None for any
+    :param reservation: tokens reserved for it, None if it needs none
     """
 
     request: h1.Request
@@ -54,6 +58,26 @@
     excluded: set[str] = dataclasses.field(default_factory=set)
     scope: endpoints.Scope = endpoints.ANY_ENDPOINT
     homes: frozenset[str] | None = None
+    reservation: reservation.Reservation | None = None
+
+    @property
+    def tokens_per_event(self) -> int:
+        """Return the tokens that an event of the stream may hold."""
+        engine = self.service.engine
+        return engine.tokens_per_event if engine else 1
+
+    @property
+    def initial_tokens(self) -> int:
+        """Return the tokens that the request may use when it begins.
+
+        Answers that are no stream are passed on as a whole.
+        """
+        size = self.call.size
+        if size is None or self.route.kind is not STREAM:
+            return self.max_tokens
+        return reservation.split_initial(
+            size.prompt_tokens, size.output_tokens
+        )
 
     @property
     def max_tokens(self) -> int:
@@ -68,6 +92,17 @@
             return self.deadline_s
         return min(self.deadline_s, self.started_s + patience_s)
 
+    async def cover_events(self, events: int) -> None:
+        """Return once the client may get as many events of the stream.
+
+        :raises AnswerLateError: if the budget does not allow it in time
+        """
+        if self.reservation is not None and self.call.size is not None:
+            await self.reservation.cover(
+                self.call.size.prompt_tokens + events * self.tokens_per_event,
+                self.deadline_s,
+            )
+
     def count_spent(self, tokens_per_event: int) -> int:
         """Return the tokens that are charged to the workspace.
 
--- a/src/cyclamenwing/gateway/token_transfers.py
+++ b/src/cyclamenwing/gateway/token_transfers.py
@@ -48,10 +48,14 @@
         # Calls that may bring tokens, whether their request still waits.
         self._incoming: set[asyncio.Task[Any]] = set()
 
-    async def acquire(self, workspace: str, prepaid: int, tokens: int) -> bool:
+    async def acquire(
+        self, workspace: str, prepaid: int, tokens: int, initial: int
+    ) -> bool:
         """Reserve tokens, retrying until the budget has too few left.
 
         Return whether they were reserved.
+
+        :param initial: tokens that the request may use at once
         """
         board = self._board
         account = board.escrow.open_account(workspace)
@@ -66,11 +70,13 @@
                 with contextlib.suppress(TimeoutError):
                     async with asyncio.timeout(DRAW_WAIT_S):
                         await self._pools.wait_for_draw()
-                if account.reserve(tokens, clock.read_time()):
+                if account.reserve(tokens, clock.read_time(), initial):
                     return True
             lock = self._transfer_locks.setdefault(workspace, asyncio.Lock())
             async with lock:
-                if await self._request_from_peers(workspace, account, tokens):
+                if await self._request_from_peers(
+                    workspace, account, tokens, initial
+                ):
                     return True
             # Meanwhile the usage bound grows and other requests settle.
             await asyncio.sleep(ACQUIRE_PAUSE_S)
@@ -116,9 +122,13 @@
             await asyncio.wait(self._incoming, timeout=timeout_s)
 
     async def _request_from_peers(
-        self, workspace: str, account: escrow.WorkspaceAccount, tokens: int
+        self,
+        workspace: str,
+        account: escrow.WorkspaceAccount,
+        tokens: int,
+        initial: int,
     ) -> bool:
-        if account.reserve(tokens, clock.read_time()):
+        if account.reserve(tokens, clock.read_time(), initial):
             return True
         # While the store is reachable, a peer can renew its usage bound and
         # transfer all that it holds, otherwise only what the bound allows.
@@ -134,11 +144,14 @@
         ]
         offers.sort(key=lambda offer: -offer[0])
         offered = sum(offer for offer, _ in offers)
-        if offered + account.count_available(clock.read_time()) < tokens:
+        if offered < account.count_missing(tokens, initial, clock.read_time()):
             return False
         for offer, peer in offers:
-            available = account.count_available(clock.read_time())
-            missing = max(account.wanted, tokens) - available
+            missing = account.count_missing(
+                max(account.wanted, tokens),
+                max(account.wanted - account.wanted_later, initial),
+                clock.read_time(),
+            )
             if missing > 0 and offer > 0:
                 # If the request is cancelled, the tokens that the peer has
                 # transferred must still be received.
@@ -147,7 +160,7 @@
                         self._transfer(peer, workspace, missing)
                     )
                 )
-            if account.reserve(tokens, clock.read_time()):
+            if account.reserve(tokens, clock.read_time(), initial):
                 return True
         return False
 
--- a/tests/gateway/test_clients_that_do_not_read.py
+++ b/tests/gateway/test_clients_that_do_not_read.py
@@ -18,6 +18,7 @@
 from cyclamenwing.gateway import app
 from cyclamenwing.gateway import delivery
 from cyclamenwing.gateway import handler
+from cyclamenwing.gateway import reservation
 from cyclamenwing.standin import platform_endpoint
 from cyclamenwing.transport import errors
 from cyclamenwing.transport import h1
@@ -165,9 +166,9 @@
     spent: list[int] = []
     settle = gateway._reservations.settle
 
-    def record(workspace: str, tokens: int, spent_tokens: int) -> None:
+    def record(reserved: reservation.Reservation, spent_tokens: int) -> None:
         spent.append(spent_tokens)
-        settle(workspace, tokens, spent_tokens)
+        settle(reserved, spent_tokens)
 
     monkeypatch.setattr(gateway._reservations, "settle", record)
     return spent
--- a/tests/gateway/virtual_fleet.py
+++ b/tests/gateway/virtual_fleet.py
@@ -312,10 +312,16 @@
 
     def restart(self) -> None:
         """Start a new process on each host after the loss of all."""
+        for host, _, _ in self._hosts:
+            self.restart_host(host)
+
+    def restart_host(self, name: str) -> None:
+        """Start a new process on one host."""
         for host, zone, capacity in self._hosts:
-            token = _host.set(host)
-            self._create(host, zone, capacity, bootstrap=False).start()
-            _host.reset(token)
+            if host == name:
+                token = _host.set(host)
+                self._create(host, zone, capacity, bootstrap=False).start()
+                _host.reset(token)
 
     def count_exposed(self, restart_s: float) -> int:
         """Return the tokens that a loss of all hosts now would leave unused.
@@ -332,7 +338,10 @@
                         bound.compute_limit(now_s, late=True)
                         for bound in account.usage_bounds
                     )
-                    unused = min(account.held, limit - account.used)
+                    unused = min(
+                        account.held + account.deferred,
+                        limit - account.committed,
+                    )
                     exposed += max(unused, 0)
         return exposed
 
@@ -370,7 +379,7 @@
         paid = config.workspaces[demand.workspace].prepaid_tokens
         assert paid is not None
         try:
-            await gateway._reservations.reserve(
+            reserved = await gateway._reservations.reserve(
                 demand.workspace,
                 paid,
                 demand.tokens,
@@ -390,9 +399,7 @@
             return refusal.retry_after_s if refusal.status == 503 else None
         waited_s = clock.read_time() - started_s
         await asyncio.sleep(demand.run_s)
-        gateway._reservations.settle(
-            demand.workspace, demand.tokens, demand.spent
-        )
+        gateway._reservations.settle(reserved, demand.spent)
         ended |= {
             "spent": demand.spent,
             "reserved_ms": waited_s * 1000,
