Take no end of a stream for a whole answer while the upload goes on

Cause: `ClientConnection` took the end of the stream as the end of a body without a length, also while the request was not written.

Change: it is a lost connection unless the socket has taken the whole request.

--- a/src/cyclamenwing/transport/h1_client.py
+++ b/src/cyclamenwing/transport/h1_client.py
@@ -38,6 +38,8 @@
         )
         self._method = b"GET"
         self._idle_read: asyncio.Future[bytes] | None = None
+        # Done once the socket has taken the whole request.
+        self._written: asyncio.Future[None] | None = None
         self._turn = h1.Turn()
 
     @classmethod
@@ -93,7 +95,8 @@
         self.uses += 1
         self.sent = True
         try:
-            self.stream.write(bytes(data)).add_done_callback(_ignore_failure)
+            self._written = self.stream.write(bytes(data))
+            self._written.add_done_callback(_ignore_failure)
         except iostream.StreamClosedError as err:
             raise errors.ConnectionLostError(self.address) from err
 
@@ -259,9 +262,23 @@
                 raise errors.ConnectionLostError(
                     f"{self.address}: closed before a response head", "unknown"
                 ) from err
+            if not self._is_written():
+                # Such a peer may reset the connection next, so the end of the
+                # stream is no end of a body that has no length.
+                raise errors.ConnectionLostError(
+                    f"{self.address}: closed before it has read the request",
+                    "unknown",
+                ) from err
             data = b""
         self._h11.receive_data(data)
 
+    def _is_written(self) -> bool:
+        """Return whether the socket has taken the whole request."""
+        written = self._written
+        return written is None or (
+            written.done() and written.exception() is None
+        )
+
 
 def _ignore_failure(future: asyncio.Future[Any]) -> None:
     # A broken connection is reported when the response is read.
