Take up no stream at a version that a gateway may have outlived

Cause: `StreamOrigins` asked others only if it knew several versions.

Ruled out: the history's own coverage, which can't tell that the view is old.

Change: `VersionCheck` asks the store for changes after the watch's position, or waits for gossip in an outage, before the only known version counts. One shared call a round trip and gateway at most.

--- a/src/cyclamenwing/gateway/app.py
+++ b/src/cyclamenwing/gateway/app.py
@@ -37,6 +37,7 @@
 from cyclamenwing.gateway import reservations
 from cyclamenwing.gateway import settings as gateway_settings
 from cyclamenwing.gateway import stream_origins
+from cyclamenwing.gateway import version_checks
 from cyclamenwing.gateway import watches
 from cyclamenwing.membership import delegates
 from cyclamenwing.metrics import recorder
@@ -154,7 +155,13 @@
                 poison_records.RequestRecords(board),
             )
         ]
-        self._streams = stream_origins.StreamOrigins(board, http)
+        self._streams = stream_origins.StreamOrigins(
+            board,
+            http,
+            version_checks.VersionCheck(
+                board, self._store, self._endpoints, codec
+            ).check,
+        )
         self._releases = releases.PredecessorRelease(
             board, self._store, self._pools.request_draw
         )
--- a/src/cyclamenwing/gateway/follower.py
+++ b/src/cyclamenwing/gateway/follower.py
@@ -318,6 +318,9 @@
             self._drop(name, clock.read_time(), False, revision)
             return
         now_s = clock.read_time()
+        self._board.versions.record(
+            [(endpoint.service, endpoint.software)], now_s
+        )
         if self._board.directory.record_cold_entry(
             endpoint, now_s, time.time(), live
         ):
--- a/src/cyclamenwing/gateway/stream_origins.py
+++ b/src/cyclamenwing/gateway/stream_origins.py
@@ -10,6 +10,8 @@
 
 import asyncio
 import collections
+from collections.abc import Awaitable
+from collections.abc import Callable
 from collections.abc import Iterable
 from typing import NamedTuple
 
@@ -81,13 +83,21 @@
 
 
 class StreamOrigins:
-    """Record the origins of streams and find those of others."""
+    """Record the origins of streams and find those of others.
+
+    :param check_versions: records versions that this gateway has missed;
+        returns False if it may have missed others
+    """
 
     def __init__(
-        self, board: blackboard.Blackboard, http: pooled_client.PooledClient
+        self,
+        board: blackboard.Blackboard,
+        http: pooled_client.PooledClient,
+        check_versions: Callable[[], Awaitable[bool]],
     ) -> None:
         self._board = board
         self._caller = http
+        self._check_versions = check_versions
         self._known: collections.OrderedDict[str, _KnownOrigin] = (
             collections.OrderedDict()
         )
@@ -208,9 +218,11 @@
         if known is not None:
             return known.origin, "own"
         self.refresh()
-        sole = self._find_sole(service)
-        if sole is not None:
-            return sole, "sole version"
+        if self._find_sole(service) is not None:
+            complete = await self._check_versions()
+            sole = self._find_sole(service)
+            if complete and sole is not None:
+                return sole, "sole version"
         origin = await self._ask_keepers(request) if request else None
         return (origin, "keeper") if origin else (None, "unknown")
 
--- a/tests/gateway/test_stream_versions.py
+++ b/tests/gateway/test_stream_versions.py
@@ -17,6 +17,7 @@
 from tests.gateway import deployments
 
 from cyclamenwing.gateway import clock
+from cyclamenwing.gateway import stream_origins
 from cyclamenwing.standin import platform_endpoint
 from cyclamenwing.transport import errors
 from cyclamenwing.transport import h1
@@ -346,3 +347,120 @@
             deployment.store.stop()
 
     asyncio.run(check())
+
+
+def hide_changes(
+    deployment: deployments.Deployment,
+    gateway: int,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Let a gateway's watch of endpoints go silent, and what peers tell it."""
+    app_gateway = deployment.gateways[gateway]
+    watching = app_gateway._endpoints.follower
+    assert watching is not None
+
+    async def wait_forever(*_: object) -> None:
+        await asyncio.Event().wait()
+
+    async def drop_notes(_: bytes) -> bytes:
+        return b"{}"
+
+    monkeypatch.setattr(watching, "_follow", wait_forever)
+    monkeypatch.setitem(
+        app_gateway._peers.handlers, stream_origins.NOTE_PATH, drop_notes
+    )
+    monkeypatch.setattr(
+        type(app_gateway._peers), "_merge", lambda *_: None, raising=True
+    )
+
+
+async def end_watch(deployment: deployments.Deployment) -> None:
+    """Let watches that are under way end, so that the next one is silent."""
+    await deployment.store.put("servers/other", b"{}")
+    await asyncio.sleep(0.2)
+
+
+@pytest.mark.parametrize("known", [True, False])
+def test_gateway_out_of_step_takes_up_no_stream_of_a_version_it_missed(
+    known: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Such a gateway knows one version, and took it for the stream's.
+
+    The other gateway may be gone, so that nobody knows the origin.
+    """
+
+    async def check(deployment: deployments.Deployment) -> None:
+        (old,) = await set_versions(deployment, "v1")
+        await asyncio.sleep(SETTLE_S)
+        hide_changes(deployment, 1, monkeypatch)
+        await end_watch(deployment)
+        new = await add_endpoint(deployment, "v2")
+        await deployment.store.put(f"servers/{old.name}", None)
+        await asyncio.sleep(0.2)
+        await begin_stream(deployment, 0)
+        assert len(new.runs) == 1
+        if not known:
+            deployment.gateways[0].stop()
+        status, body = await resume_stream(deployment, 1)
+        assert not list_resumed(old)
+        assert status == 503
+        assert read_code(body) == (
+            "stream_version_gone" if known else "stream_version_unknown"
+        )
+
+    run(check, gateways=2)
+
+
+def test_gateway_that_is_cut_off_takes_up_no_stream(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """It can't know whether another version has joined."""
+
+    async def check(deployment: deployments.Deployment) -> None:
+        (old,) = await set_versions(deployment, "v1")
+        await asyncio.sleep(SETTLE_S)
+        hide_changes(deployment, 1, monkeypatch)
+        await end_watch(deployment)
+        await begin_stream(deployment, 0)
+        deployment.store.error_status = 503
+        deployment.gateways[0].stop()
+        status, body = await resume_stream(deployment, 1)
+        assert status == 503
+        assert read_code(body) == "stream_version_unknown"
+        assert not list_resumed(old)
+
+    run(check, gateways=2)
+
+
+def test_streams_are_taken_up_in_an_outage_of_the_store() -> None:
+    """Gossip shows that no other version has joined."""
+
+    async def check(deployment: deployments.Deployment) -> None:
+        await set_versions(deployment, "v1")
+        await asyncio.sleep(SETTLE_S)
+        await begin_stream(deployment, 0)
+        deployment.store.error_status = 503
+        assert await resume_stream(deployment, 1) == (200, REST)
+
+    run(check, gateways=2)
+
+
+def test_streams_that_are_taken_up_together_share_the_calls_of_the_store() -> (
+    None
+):
+    """A loss of one gateway must not become a load on the store."""
+
+    async def check(deployment: deployments.Deployment) -> None:
+        await set_versions(deployment, "v1")
+        await asyncio.sleep(SETTLE_S)
+        await begin_stream(deployment, 0)
+        deployment.store.calls.clear()
+        answers = await asyncio.gather(
+            *(resume_stream(deployment, 1) for _ in range(30))
+        )
+        assert {status for status, _ in answers} <= {200, 503}
+        watches = deployment.store.calls.count("/v1/kv-watch")
+        # Two of the gateways' own watches may end meanwhile, each.
+        assert watches <= 10
+
+    run(check, gateways=2)
