--- a/src/cyclamenwing/budget/escrow.py
+++ b/src/cyclamenwing/budget/escrow.py
@@ -71,8 +71,6 @@
     :param rate: rate of use at `rate_at_s`, in tokens per second
     :param recent: tokens reserved lately at `rate_at_s`
     :param usage_bounds: the usage bounds that the store may hold
-    :param lowest_drawn: tokens that older copies of the store list as drawn,
-        None if they list `drawn`
     :param outage_noticed: whether a peer has noticed that the record is old
     """
 
@@ -91,7 +89,6 @@
     rate_at_s: float = 0.0
     recent: float = 0.0
     usage_bounds: list[UsageBound] = dataclasses.field(default_factory=list)
-    lowest_drawn: int | None = None
     outage_noticed: bool = False
 
     @property
@@ -115,7 +112,7 @@
         return min(self.held, self.measure_room(now_s))
 
     def measure_room(self, now_s: float) -> int:
-        """Return the tokens that usage bounds and the age of draws leave.
+        """Return the tokens that the usage bounds leave.
 
         Without a usage bound these are the ones received from peers. No other
         process can release them, so they need no bound.
@@ -126,22 +123,8 @@
             p.compute_limit(now_s, self.outage_noticed)
             for p in self.usage_bounds
         )
-        if self.lowest_drawn is not None:
-            limit = min(limit, self.lowest_drawn)
         return limit - self.committed
 
-    def awaits_usage_bound(self) -> bool:
-        """Return whether a request waits only for a higher usage bound."""
-        needed = self.wanted - self.wanted_later + self.awaited
-        return (
-            needed > 0
-            and self.held >= self.wanted
-            and (
-                self.lowest_drawn is None
-                or self.lowest_drawn >= self.committed + needed
-            )
-        )
-
     def measure_headroom(self, committed: int) -> int:
         """Return the initial headroom of the newest usage bound.
 
@@ -483,21 +466,6 @@
     }
 
 
-def take_over(
-    holders: Mapping[str, int], holder: str, bound: int, successor: str
-) -> dict[str, int]:
-    """Return a pool's holders after the successor of a dead one took over.
-
-    It holds what the dead one can't have used.
-
-    :param bound: tokens that the dead holder may have used at most
-    """
-    remaining = release_holder(holders, holder, bound)
-    unused = sum(holders.values()) - sum(remaining.values())
-    remaining[successor] = remaining.get(successor, 0) + unused
-    return remaining
-
-
 def release_holder(
     holders: Mapping[str, int], holder: str, bound: int
 ) -> dict[str, int]:
@@ -529,5 +497,4 @@
     "WorkspaceAccount",
     "reduce_holder",
     "release_holder",
-    "take_over",
 )
--- a/src/cyclamenwing/budget/restoration.py
+++ b/src/cyclamenwing/budget/restoration.py
@@ -18,7 +18,6 @@
 from collections.abc import Mapping
 from typing import NamedTuple
 
-from cyclamenwing.budget import draw_ages
 from cyclamenwing.budget import escrow
 
 # Name under which a pool lists all tokens that were free in an older copy of
@@ -95,15 +94,6 @@
     return Restored(holders, Mark(era, max(basis, known.position), restored))
 
 
-def reopen_pool(era: int, holder: str, stored: PoolState) -> Restored:
-    """Return a pool of a copy of which no free token can have been used.
-
-    What it lists for each holder bounds what that one can have used since.
-    """
-    holders = {**stored.holders, draw_ages.FRESH: 0}
-    return Restored(holders, Mark(era, stored.position, (holder,)))
-
-
 def close_pool(
     era: int, holder: str, stored: PoolState, prepaid: int
 ) -> Restored:
@@ -127,8 +117,6 @@
     :ivar unopened: workspaces whose pools may lack entries of others too
     :ivar unknown: workspaces of whose pools this process knows no state but
         that of an older copy
-    :ivar ages_draws: the store may return older, so tokens are used only once
-        each copy lists them as drawn
     """
 
     def __init__(self, holder: str) -> None:
@@ -141,107 +129,6 @@
         # Newest states read of pools that this gateway has not restored.
         self._unmerged: dict[str, PoolState] = {}
         self._marks: dict[str, Mark] = {}
-        self.ages_draws = False
-        self._histories: dict[str, draw_ages.DrawHistory] = {}
-        # When pools were first seen as created lately, None if just now.
-        self._fresh: dict[str, float | None] = {}
-
-    def begin_commit(
-        self, changes: Mapping[str, int], now_s: float
-    ) -> tuple[dict[str, dict[str, int]], dict[str, escrow.UsageBound]]:
-        """Start a commit; mark pools that it creates, and unmark old ones."""
-        written, usage_bounds = super().begin_commit(changes, now_s)
-        unmarked = set(self.list_unmarked(now_s))
-        for name, holders in written.items():
-            if self.ages_draws and not self.open_pool(name).revision:
-                holders[draw_ages.FRESH] = 0
-            elif name in unmarked:
-                holders.pop(draw_ages.FRESH, None)
-        return written, usage_bounds
-
-    def finish_commit(
-        self,
-        revision: int,
-        written: Mapping[str, Mapping[str, int]],
-        usage_bounds: Mapping[str, escrow.UsageBound],
-    ) -> None:
-        """Record a commit that took effect and replaces all earlier ones."""
-        super().finish_commit(revision, written, usage_bounds)
-        for name, holders in written.items():
-            if draw_ages.FRESH in holders:
-                self._histories.pop(name, None)
-                self._set_lowest(name)
-
-    def list_unmarked(self, now_s: float) -> list[str]:
-        """Return the pools that no longer count as created lately."""
-        old = []
-        for name, since_s in self._fresh.items():
-            if since_s is None:
-                self._fresh[name] = now_s
-            elif (
-                name not in self.unopened
-                and now_s - since_s >= draw_ages.FRESH_S
-            ):
-                old.append(name)
-        return old
-
-    def confirm_draws(self, began_s: float, answered_s: float) -> None:
-        """Record that a commit of this era has succeeded.
-
-        :param began_s: time before it was sent
-        """
-        for name in list(self._histories):
-            if name in self.unrestored:
-                continue
-            history = self._histories[name]
-            history.confirm(began_s, answered_s)
-            if history.settled:
-                del self._histories[name]
-            self._set_lowest(name)
-
-    def add_credit(self, workspace: str, tokens: int) -> None:
-        """Add tokens that older copies list for this host's predecessor."""
-        history = self._histories.get(workspace)
-        if history is not None:
-            history.add_credit(tokens)
-            self._set_lowest(workspace)
-
-    def list_certain(
-        self, written: Mapping[str, Mapping[str, int]]
-    ) -> dict[str, int]:
-        """Return the tokens that each copy lists as drawn, by workspace.
-
-        :param written: holders of pools in the commit that records them
-        """
-        certain = {}
-        for name, account in self.accounts.items():
-            history = self._histories.get(name)
-            before = self.get_drawn(name)
-            holders = written.get(name, {})
-            after = holders.get(self.holder, before)
-            if draw_ages.FRESH in holders:
-                certain[name] = after
-            else:
-                lowest = account.drawn if history is None else history.lowest
-                certain[name] = min(lowest, before, after)
-        return certain
-
-    def _set_lowest(self, workspace: str) -> None:
-        history = self._histories.get(workspace)
-        self.open_account(workspace).lowest_drawn = (
-            None if history is None else history.lowest
-        )
-
-    def _observe(self, workspace: str, before: int) -> None:
-        """Record that the pool may list another number for this holder."""
-        drawn = self.open_account(workspace).drawn
-        if not self.ages_draws or drawn == before:
-            return
-        history = self._histories.setdefault(
-            workspace, draw_ages.DrawHistory(before)
-        )
-        history.add(drawn)
-        self._set_lowest(workspace)
 
     def begin_era(self, era: int, workspaces: Iterable[str]) -> None:
         """Keep what is known of all pools until it is restored.
@@ -259,12 +146,9 @@
             known = self.older.get(name, PoolState())
             holders = _take_larger(state.holders, known.holders)
             self.older[name] = state._replace(holders=holders)
-        for history in self._histories.values():
-            history.reopen()
-        for name, account in self.accounts.items():
+        for account in self.accounts.values():
             if account.min_drawn is not None:
-                before, account.drawn = account.drawn, account.min_drawn
-                self._observe(name, before)
+                account.drawn = account.min_drawn
             account.min_drawn = None
             account.open_commits = 0
         self._reduced_at = 0
@@ -336,13 +220,7 @@
             return
         if mark is not None and revision > self.open_pool(workspace).revision:
             self._marks[workspace] = mark
-        before = self.open_account(workspace).drawn
         super().update_pool(workspace, revision, holders)
-        self._observe(workspace, before)
-        if draw_ages.FRESH in self.open_pool(workspace).holders:
-            self._fresh.setdefault(workspace, None)
-        else:
-            self._fresh.pop(workspace, None)
 
     def get_drawn(self, workspace: str) -> int:
         """Return the tokens that this gateway has drawn for certain."""
@@ -393,6 +271,5 @@
     "PoolState",
     "Restored",
     "close_pool",
-    "reopen_pool",
     "restore_pool",
 )
--- a/src/cyclamenwing/gateway/app.py
+++ b/src/cyclamenwing/gateway/app.py
@@ -168,9 +168,6 @@
         self._release_loop = release_loop.ReleaseLoop(
             board, self._pools, self._peers, self._releases
         )
-        self._pools.restoration.bound_copy_age = (
-            self._release_loop.bound_copy_age
-        )
         self._reclaims = reclaims.HoldingsReclaim(
             board, self._store, self._peers, self._pools
         )
--- a/src/cyclamenwing/gateway/blackboard.py
+++ b/src/cyclamenwing/gateway/blackboard.py
@@ -100,8 +100,6 @@
     :param admission_closed: every request is refused, as the process stops
     :param predecessors: earlier processes of the host whose holdings still
         count in the pools
-    :param outdated_predecessor: an earlier process of the host whose record is
-        of an earlier era, so that nothing that it held can be released
     :param release_pending: this process may still release holdings of its
         predecessors
     :param record_written_s: write time of this gateway's record in the store
@@ -144,7 +142,6 @@
     predecessors: list[record_age.Predecessor] = dataclasses.field(
         default_factory=list
     )
-    outdated_predecessor: record_age.Predecessor | None = None
     release_pending: bool = False
     started_s: float = 0.0
     started_wall_s: float = 0.0
--- a/src/cyclamenwing/gateway/host_record.py
+++ b/src/cyclamenwing/gateway/host_record.py
@@ -5,7 +5,6 @@
 import pathlib
 import time
 from collections.abc import Mapping
-from types import MappingProxyType
 
 import eliot
 
@@ -72,9 +71,6 @@
                 holder=record.holder,
                 era=record.era,
             )
-            board.outdated_predecessor = records.read_predecessors(
-                record, self._process_start
-            )[-1]
             return
         board.predecessors = records.read_predecessors(
             record, self._process_start
@@ -90,12 +86,8 @@
         usage_bounds: Mapping[str, escrow.UsageBound],
         now_s: float,
         voters: tuple[str, ...] = (),
-        written: Mapping[str, Mapping[str, int]] = MappingProxyType({}),
     ) -> records.HolderRecord:
-        """Return the record to write.
-
-        :param written: holders of the pools that are written with it
-        """
+        """Return the record to write."""
         wall_s = time.time()
         clock_lead_s = self._board.bound_clock_lead(wall_s, now_s)
         return records.HolderRecord(
@@ -103,9 +95,7 @@
             self._process_start.boot_id,
             now_s,
             wall_s,
-            records.write_usage_bounds(
-                usage_bounds, self._board.escrow.list_certain(written)
-            ),
+            records.write_usage_bounds(usage_bounds),
             records.write_predecessors(self._board.predecessors),
             clock_lead_s is not None,
             self._board.escrow.era,
@@ -113,7 +103,6 @@
             clock_lead_s,
             voters,
             self._board.fences.next_adopted,
-            ages_draws=self._board.escrow.ages_draws,
         )
 
     def is_replaced(self, entry: protocol.Entry) -> bool:
--- a/src/cyclamenwing/gateway/pool_restoration.py
+++ b/src/cyclamenwing/gateway/pool_restoration.py
@@ -6,12 +6,9 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Awaitable
-from collections.abc import Callable
 
 import eliot
 
-from cyclamenwing.budget import draw_ages
 from cyclamenwing.budget import restoration
 from cyclamenwing.gateway import blackboard
 from cyclamenwing.gateway import clock
@@ -48,15 +45,6 @@
         self._incomplete = False
         # Whether the store may have lacked pools when the era was joined.
         self._outdated = False
-        # Whether all gateways of the copy used only tokens that each copy of
-        # that age lists as drawn.
-        self._aged = False
-        self._copy_proved = False
-        self._joined_s = 0.0
-        # Bounds the age of the copy at the start of the process, in seconds.
-        self.bound_copy_age: Callable[[], Awaitable[float | None]] | None = (
-            None
-        )
 
     async def join_era(self, holders: protocol.Snapshot) -> bool:
         """Read the pools at the start of the process.
@@ -79,8 +67,6 @@
         has_older_records = self._incomplete or any(
             0 < other.era < snapshot.era for other in others
         )
-        self._aged = bool(others) and all(other.ages_draws for other in others)
-        board.escrow.ages_draws = snapshot.era > 0
         states = self._read_states(snapshot)
         outdated = has_older_records or any(
             state.mark.era != snapshot.era for state in states.values()
@@ -91,8 +77,7 @@
         board.escrow.join_era(
             snapshot.era, states, self._list_workspaces(), has_older_records
         )
-        self._joined_s = clock.read_time()
-        self._deadline_s = self._joined_s + RESTORE_WAIT_S
+        self._deadline_s = clock.read_time() + RESTORE_WAIT_S
         if board.escrow.unrestored:
             eliot.log_message(
                 "funds:pools_outdated",
@@ -141,7 +126,6 @@
         if now_s - self._read_s < self.get_interval(now_s):
             return
         self._read_s = now_s
-        await self._prove_copy_age()
         snapshot = await self._store.read(POOL_PREFIX)
         if snapshot.era != own_escrow.era:
             return
@@ -186,21 +170,16 @@
         board = self._board
         own_escrow = board.escrow
         if workspace not in own_escrow.unknown:
-            known = own_escrow.older.get(workspace, restoration.PoolState())
-            restored = restoration.restore_pool(
+            return restoration.restore_pool(
                 own_escrow.era,
                 (own_escrow.holder, own_escrow.get_drawn(workspace)),
                 state,
-                known,
+                own_escrow.older.get(workspace, restoration.PoolState()),
                 {
                     peer.holder: peer.held.get(workspace, 0)
                     for peer in board.peers.values()
                 },
             )
-            if own_escrow.ages_draws and not state.revision | known.revision:
-                # It is created here, so older copies have no such pool.
-                restored.holders[draw_ages.FRESH] = 0
-            return restored
         if state.mark.era == own_escrow.era:
             return restoration.Restored(dict(state.holders), state.mark)
         config = board.configuration
@@ -210,17 +189,6 @@
         if not state.revision and is_restored and not self._incomplete:
             # Processes of earlier eras restore all pools, so it is a new one.
             return restoration.Restored({}, state.mark)
-        if (
-            self._copy_proved
-            and state.revision
-            # In an era between, tokens of a pool of this copy may have been
-            # used at once.
-            and state.mark.era == own_escrow.era - 1
-            and draw_ages.FRESH not in state.holders
-        ):
-            return restoration.reopen_pool(
-                own_escrow.era, own_escrow.holder, state
-            )
         return restoration.close_pool(
             own_escrow.era,
             own_escrow.holder,
@@ -228,27 +196,6 @@
             settings.prepaid_tokens or 0,
         )
 
-    async def _prove_copy_age(self) -> None:
-        """Find out whether free tokens of the copy can't have been used."""
-        own_escrow = self._board.escrow
-        if (
-            self._copy_proved
-            or not self._aged
-            or not own_escrow.unknown & own_escrow.unrestored
-            or self.bound_copy_age is None
-        ):
-            return
-        age_s = await self.bound_copy_age()
-        if age_s is not None:
-            # The store had returned when the pools were read first.
-            age_s += self._joined_s - self._board.started_s
-        self._copy_proved = (
-            age_s is not None and age_s <= draw_ages.MAX_COPY_AGE_S
-        )
-        eliot.log_message(
-            "funds:copy_age", age_s=age_s, proved=self._copy_proved
-        )
-
     async def _write(
         self,
         record: tuple[str, int],
--- a/src/cyclamenwing/gateway/pools.py
+++ b/src/cyclamenwing/gateway/pools.py
@@ -12,7 +12,6 @@
 from cyclamenwing.budget import escrow
 from cyclamenwing.gateway import blackboard
 from cyclamenwing.gateway import clock
-from cyclamenwing.gateway import configuration
 from cyclamenwing.gateway import eras
 from cyclamenwing.gateway import host_record
 from cyclamenwing.gateway import pool_restoration
@@ -70,7 +69,7 @@
         self._record_era = 0
         # Another process of the host has replaced the record.
         self._replaced = False
-        self.restoration = pool_restoration.PoolRestoration(board, store)
+        self._restoration = pool_restoration.PoolRestoration(board, store)
         self._renewed_s = 0.0
         self._committed_at_renewal: dict[str, int] = {}
 
@@ -118,7 +117,7 @@
 
     def _get_interval(self) -> float:
         if self._board.escrow.unopened:
-            interval_s = self.restoration.get_interval(clock.read_time())
+            interval_s = self._restoration.get_interval(clock.read_time())
             return min(interval_s, RENEW_INTERVAL_S)
         return RENEW_INTERVAL_S
 
@@ -142,7 +141,7 @@
     async def _replace_record(self) -> None:
         """Read the pools and replace the record of the host's predecessor."""
         snapshot = await self._store.read(HOLDER_PREFIX)
-        if not await self.restoration.join_era(snapshot):
+        if not await self._restoration.join_era(snapshot):
             return
         era = snapshot.era
         previous = self._record.find(snapshot)
@@ -172,9 +171,9 @@
         if self._record_era != self._board.eras.known:
             await self._restore_record()
             return
-        self.restoration.block_new_pools()
+        self._restoration.block_new_pools()
         if self._board.escrow.unopened:
-            await self.restoration.restore((
+            await self._restoration.restore((
                 self._record.key,
                 self._record_revision or 0,
             ))
@@ -186,7 +185,7 @@
         snapshot = await self._store.read(self._record.key)
         if snapshot.era != board.eras.known:
             return
-        self.restoration.begin_era()
+        self._restoration.begin_era()
         stored = self._record.find(snapshot)
         if stored is not None:
             self._merge_record(stored)
@@ -228,19 +227,6 @@
             await self._retire()
             return
         self._retired = False
-        changes = self._plan_changes(config, now_s)
-        if not changes and not self._is_renewal_due(now_s):
-            return
-        committed = await self._commit(changes)
-        if not committed and self._is_bound_awaited():
-            # Without the pools no other gateway's commit is in the way.
-            await self._commit({})
-
-    def _plan_changes(
-        self, config: configuration.Configuration, now_s: float
-    ) -> dict[str, int]:
-        """Return the tokens to draw, or to return if negative, by pool."""
-        board = self._board
         gateways = board.count_holders(now_s)
         changes = {}
         for name, workspace in config.workspaces.items():
@@ -259,10 +245,12 @@
                 and now_s - board.pools_updated_s.get(name, 0) > MAX_POOL_AGE_S
             ):
                 changes[name] = change
-        for name in board.escrow.list_unmarked(now_s):
-            if board.roster.holds(name):
-                changes.setdefault(name, 0)
-        return changes
+        if not changes and not self._is_renewal_due(now_s):
+            return
+        committed = await self._commit(changes)
+        if not committed and self._is_bound_awaited():
+            # Without the pools no other gateway's commit is in the way.
+            await self._commit({})
 
     async def _retire(self) -> None:
         """Return all holdings, as this gateway is no delegate any more.
@@ -288,7 +276,8 @@
     def _is_bound_awaited(self) -> bool:
         """Return whether a request waits only for a higher usage bound."""
         return any(
-            account.awaits_usage_bound()
+            account.awaited
+            or (account.wanted and account.held >= account.wanted)
             for account in self._board.escrow.accounts.values()
         )
 
@@ -333,7 +322,7 @@
         voters = self._board.list_voters(now_s)
         own_escrow.votes.open(voters)
         record = self._record.make(
-            {} if retires else usage_bounds, now_s, voters, written
+            {} if retires else usage_bounds, now_s, voters
         )
         expected = [(self._record.key, self._record_revision or 0)]
         writes = [(self._record.key, msgspec.json.encode(record))]
@@ -380,7 +369,6 @@
         own_escrow = self._board.escrow
         now_s = record.since_s
         own_escrow.finish_commit(revision, written, usage_bounds)
-        own_escrow.confirm_draws(now_s, clock.read_time())
         own_escrow.votes.finish(record.voters)
         self._board.fences.adopted = record.fence
         self._record_revision = revision
--- a/src/cyclamenwing/gateway/record_age.py
+++ b/src/cyclamenwing/gateway/record_age.py
@@ -65,8 +65,6 @@
     :param age: upper bound on the age of its record if one was proved already
     :param clock_lead_s: upper bound on how far the wall clock was ahead of the
         peers' when the record was written; None if they did not confirm it
-    :param certain: tokens that older copies of the store list as drawn too,
-        by workspace; None if it is not known
     """
 
     holder: str
@@ -75,7 +73,6 @@
     wall_elapsed_s: float | None
     age: Age | None = None
     clock_lead_s: float | None = None
-    certain: dict[str, int] | None = None
 
 
 class AgeEvidence(NamedTuple):
--- a/src/cyclamenwing/gateway/records.py
+++ b/src/cyclamenwing/gateway/records.py
@@ -4,7 +4,6 @@
 
 from collections.abc import Mapping
 from collections.abc import Sequence
-from types import MappingProxyType
 
 import eliot
 import msgspec
@@ -40,9 +39,7 @@
     """Hold a usage bound.
 
     The fields are those of `usage_bounds.UsageBound`. Versions that do not
-    know `burst` count `late` alone, which frees less.
-
-    :param certain: tokens that older copies of the store list as drawn too
+    know the last two count `late` alone, which frees less.
     """
 
     ceiling: decoding.Integer
@@ -50,7 +47,6 @@
     late: float
     burst: decoding.Integer | None = None
     steady: float = 0.0
-    certain: decoding.Integer = 0
 
 
 class PredecessorRecord(msgspec.Struct):
@@ -82,8 +78,6 @@
     :param fence: number of the last fence by which other gateways have
         reclaimed holdings; see `fences`
     :param reclaimed: written by the gateway that reclaimed them
-    :param ages_draws: the gateway uses no tokens that an older copy of the
-        store may not list as drawn
     :param era: era of the store in which the record was written
     :param restoring: pools of an earlier era are not restored by it yet
     """
@@ -101,7 +95,6 @@
     voters: tuple[str, ...] = ()
     fence: decoding.Integer = 0
     reclaimed: bool = False
-    ages_draws: bool = False
 
 
 class ProcessStart(msgspec.Struct, frozen=True):
@@ -152,20 +145,11 @@
 
 def write_usage_bounds(
     usage_bounds: Mapping[str, escrow.UsageBound],
-    certain: Mapping[str, int] = MappingProxyType({}),
 ) -> dict[str, UsageBoundRecord]:
-    """Return usage bounds as they are stored.
-
-    :param certain: tokens that older copies of the store list as drawn too
-    """
+    """Return usage bounds as they are stored."""
     return {
         name: UsageBoundRecord(
-            bound.ceiling,
-            bound.early,
-            bound.late,
-            bound.burst,
-            bound.steady,
-            certain.get(name, 0),
+            bound.ceiling, bound.early, bound.late, bound.burst, bound.steady
         )
         for name, bound in usage_bounds.items()
     }
@@ -233,9 +217,6 @@
             ),
             wall_elapsed_s=start.wall_s - record.wall_s,
             clock_lead_s=_read_clock_lead(record),
-            certain={
-                name: bound.certain for name, bound in record.promises.items()
-            },
         )
     )
     return predecessors
--- a/src/cyclamenwing/gateway/release_loop.py
+++ b/src/cyclamenwing/gateway/release_loop.py
@@ -65,20 +65,7 @@
                 "funds:predecessor_kept", holder=predecessor.holder
             )
 
-    async def bound_copy_age(self) -> float | None:
-        """Return an upper bound on the age of the store's copy at the start.
-
-        It is the age of the host's record in it. None without evidence.
-        """
-        predecessor = self._board.outdated_predecessor
-        if predecessor is None:
-            return None
-        age = await self._bound_age(predecessor)
-        return None if age is None else age.elapsed_s
-
-    async def _bound_age(
-        self, predecessor: record_age.Predecessor
-    ) -> record_age.Age | None:
+    async def _release(self, predecessor: record_age.Predecessor) -> None:
         roster = self._board.roster
         evidence = []
         if (
@@ -88,15 +75,12 @@
             evidence = await self._peers.request_record_ages(
                 predecessor.holder
             )
-        return record_age.bound_age(
+        age = record_age.bound_age(
             predecessor,
             len(roster.members),
             min(len(roster.members), roster.count_delegates() - 1),
             evidence,
         )
-
-    async def _release(self, predecessor: record_age.Predecessor) -> None:
-        age = await self._bound_age(predecessor)
         if age is None:
             return
         try:
--- a/src/cyclamenwing/gateway/releases.py
+++ b/src/cyclamenwing/gateway/releases.py
@@ -80,18 +80,9 @@
             if usage_bound
             else drawn
         )
-        takes_over = own_escrow.ages_draws and self._board.roster.holds(
-            workspace
+        holders = escrow.release_holder(
+            pool.holders, predecessor.holder, bound
         )
-        if takes_over:
-            # Tokens that are drawn anew could not be used for some time.
-            holders = escrow.take_over(
-                pool.holders, predecessor.holder, bound, own_escrow.holder
-            )
-        else:
-            holders = escrow.release_holder(
-                pool.holders, predecessor.holder, bound
-            )
         key = POOL_PREFIX + workspace
         mark = own_escrow.find_mark(workspace)
         outcome = await eras.commit(
@@ -108,9 +99,6 @@
                 )
             return False
         own_escrow.update_pool(workspace, outcome.revision, holders)
-        if takes_over and predecessor.certain is not None:
-            certain = min(predecessor.certain.get(workspace, 0), drawn)
-            own_escrow.add_credit(workspace, max(certain - bound, 0))
         eliot.log_message(
             "funds:predecessor_closed",
             holder=predecessor.holder,
--- a/tests/budget/test_restoration.py
+++ b/tests/budget/test_restoration.py
@@ -10,14 +10,12 @@
 
 import copy
 import random
-from collections.abc import Mapping
 from typing import NamedTuple
 
 import hypothesis
 import pytest
 from hypothesis import strategies as st
 
-from cyclamenwing.budget import draw_ages
 from cyclamenwing.budget import escrow
 from cyclamenwing.budget import restoration
 
@@ -59,8 +57,6 @@
     era: int
     restoring: bool
     revision: int = 0
-    written_s: float = 0.0
-    certain: int = 0
 
 
 class Commit(NamedTuple):
@@ -83,8 +79,6 @@
         self.revision = 10
         self.pool = restoration.PoolState()
         self.records: dict[str, Record] = {}
-        # When this copy was taken, if it is one.
-        self.taken_s = 0.0
         self.markers: set[int] = set()
 
     def apply(self, commit: Commit) -> bool:
@@ -112,14 +106,9 @@
 class Gateway:
     """Drive one incarnation of a gateway."""
 
-    def __init__(
-        self, host: str, number: int, store: Store, ages_draws: bool = False
-    ) -> None:
+    def __init__(self, host: str, number: int, store: Store) -> None:
         self.host = host
         self.escrow = restoration.EraEscrow(f"{host}-{number}")
-        self.escrow.ages_draws = ages_draws
-        # Bound on the age of the copy that this process began with.
-        self.copy_age_s: float | None = None
         self.account = self.escrow.open_account(WORKSPACE)
         self.expired = False
         self.record_revision = 0
@@ -140,13 +129,9 @@
 
 
 class Fleet:
-    """Run spending gateways while the store returns to older copies.
-
-    :param ages_draws: they use only tokens that each copy lists as drawn
-    """
+    """Run spending gateways while the store returns to older copies."""
 
-    def __init__(self, seed: int, ages_draws: bool = False) -> None:
-        self.ages_draws = ages_draws
+    def __init__(self, seed: int) -> None:
         self.rng = random.Random(seed)
         self.store = Store()
         self.now_s = 100.0
@@ -155,8 +140,6 @@
         self.copies: list[Store] = []
         self.pending: list[Commit] = []
         self.returns = 0
-        # Pools of a copy whose free tokens were used on.
-        self.reopened = 0
         self.gateways: list[Gateway] = []
         for index in range(self.rng.randrange(1, 4)):
             self.gateways.append(self.start(f"h{index}"))
@@ -172,10 +155,8 @@
     def start(self, host: str) -> Gateway:
         """Start a process, which releases its predecessor's unused tokens."""
         self.number += 1
-        gateway = Gateway(host, self.number, self.store, self.ages_draws)
+        gateway = Gateway(host, self.number, self.store)
         previous = self.store.records.get(host)
-        if previous and previous.era < self.store.era:
-            gateway.copy_age_s = self.now_s - previous.written_s
         gateway.record_revision = previous.revision if previous else 0
         self.commit(gateway, 0)
         if previous and previous.era == self.store.era:
@@ -193,16 +174,11 @@
             or previous.holder not in pool.holders
         ):
             return
-        drawn = pool.holders[previous.holder]
-        bound = previous.usage_bound.compute_limit(self.now_s, True)
-        if self.ages_draws:
-            holders = escrow.take_over(
-                pool.holders, previous.holder, bound, gateway.escrow.holder
-            )
-        else:
-            holders = escrow.release_holder(
-                pool.holders, previous.holder, bound
-            )
+        holders = escrow.release_holder(
+            pool.holders,
+            previous.holder,
+            previous.usage_bound.compute_limit(self.now_s, True),
+        )
         mark = gateway.escrow.find_mark(WORKSPACE)
         commit = self.make_commit(gateway, None)._replace(
             pool_revision=pool.revision,
@@ -212,22 +188,13 @@
             gateway.predecessor = None
             gateway.record_revision = self.store.revision
             self.read_pool(gateway)
-            gateway.escrow.add_credit(
-                WORKSPACE, max(min(previous.certain, drawn) - bound, 0)
-            )
 
     def make_commit(
-        self,
-        gateway: Gateway,
-        usage_bound: escrow.UsageBound | None,
-        written: Mapping[str, Mapping[str, int]] | None = None,
+        self, gateway: Gateway, usage_bound: escrow.UsageBound | None
     ) -> Commit:
-        """Return a commit of the record, as it is without a usage bound."""
-        certain = gateway.escrow.list_certain(written or {})[WORKSPACE]
         if usage_bound is None:
             current = self.store.records.get(gateway.host)
             usage_bound = current.usage_bound if current else None
-            certain = current.certain if current else 0
         era = gateway.escrow.era
         return Commit(
             gateway.host,
@@ -238,8 +205,6 @@
                 usage_bound,
                 era,
                 bool(gateway.escrow.unrestored),
-                written_s=self.now_s,
-                certain=certain,
             ),
         )
 
@@ -254,7 +219,7 @@
         if changes and WORKSPACE in own.unopened:
             return
         written, bounds = own.begin_commit(changes, self.now_s)
-        commit = self.make_commit(gateway, bounds[WORKSPACE], written)
+        commit = self.make_commit(gateway, bounds[WORKSPACE])
         if changes:
             commit = commit._replace(
                 pool_revision=own.pools[WORKSPACE].revision,
@@ -272,7 +237,6 @@
         if applied:
             gateway.record_revision = self.store.revision
             own.finish_commit(self.store.revision, written, bounds)
-            own.confirm_draws(self.now_s, self.now_s)
             self.share(gateway)
             return
         own.cancel_commit(changes, bounds)
@@ -337,7 +301,6 @@
             gateway.record_era = own.era
             gateway.record_revision = self.store.revision
             own.finish_commit(self.store.revision, {}, bounds)
-            own.confirm_draws(self.now_s, self.now_s)
         else:
             own.cancel_commit({}, bounds)
 
@@ -369,25 +332,13 @@
                 restoration.Restored(dict(stored.holders), stored.mark),
             )
         elif gateway.expired:
-            self.write_pool(gateway, self.plan_unknown(gateway))
+            self.write_pool(
+                gateway,
+                restoration.close_pool(own.era, own.holder, stored, PREPAID),
+            )
         live = {g.escrow.holder for g in self.gateways if g is not gateway}
         own.open_pools(live, gateway.expired)
 
-    def plan_unknown(self, gateway: Gateway) -> restoration.Restored:
-        """Return what a process writes that knows only the copy."""
-        own, stored = gateway.escrow, self.store.pool
-        if (
-            self.ages_draws
-            and gateway.copy_age_s is not None
-            and gateway.copy_age_s <= draw_ages.MAX_COPY_AGE_S
-            and stored.revision
-            and stored.mark.era == own.era - 1
-            and draw_ages.FRESH not in stored.holders
-        ):
-            self.reopened += 1
-            return restoration.reopen_pool(own.era, own.holder, stored)
-        return restoration.close_pool(own.era, own.holder, stored, PREPAID)
-
     def write_pool(
         self, gateway: Gateway, restored: restoration.Restored
     ) -> None:
@@ -466,7 +417,6 @@
 
     def do_copy(self, _: Gateway) -> None:
         self.copies.append(copy.deepcopy(self.store))
-        self.copies[-1].taken_s = self.now_s
 
     def do_restore(self, _: Gateway) -> None:
         if not self.copies:
