Ask for no usage bound while the holdings of a long answer are missing

Seen while reading the diff: a long answer whose holdings were reclaimed made the gateway renew its record at each turn of the loop, though no higher usage bound could help before it has drawn again.

Change: such an answer counts as waiting for a bound only if its tokens are held. `Count` of `decoding` was used by nobody and is gone.

The double of `reserve` in tests/gateway/test_shutdown.py takes the new keywords; without it the request ended with a TypeError. It checks the same.

--- a/src/cyclamenwing/decoding.py
+++ b/src/cyclamenwing/decoding.py
@@ -21,7 +21,6 @@
 # Integers that can be encoded again. JSON has longer ones, and msgspec decodes
 # these, but does not encode them.
 Integer = Annotated[int, msgspec.Meta(ge=-(2**63), le=2**63 - 1)]
-Count = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
 
 T = TypeVar("T")
 
@@ -84,7 +83,6 @@
 
 __all__ = (
     "MAX_DEPTH",
-    "Count",
     "Decoder",
     "Integer",
     "decode",
--- a/src/cyclamenwing/gateway/pools.py
+++ b/src/cyclamenwing/gateway/pools.py
@@ -276,8 +276,8 @@
     def _is_bound_awaited(self) -> bool:
         """Return whether a request waits only for a higher usage bound."""
         return any(
-            account.awaited
-            or (account.wanted and account.held >= account.wanted)
+            (account.wanted and account.held >= account.wanted)
+            or 0 < account.awaited <= account.held + account.deferred
             for account in self._board.escrow.accounts.values()
         )
 
--- a/tests/gateway/test_shutdown.py
+++ b/tests/gateway/test_shutdown.py
@@ -188,7 +188,7 @@
 ) -> None:
     monkeypatch.setattr(app, "SHUTDOWN_MARGIN_S", 3.4)
 
-    async def wait_for_tokens(*_: object) -> None:
+    async def wait_for_tokens(*_: object, **__: object) -> None:
         await asyncio.sleep(30.0)
 
     async def check(deployment: deployments.Deployment) -> None:
