Let the soak's endpoints write all fields of an entry

Cause: the soak's own endpoints left `cold_left_ms` and `seq` out.

Change: they write what endpoints write.

--- a/tests/soak/endpoint.py
+++ b/tests/soak/endpoint.py
@@ -59,6 +59,8 @@
             "version": self.software,
             "slots": 64,
             "state": state,
+            "cold_left_ms": 0,
+            "seq": 1,
         })
 
     def crash(self) -> None:
