--- a/review/support-3/harness.py
+++ b/review/support-3/harness.py
@@ -13,6 +13,7 @@
 import json
 import os
 import pathlib
+import random
 import shutil
 import signal
 import socket
@@ -24,15 +25,24 @@
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 HEARTBEAT_S = 1.2
+_taken: set[int] = set()
 REASONS = {200: "OK", 404: "Not Found", 412: "Precondition Failed",
            410: "Gone", 421: "Misdirected Request", 500: "Error",
            503: "Service Unavailable", 504: "Gateway Timeout"}
 
 
 def free_port() -> int:
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return int(sock.getsockname()[1])
+    """Return a free port that no outgoing connection takes meanwhile."""
+    while True:
+        port = random.randrange(20_000, 32_000)
+        with socket.socket() as sock:
+            try:
+                sock.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        if port not in _taken:
+            _taken.add(port)
+            return port
 
 
 class Record:
